Add the design page, the build and the decision interfaces

Cause: the tree was empty. The page weighs the proposed design and fixes modules, state, messages and failure handling; the headers of dispatch, placement, membership and inventory let the parts be built side by side. Before: nothing. Conclusion: the parts can start.

--- /dev/null
+++ b/cmake/core.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(core PkgConfig::XXHASH PkgConfig::CRYPTO)
+comfreyshift_tests(core core)
--- /dev/null
+++ b/cmake/inventory.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(inventory core nlohmann_json::nlohmann_json)
+comfreyshift_tests(inventory inventory)
--- /dev/null
+++ b/cmake/membership.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(membership core)
+comfreyshift_tests(membership membership)
--- /dev/null
+++ b/cmake/placement.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(placement core)
+comfreyshift_tests(placement placement)
--- /dev/null
+++ b/dispatch/messages.h
@@ -0,0 +1,163 @@
+#ifndef DISPATCH_MESSAGES_H_
+#define DISPATCH_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "placement/placement.h"
+
+namespace comfreyshift {
+
+// Tasks in one submission at most.
+inline constexpr uint32_t kMaxTasksPerJob = 440;
+
+// Why a task or a job was certainly not run.
+enum class NotRunReason : uint8_t {
+  kNotFresh,      // The process has no proof that its configuration is current.
+  kStaleEpoch,    // The partition has a newer owner.
+  kNotOwner,      // The process does not own the partition.
+  kNotMember,     // The process is not in the partition table yet.
+  kDenied,        // Inventory or rules do not allow it.
+  kQueueFull,     // No room; trying again later may help.
+  kDeadline,      // The deadline cannot be met or has passed.
+  kCannotRun,     // No target will ever be able to run it.
+  kQuota,         // The client is over its quota.
+  kShuttingDown,  // The process is stopping.
+  kCancelled,     // The caller cancelled it before it started.
+  kTargetUnreachable,  // The connection to the target was refused.
+  kNeverStarted,       // A tombstone keeps it from starting at this agent.
+  kNoCapacity,         // All targets that it may use are gone or closed.
+};
+
+// Returns the name of a reason in snake_case, as answers and logs show it.
+std::string_view ToString(NotRunReason reason);
+
+struct TaskSpec {
+  // Name of the kind of request, as the inventory lists it.
+  std::string m_request;
+  std::string m_payload;
+  // What the caller declares; 0 when not declared.
+  Milliseconds m_declared_run_time{0};
+  uint64_t m_memory_mb = 0;
+  bool m_needs_accelerator = false;
+
+  bool operator==(const TaskSpec&) const = default;
+};
+
+struct Submission {
+  SubmissionKey m_key;
+  WallTime m_first_sent;
+  std::string m_client;
+  std::vector<TaskSpec> m_tasks;
+  MonoTime m_deadline;
+};
+
+// The target's answer to one task: an HTTP status and a body.
+struct TaskAnswer {
+  uint32_t m_status = 0;
+  std::string m_body;
+
+  bool ok() const { return m_status >= 200 && m_status < 300; }
+  bool operator==(const TaskAnswer&) const = default;
+};
+
+struct TaskDone {
+  TaskAnswer m_answer;
+  Microseconds m_run_time{0};
+};
+struct TaskNotStarted {
+  NotRunReason m_reason = NotRunReason::kNotFresh;
+};
+// The task may have run, and its answer is lost for good.
+struct TaskMayHaveRun {};
+using TaskOutcome = std::variant<TaskDone, TaskNotStarted, TaskMayHaveRun>;
+
+// Asks an agent to start one task on its target.
+struct StartCommand {
+  PartitionId m_partition = 0;
+  Epoch m_epoch = 0;
+  ProcessId m_owner;
+  TaskRef m_task;
+  WallTime m_first_sent;
+  std::string m_client;
+  TaskSpec m_spec;
+  MonoTime m_deadline;
+};
+
+// Ends a StartCommand or a SettleCommand.
+struct StartReply {
+  TaskRef m_task;
+  TaskOutcome m_outcome;
+  LoadReport m_load;
+};
+
+// Asks an agent for the outcome of a task whose reply was lost. The agent
+// replies when the task has ended, or notes that it must never start there.
+struct SettleCommand {
+  PartitionId m_partition = 0;
+  Epoch m_epoch = 0;
+  TaskRef m_task;
+  WallTime m_first_sent;
+};
+
+// One start as its agent recorded it.
+struct StartRecord {
+  TaskRef m_task;
+  WallTime m_first_sent;
+  // False while the task runs.
+  bool m_ended = false;
+  TaskOutcome m_outcome;
+};
+
+struct PartitionEpoch {
+  PartitionId m_partition = 0;
+  Epoch m_epoch = 0;
+};
+
+// Announces new epochs to an agent and asks for its records of those
+// partitions.
+struct CollectCommand {
+  ProcessId m_owner;
+  std::vector<PartitionEpoch> m_partitions;
+};
+
+struct CollectReply {
+  // False when the agent knows a higher epoch for one of the partitions; then
+  // there are no records.
+  bool m_accepted = false;
+  std::vector<StartRecord> m_records;
+};
+
+// Why a job failed. Some of its tasks may have run.
+enum class JobFailure : uint8_t {
+  kTaskFailed,         // A target answered a task with an error.
+  kUnknownMayHaveRun,  // Whether a task ran is not known.
+  kCancelled,          // The caller cancelled it after a task had started.
+  kDeadline,           // The deadline passed after a task had started.
+  kNotRunPartly,       // A task could not be started after others had.
+};
+
+std::string_view ToString(JobFailure failure);
+
+struct JobComplete {
+  // One answer for each task, in the order of the submission.
+  std::vector<TaskAnswer> m_answers;
+};
+struct JobFailed {
+  JobFailure m_failure = JobFailure::kTaskFailed;
+  std::string m_detail;
+};
+// No task of the job was started or ever will be.
+struct JobNotRun {
+  NotRunReason m_reason = NotRunReason::kNotFresh;
+  std::string m_detail;
+};
+using JobAnswer = std::variant<JobComplete, JobFailed, JobNotRun>;
+
+}  // namespace comfreyshift
+
+#endif  // DISPATCH_MESSAGES_H_
--- /dev/null
+++ b/dispatch/partition_table.h
@@ -0,0 +1,85 @@
+#ifndef DISPATCH_PARTITION_TABLE_H_
+#define DISPATCH_PARTITION_TABLE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/core.h"
+#include "membership/membership.h"
+
+namespace comfreyshift {
+
+inline constexpr uint32_t kDefaultPartitionCount = 8192;
+
+// One partition of the submissions.
+struct Partition {
+  // Nothing while no agent can own it.
+  std::optional<ProcessId> m_owner;
+  Epoch m_epoch = 0;
+  WallTime m_owner_since;
+  // A key first sent before this time, and of which no record exists, may have
+  // run.
+  WallTime m_unknown_before;
+
+  bool operator==(const Partition&) const = default;
+};
+
+// A member that left the table within the retention window.
+struct DepartedMember {
+  ProcessId m_id;
+  std::string m_rack;
+  WallTime m_departed_at;
+  // True when it handed over its records before it left.
+  bool m_clean = false;
+
+  bool operator==(const DepartedMember&) const = default;
+};
+
+// The value of the store key `/comfreyshift/table`: all members, and the owner
+// and epoch of each partition.
+struct PartitionTable {
+  std::vector<Member> m_members;
+  std::vector<Partition> m_partitions;
+  std::vector<DepartedMember> m_departed;
+
+  // Returns the member with this name and incarnation, or nothing.
+  const Member* Find(const ProcessId& id) const;
+
+  bool operator==(const PartitionTable&) const = default;
+};
+
+struct TableError {
+  std::string m_message;
+};
+
+// What is to change in a table.
+struct TableChange {
+  std::vector<Member> m_joining;
+  std::vector<ProcessId> m_dead;
+  std::vector<ProcessId> m_leaving_cleanly;
+};
+
+// Returns the table after `change`. Partitions of members that are gone move to
+// the agents with the fewest, a joining agent takes its even share, and each
+// moved partition gets the next epoch. `now` is the proposer's wall clock and
+// `retention` how long start records are kept. The result is the same for the
+// same arguments, so that proposers that race make the same table.
+PartitionTable ApplyChange(const PartitionTable& table,
+                           const TableChange& change,
+                           WallTime now,
+                           Milliseconds retention);
+
+// Makes a table with no members and `partition_count` partitions.
+PartitionTable MakeEmptyTable(uint32_t partition_count);
+
+// The JSON form that the store holds: below 1 MB for 2,400 members and 8,192
+// partitions. Decoding fails on any malformed or contradictory input.
+std::string EncodeTable(const PartitionTable& table);
+Result<PartitionTable, TableError> DecodeTable(std::string_view text);
+
+}  // namespace comfreyshift
+
+#endif  // DISPATCH_PARTITION_TABLE_H_
--- /dev/null
+++ b/dispatch/starter.h
@@ -0,0 +1,87 @@
+#ifndef DISPATCH_STARTER_H_
+#define DISPATCH_STARTER_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "dispatch/messages.h"
+#include "dispatch/partition_table.h"
+#include "inventory/inventory.h"
+
+namespace comfreyshift {
+
+struct StarterConfig {
+  Milliseconds m_retention = std::chrono::minutes(10);
+  std::string m_target;
+  uint32_t m_slots = 8;
+  // Tasks that may wait for a slot.
+  uint32_t m_max_queue = 880;
+};
+
+// Names the RPC that waits for a reply; chosen by the shell.
+using ReplyToken = uint64_t;
+
+// Send this task to the target now. OnTaskEnded ends it. The shell must check
+// MayStart once more right before it writes to the target's socket, and end the
+// task as not started when it is false.
+struct RunTask {
+  TaskRef m_task;
+  std::string m_client;
+  TaskSpec m_spec;
+  MonoTime m_deadline;
+};
+struct ReplyStart {
+  ReplyToken m_token = 0;
+  StartReply m_reply;
+};
+using StarterAction = std::variant<RunTask, ReplyStart>;
+
+// Keeps a record of every start on one target and refuses a second one. Tasks
+// over the target's slots wait in a queue.
+class Starter {
+ public:
+  Starter(StarterConfig config, ProcessId self);
+
+  void SetTable(std::shared_ptr<const PartitionTable> table);
+  void SetInventory(std::shared_ptr<const Inventory> inventory);
+  void SetFreshUntil(MonoTime deadline) { m_fresh_until = deadline; }
+
+  // True when a task of `client` may start on the target at `now`: fresh proof,
+  // listed in the table, and allowed by inventory and rules.
+  bool MayStart(MonoTime now, const std::string& client) const;
+
+  void OnStart(MonoTime now,
+               WallTime wall_now,
+               ReplyToken token,
+               StartCommand command);
+  void OnTaskEnded(MonoTime now, const TaskRef& task, TaskOutcome outcome);
+  void OnSettle(MonoTime now,
+                WallTime wall_now,
+                ReplyToken token,
+                const SettleCommand& command);
+  CollectReply OnCollect(MonoTime now, const CollectCommand& command);
+
+  // Removes a queued task; a running one goes on to its end.
+  void OnCancel(MonoTime now, const TaskRef& task);
+
+  // Refuses every new start and empties the queue as not started.
+  void StartDraining(MonoTime now);
+
+  void Tick(MonoTime now, WallTime wall_now);
+  MonoTime NextDeadline() const;
+  std::vector<StarterAction> TakeActions();
+
+  LoadReport Load() const;
+  size_t running() const;
+  size_t records() const;
+};
+
+}  // namespace comfreyshift
+
+#endif  // DISPATCH_STARTER_H_
--- /dev/null
+++ b/membership/member.h
@@ -0,0 +1,31 @@
+#ifndef MEMBERSHIP_MEMBER_H_
+#define MEMBERSHIP_MEMBER_H_
+
+#include <cstdint>
+#include <string>
+
+#include "core/core.h"
+
+namespace comfreyshift {
+
+enum class MemberRole : uint8_t { kEntry, kAgent };
+
+// One process of the system, as it announces itself and as the partition table
+// lists it.
+struct Member {
+  ProcessId m_id;
+  MemberRole m_role = MemberRole::kAgent;
+  Address m_datagram_address;
+  Address m_rpc_address;
+  std::string m_zone;
+  std::string m_rack;
+  std::string m_worker;
+  // Name of the target that the agent stands beside; empty for an entry.
+  std::string m_target;
+
+  bool operator==(const Member&) const = default;
+};
+
+}  // namespace comfreyshift
+
+#endif  // MEMBERSHIP_MEMBER_H_
--- /dev/null
+++ b/placement/placement.h
@@ -0,0 +1,9 @@
+#ifndef PLACEMENT_PLACEMENT_H_
+#define PLACEMENT_PLACEMENT_H_
+
+// Public header of the placement library: which target gets a task, and which
+// tasks are admitted at all.
+
+#include "placement/placer.h"
+
+#endif  // PLACEMENT_PLACEMENT_H_
