--- /dev/null
+++ b/agent/agent_process.h
@@ -0,0 +1,103 @@
+#ifndef AGENT_AGENT_PROCESS_H_
+#define AGENT_AGENT_PROCESS_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "agent/target_client.h"
+#include "core/core.h"
+#include "dispatch/dispatch.h"
+#include "node/node.h"
+#include "rpc/rpc.h"
+
+namespace comfreyshift {
+
+struct AgentConfig {
+  NodeConfig m_node;
+  OwnerConfig m_owner;
+  StarterConfig m_starter;
+  Address m_target_address;
+  uint32_t m_target_connections = 64;
+};
+
+// The agent role: feeds its owner and starter tables from peers and from the
+// target, and carries out what they ask for.
+class AgentProcess final : public NodeRole, public PeerHandler {
+ public:
+  // `runtime` must outlive the agent.
+  static Result<std::unique_ptr<AgentProcess>, NodeError> Start(
+      AgentConfig config,
+      RpcRuntime& runtime);
+
+  // Refuses new work from now on. `on_drained` runs once, when no task and no
+  // job is in progress any more or the deadline has passed.
+  void Drain(MonoTime deadline, std::function<void()> on_drained);
+
+  ProcessNode& node() { return *m_node; }
+  Counters& counters() { return m_counters; }
+  bool ready(MonoTime now) const;
+
+  // NodeRole:
+  void OnConfigApplied(MonoTime now) override;
+  void OnMembershipEvent(MonoTime now, const MembershipEvent& event) override;
+  MonoTime OnTick(MonoTime now) override;
+
+  // PeerHandler:
+  void OnSubmit(Submission submission, Reply<SubmitReply> reply) override;
+  std::optional<JobAnswer> OnFetch(const SubmissionKey& key) override;
+  bool OnCancel(const SubmissionKey& key) override;
+  void OnStart(StartCommand command, Reply<StartReply> reply) override;
+  void OnSettle(SettleCommand command, Reply<StartReply> reply) override;
+  void OnCancelTask(const TaskRef& task) override;
+  CollectReply OnCollect(const CollectCommand& command) override;
+  ConfigChanges OnConfig(Revision since) override;
+  ProcessStatus OnStatus(const std::vector<std::string>& subjects) override;
+  bool OnAdopt(std::vector<StartRecord> records) override;
+
+ private:
+  AgentProcess(AgentConfig config, RpcRuntime& runtime);
+
+  // Carries out one action of the owner or the starter.
+  void Do(MonoTime now, SendStart action);
+  void Do(MonoTime now, SendSettle action);
+  void Do(MonoTime now, SendCancel action);
+  void Do(MonoTime now, SendCollect action);
+  void Do(MonoTime now, JobEnded action);
+  void Do(MonoTime now, RunTask action);
+  void Do(MonoTime now, ReplyStart action);
+  void DoOwnerActions(MonoTime now);
+  void DoStarterActions(MonoTime now);
+
+  void OnStartResult(const ProcessId& from,
+                     const TaskRef& task,
+                     Result<StartReply, RpcError> result);
+  ReplyToken KeepReply(Reply<StartReply> reply);
+  void NoteStart(const RunTask& task);
+  void CheckDrained(MonoTime now);
+
+  AgentConfig m_config;
+  Owner m_owner;
+  Starter m_starter;
+  TargetClient m_target;
+  Counters m_counters;
+  std::unique_ptr<ProcessNode> m_node;
+
+  // RPCs that wait for a starter's reply, and callers that wait for a job.
+  std::unordered_map<ReplyToken, Reply<StartReply>> m_waiting_starts;
+  ReplyToken m_next_token = 1;
+  std::unordered_map<SubmissionKey, std::vector<Reply<SubmitReply>>>
+      m_waiting_jobs;
+
+  // Last start for each subject, for the proof of a retirement.
+  std::map<std::string, WallTime> m_last_starts;
+  uint64_t m_starts = 0;
+  MonoTime m_drain_deadline = MonoTime::max();
+  std::function<void()> m_on_drained;
+};
+
+}  // namespace comfreyshift
+
+#endif  // AGENT_AGENT_PROCESS_H_
--- a/core/core.h
+++ b/core/core.h
@@ -11,5 +11,6 @@
 #include "core/ids.h"
 #include "core/mac.h"
 #include "core/result.h"
+#include "core/socket_address.h"
 
 #endif  // CORE_CORE_H_
--- /dev/null
+++ b/node/loop_timer.h
@@ -0,0 +1,36 @@
+#ifndef NODE_LOOP_TIMER_H_
+#define NODE_LOOP_TIMER_H_
+
+#include <glib.h>
+
+#include <functional>
+
+#include "core/core.h"
+
+namespace comfreyshift {
+
+// Calls a function from the main loop at a deadline that can be moved. Deadlines
+// are on the boot-time clock; the wait itself is on GLib's monotonic clock,
+// which stops while the machine is suspended, so a call may come late but the
+// function always sees the true time.
+class LoopTimer {
+ public:
+  explicit LoopTimer(std::function<void()> callback);
+  ~LoopTimer();
+  LoopTimer(const LoopTimer&) = delete;
+  LoopTimer& operator=(const LoopTimer&) = delete;
+
+  // Replaces the deadline. MonoTime::max() stops the timer; a deadline that has
+  // passed makes the call in the loop's next turn.
+  void Set(MonoTime deadline);
+
+ private:
+  static gboolean OnReady(gpointer self);
+
+  std::function<void()> m_callback;
+  GSource* m_source;
+};
+
+}  // namespace comfreyshift
+
+#endif  // NODE_LOOP_TIMER_H_
--- /dev/null
+++ b/rpc/peer.capnp
@@ -0,0 +1,163 @@
+@0xd2a1c6f0b8e94d17;
+
+# Messages between the processes of the system. Times on the wire are lengths: the receiver turns them into deadlines on
+# its own clock. Enumerations travel as the numbers of dispatch/messages.h and are checked on receipt.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("comfreyshift::wire");
+
+struct ProcessId {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct TaskSpec {
+  request @0 :Text;
+  payload @1 :Data;
+  declaredRunTimeMs @2 :UInt64;
+  memoryMb @3 :UInt64;
+  needsAccelerator @4 :Bool;
+}
+
+struct TaskRef {
+  key @0 :Data;
+  index @1 :UInt32;
+}
+
+struct Submission {
+  key @0 :Data;
+  firstSentMs @1 :Int64;
+  client @2 :Text;
+  tasks @3 :List(TaskSpec);
+  timeLeftUs @4 :Int64;
+}
+
+struct TaskAnswer {
+  status @0 :UInt32;
+  body @1 :Data;
+}
+
+struct JobAnswer {
+  union {
+    complete @0 :List(TaskAnswer);
+    failed :group {
+      failure @1 :UInt8;
+      detail @2 :Text;
+    }
+    notRun :group {
+      reason @3 :UInt8;
+      notRunDetail @4 :Text;
+    }
+  }
+}
+
+struct TaskOutcome {
+  union {
+    done :group {
+      answer @0 :TaskAnswer;
+      runTimeUs @1 :Int64;
+    }
+    notStarted @2 :UInt8;
+    mayHaveRun @3 :Void;
+  }
+}
+
+struct Load {
+  running @0 :UInt32;
+  queued @1 :UInt32;
+  slots @2 :UInt32;
+}
+
+struct StartCommand {
+  partition @0 :UInt32;
+  epoch @1 :UInt64;
+  owner @2 :ProcessId;
+  task @3 :TaskRef;
+  firstSentMs @4 :Int64;
+  client @5 :Text;
+  spec @6 :TaskSpec;
+  timeLeftUs @7 :Int64;
+}
+
+struct StartReply {
+  task @0 :TaskRef;
+  outcome @1 :TaskOutcome;
+  load @2 :Load;
+}
+
+struct SettleCommand {
+  partition @0 :UInt32;
+  epoch @1 :UInt64;
+  task @2 :TaskRef;
+  firstSentMs @3 :Int64;
+}
+
+struct StartRecord {
+  task @0 :TaskRef;
+  firstSentMs @1 :Int64;
+  ended @2 :Bool;
+  outcome @3 :TaskOutcome;
+}
+
+struct PartitionEpoch {
+  partition @0 :UInt32;
+  epoch @1 :UInt64;
+}
+
+struct CollectCommand {
+  owner @0 :ProcessId;
+  partitions @1 :List(PartitionEpoch);
+}
+
+struct CollectReply {
+  accepted @0 :Bool;
+  records @1 :List(StartRecord);
+}
+
+struct ConfigItem {
+  key @0 :Text;
+  value @1 :Data;
+  modRevision @2 :UInt64;
+}
+
+struct ConfigChanges {
+  revision @0 :UInt64;
+  items @1 :List(ConfigItem);
+}
+
+struct LastStart {
+  subject @0 :Text;
+  atMs @1 :Int64;
+}
+
+struct StatusReply {
+  revision @0 :UInt64;
+  freshLeftUs @1 :Int64;
+  running @2 :UInt32;
+  queued @3 :UInt32;
+  starts @4 :UInt64;
+  jobs @5 :UInt32;
+  lastStarts @6 :List(LastStart);
+}
+
+interface Peer {
+  # Ends when the job has ended, or at once with a redirect when this process does not own the submission.
+  submit @0 (submission :Submission) -> (redirect :Bool, reason :UInt8, answer :JobAnswer);
+  fetch @1 (key :Data) -> (known :Bool, answer :JobAnswer);
+  cancel @2 (key :Data) -> (known :Bool);
+  # Ends when the task has ended or was refused.
+  start @3 (command :StartCommand) -> (reply :StartReply);
+  settle @4 (command :SettleCommand) -> (reply :StartReply);
+  cancelTask @5 (task :TaskRef) -> ();
+  collect @6 (command :CollectCommand) -> (reply :CollectReply);
+  config @7 (since :UInt64) -> (changes :ConfigChanges);
+  status @8 (subjects :List(Text)) -> (status :StatusReply);
+  # Takes over start records of a member that leaves.
+  adopt @9 (records :List(StartRecord)) -> (accepted :Bool);
+}
+
+# What a new connection offers. Both ends prove that they hold the fleet key before any call of Peer.
+interface Gate {
+  challenge @0 (clientNonce :Data) -> (serverNonce :Data, serverProof :Data);
+  login @1 (clientProof :Data) -> (peer :Peer);
+}
--- /dev/null
+++ b/rpc/peer_messages.h
@@ -0,0 +1,66 @@
+#ifndef RPC_PEER_MESSAGES_H_
+#define RPC_PEER_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "dispatch/dispatch.h"
+
+namespace comfreyshift {
+
+// The reply to a submission: the job's answer, or why this process does not
+// take it.
+using SubmitReply = std::variant<JobAnswer, NotRunReason>;
+
+// One key of the configuration as the store holds it.
+struct ConfigItem {
+  std::string m_key;
+  std::string m_value;
+  Revision m_mod_revision = 0;
+
+  bool operator==(const ConfigItem&) const = default;
+};
+
+// All keys that changed after the revision that was asked for.
+struct ConfigChanges {
+  Revision m_revision = 0;
+  std::vector<ConfigItem> m_items;
+};
+
+// When a task last started for a subject such as "client:NAME", "target:NAME"
+// or "zone:NAME"; the epoch when none has.
+struct LastStart {
+  std::string m_subject;
+  WallTime m_at;
+};
+
+// What a process says of itself.
+struct ProcessStatus {
+  Revision m_revision = 0;
+  // How long its proof of freshness still lasts; negative when expired.
+  Microseconds m_fresh_left{0};
+  uint32_t m_running = 0;
+  uint32_t m_queued = 0;
+  uint64_t m_starts = 0;
+  uint32_t m_jobs = 0;
+  std::vector<LastStart> m_last_starts;
+};
+
+// Why a call between processes failed.
+enum class RpcFailure : uint8_t {
+  kNotSent,   // The request certainly did not reach the peer.
+  kLost,      // The peer may have acted on it.
+  kTimedOut,  // The deadline passed; the peer may have acted on it.
+};
+
+struct RpcError {
+  RpcFailure m_failure = RpcFailure::kLost;
+  std::string m_message;
+};
+
+}  // namespace comfreyshift
+
+#endif  // RPC_PEER_MESSAGES_H_
