--- a/cmake/membership.cmake
+++ b/cmake/membership.cmake
@@ -1,2 +1,2 @@
-comfreyshift_library(membership core)
+comfreyshift_library(membership core PkgConfig::XXHASH)
 comfreyshift_tests(membership membership)
--- a/membership/member.h
+++ b/membership/member.h
@@ -26,6 +26,15 @@
   bool operator==(const Member&) const = default;
 };
 
+// The load that a member reports in its acks, as counts of tasks.
+struct MemberLoad {
+  uint16_t m_running = 0;
+  uint16_t m_queued = 0;
+  uint16_t m_slots = 0;
+
+  bool operator==(const MemberLoad&) const = default;
+};
+
 }  // namespace comfreyshift
 
 #endif  // MEMBERSHIP_MEMBER_H_
