Rename the store section of the settings

Cause: settings and store both defined StoreSettings in one namespace, and the linker would have merged their members. Ruled out: a namespace for each library. Before: two types of one name. After: StoreEndpointSettings in settings.

--- a/settings/settings.cc
+++ b/settings/settings.cc
@@ -141,11 +141,11 @@
   return fleet;
 }
 
-StoreSettings ReadStore(KeyFile& file) {
+StoreEndpointSettings ReadStore(KeyFile& file) {
   const std::string section = "store";
   const std::string accepted =
       "IP:PORT or http(s)://HOST:PORT addresses, with commas";
-  StoreSettings store;
+  StoreEndpointSettings store;
   if (const auto list = file.Require(section, "endpoints", accepted)) {
     for (const std::string& part : KeyFile::Split(*list)) {
       const std::optional<std::string> url = ParseEndpoint(part);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -60,7 +60,7 @@
 };
 
 // Section [store]; entries only.
-struct StoreSettings {
+struct StoreEndpointSettings {
   // URLs without a trailing slash, such as "http://10.0.0.1:2379".
   std::vector<std::string> m_endpoints;
   Milliseconds m_timeout{1000};
@@ -104,7 +104,7 @@
   std::optional<TlsSettings> m_tls;
   FleetSettings m_fleet;
   // Set exactly for entries.
-  std::optional<StoreSettings> m_store;
+  std::optional<StoreEndpointSettings> m_store;
   // Set exactly for agents.
   std::optional<TargetSettings> m_target;
   OperatorSettings m_operators;
