--- a/agent/target_client.h
+++ b/agent/target_client.h
@@ -6,6 +6,7 @@
 
 #include "core/core.h"
 #include "dispatch/dispatch.h"
+#include "http/http.h"
 
 namespace comfreyshift {
 
@@ -17,10 +18,11 @@
   using MayStartFunction = std::function<bool()>;
   using DoneFunction = std::function<void(TaskOutcome)>;
 
-  TargetClient(const Address& target, uint32_t max_connections);
-  ~TargetClient();
-  TargetClient(const TargetClient&) = delete;
-  TargetClient& operator=(const TargetClient&) = delete;
+  // `max_answer_bytes` limits the body of one answer; a longer one ends the
+  // task with status 502.
+  TargetClient(const Address& target,
+               uint32_t max_connections,
+               uint64_t max_answer_bytes);
 
   // Runs one task. `may_start` is asked right before the request is written, on
   // a connection that is open by then; when it says no, nothing is written and
@@ -33,8 +35,7 @@
            DoneFunction done);
 
  private:
-  struct Impl;
-  std::unique_ptr<Impl> m_impl;
+  std::shared_ptr<HttpClient> m_client;
 };
 
 }  // namespace comfreyshift
--- /dev/null
+++ b/entry/entry.h
@@ -0,0 +1,9 @@
+#ifndef ENTRY_ENTRY_H_
+#define ENTRY_ENTRY_H_
+
+// Public header of the entry library: the role that serves callers and
+// operators over HTTP.
+
+#include "entry/entry_process.h"
+
+#endif  // ENTRY_ENTRY_H_
--- /dev/null
+++ b/entry/entry_process.cc
@@ -0,0 +1,135 @@
+#include "entry/entry_process.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/logging.h"
+
+namespace comfreyshift {
+
+Result<std::unique_ptr<EntryProcess>, NodeError> EntryProcess::Start(
+    EntryConfig config,
+    std::shared_ptr<StoreClient> store,
+    RpcRuntime& runtime) {
+  std::unique_ptr<EntryProcess> entry(new EntryProcess(std::move(store)));
+  auto node =
+      ProcessNode::Start(std::move(config.m_node), runtime, *entry, *entry);
+  if (!node) {
+    return node.error();
+  }
+  entry->m_node = std::move(node.value());
+  entry->m_sync = std::make_shared<StoreSync>(entry->m_store, *entry->m_node);
+  entry->m_keeper = std::make_shared<TableKeeper>(
+      config.m_table, entry->m_store, entry->m_sync, *entry->m_node);
+  return entry;
+}
+
+EntryProcess::EntryProcess(std::shared_ptr<StoreClient> store)
+    : m_store(std::move(store)) {}
+
+void EntryProcess::Submit(Submission submission,
+                          JobSession::DoneFunction done) {
+  ++m_sessions;
+  m_counters.Add("submissions_total");
+  JobSession::Start(*m_node, std::move(submission),
+                    [this, done = std::move(done)](SessionAnswer answer) {
+                      --m_sessions;
+                      done(std::move(answer));
+                    });
+}
+
+void EntryProcess::Fetch(const SubmissionKey& key,
+                         std::function<void(std::optional<JobAnswer>)> done) {
+  const Member* owner = FindOwner(*m_node->view().table(), key);
+  if (owner == nullptr) {
+    done(std::nullopt);
+    return;
+  }
+  m_node->peers().Fetch(
+      ToPeer(*owner), key,
+      [done = std::move(done)](
+          Result<std::optional<JobAnswer>, RpcError> result) {
+        done(result ? std::move(result.value()) : std::nullopt);
+      });
+}
+
+void EntryProcess::Cancel(const SubmissionKey& key,
+                          std::function<void(bool)> done) {
+  const Member* owner = FindOwner(*m_node->view().table(), key);
+  if (owner == nullptr) {
+    done(false);
+    return;
+  }
+  m_node->peers().Cancel(ToPeer(*owner), key,
+                         [done = std::move(done)](Result<bool, RpcError> result) {
+                           done(result && result.value());
+                         });
+}
+
+bool EntryProcess::ready(MonoTime now) const {
+  return m_node->FreshUntil(now) > now &&
+         !m_node->view().table()->m_partitions.empty();
+}
+
+void EntryProcess::OnConfigApplied(MonoTime /*now*/) {}
+
+void EntryProcess::OnMembershipEvent(MonoTime now,
+                                     const MembershipEvent& event) {
+  m_keeper->OnMembershipEvent(now, event);
+}
+
+MonoTime EntryProcess::OnTick(MonoTime now) {
+  m_sync->Tick(now);
+  m_keeper->Tick(now);
+  return std::min(m_sync->NextDeadline(), m_keeper->NextDeadline());
+}
+
+void EntryProcess::OnSubmit(Submission /*submission*/,
+                            Reply<SubmitReply> reply) {
+  reply(NotRunReason::kNotOwner);
+}
+
+std::optional<JobAnswer> EntryProcess::OnFetch(const SubmissionKey& /*key*/) {
+  return std::nullopt;
+}
+
+bool EntryProcess::OnCancel(const SubmissionKey& /*key*/) {
+  return false;
+}
+
+void EntryProcess::OnStart(StartCommand command, Reply<StartReply> reply) {
+  reply({command.m_task, TaskNotStarted{NotRunReason::kNotOwner}, {}});
+}
+
+void EntryProcess::OnSettle(SettleCommand command, Reply<StartReply> reply) {
+  // An entry starts no task, so none can have started here.
+  reply({command.m_task, TaskNotStarted{NotRunReason::kNeverStarted}, {}});
+}
+
+void EntryProcess::OnCancelTask(const TaskRef& /*task*/) {}
+
+CollectReply EntryProcess::OnCollect(const CollectCommand& /*command*/) {
+  return {true, {}};
+}
+
+ConfigChanges EntryProcess::OnConfig(Revision since) {
+  return m_node->ChangesSince(since);
+}
+
+ProcessStatus EntryProcess::OnStatus(
+    const std::vector<std::string>& /*subjects*/) {
+  const MonoTime now = BootClock::now();
+  ProcessStatus status;
+  status.m_revision = m_node->applied_revision();
+  const MonoTime fresh_until = m_node->FreshUntil(now);
+  status.m_fresh_left =
+      fresh_until > now ? fresh_until - now : Microseconds(-1);
+  status.m_jobs = static_cast<uint32_t>(m_sessions);
+  return status;
+}
+
+bool EntryProcess::OnAdopt(std::vector<StartRecord> /*records*/) {
+  return false;
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/entry/entry_process.h
@@ -0,0 +1,84 @@
+#ifndef ENTRY_ENTRY_PROCESS_H_
+#define ENTRY_ENTRY_PROCESS_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "entry/job_session.h"
+#include "entry/store_sync.h"
+#include "entry/table_keeper.h"
+#include "node/node.h"
+#include "rpc/rpc.h"
+#include "store/store.h"
+
+namespace comfreyshift {
+
+struct EntryConfig {
+  NodeConfig m_node;
+  TableKeeperConfig m_table;
+};
+
+// The entry role without its HTTP side: reads the store, keeps the partition
+// table and carries submissions to their owners. It owns no partition and runs
+// no task.
+class EntryProcess final : public NodeRole, public PeerHandler {
+ public:
+  // `runtime` must outlive the entry.
+  static Result<std::unique_ptr<EntryProcess>, NodeError> Start(
+      EntryConfig config,
+      std::shared_ptr<StoreClient> store,
+      RpcRuntime& runtime);
+
+  // Carries a submission to its owner; `done` gets the whole answer.
+  void Submit(Submission submission, JobSession::DoneFunction done);
+
+  // Asks the owner of `key` for the answer of an ended job. `done` gets nothing
+  // when there is none or the owner cannot be reached.
+  void Fetch(const SubmissionKey& key,
+             std::function<void(std::optional<JobAnswer>)> done);
+
+  // Cancels a job at its owner. `done` gets false when the owner does not know
+  // the job or cannot be reached.
+  void Cancel(const SubmissionKey& key, std::function<void(bool)> done);
+
+  ProcessNode& node() { return *m_node; }
+  StoreClient& store() { return *m_store; }
+  StoreSync& sync() { return *m_sync; }
+  Counters& counters() { return m_counters; }
+  size_t sessions() const { return m_sessions; }
+  bool ready(MonoTime now) const;
+
+  // NodeRole:
+  void OnConfigApplied(MonoTime now) override;
+  void OnMembershipEvent(MonoTime now, const MembershipEvent& event) override;
+  MonoTime OnTick(MonoTime now) override;
+
+  // PeerHandler:
+  void OnSubmit(Submission submission, Reply<SubmitReply> reply) override;
+  std::optional<JobAnswer> OnFetch(const SubmissionKey& key) override;
+  bool OnCancel(const SubmissionKey& key) override;
+  void OnStart(StartCommand command, Reply<StartReply> reply) override;
+  void OnSettle(SettleCommand command, Reply<StartReply> reply) override;
+  void OnCancelTask(const TaskRef& task) override;
+  CollectReply OnCollect(const CollectCommand& command) override;
+  ConfigChanges OnConfig(Revision since) override;
+  ProcessStatus OnStatus(const std::vector<std::string>& subjects) override;
+  bool OnAdopt(std::vector<StartRecord> records) override;
+
+ private:
+  explicit EntryProcess(std::shared_ptr<StoreClient> store);
+
+  std::shared_ptr<StoreClient> m_store;
+  Counters m_counters;
+  std::unique_ptr<ProcessNode> m_node;
+  std::shared_ptr<StoreSync> m_sync;
+  std::shared_ptr<TableKeeper> m_keeper;
+  size_t m_sessions = 0;
+};
+
+}  // namespace comfreyshift
+
+#endif  // ENTRY_ENTRY_PROCESS_H_
--- a/entry/job_session.cc
+++ b/entry/job_session.cc
@@ -20,6 +20,16 @@
 
 }  // namespace
 
+const Member* FindOwner(const PartitionTable& table, const SubmissionKey& key) {
+  if (table.m_partitions.empty()) {
+    return nullptr;
+  }
+  const PartitionId partition =
+      key.Partition(static_cast<uint32_t>(table.m_partitions.size()));
+  const auto& owner = table.m_partitions[partition].m_owner;
+  return owner ? table.Find(*owner) : nullptr;
+}
+
 std::shared_ptr<JobSession> JobSession::Start(ProcessNode& node,
                                               Submission submission,
                                               DoneFunction done) {
@@ -45,22 +55,11 @@
   m_self.reset();
 }
 
-const Member* JobSession::FindOwner() const {
-  const PartitionTable& table = *m_node.view().table();
-  if (table.m_partitions.empty()) {
-    return nullptr;
-  }
-  const PartitionId partition = m_submission.m_key.Partition(
-      static_cast<uint32_t>(table.m_partitions.size()));
-  const auto& owner = table.m_partitions[partition].m_owner;
-  return owner ? table.Find(*owner) : nullptr;
-}
-
 void JobSession::Attempt() {
   const MonoTime give_up = m_submission.m_deadline + kAnswerGrace;
   m_retry_at = MonoTime::max();
   m_timer.Set(give_up);
-  const Member* owner = FindOwner();
+  const Member* owner = FindOwner(*m_node.view().table(), m_submission.m_key);
   if (owner == nullptr) {
     RetryLater();
     return;
--- a/entry/job_session.h
+++ b/entry/job_session.h
@@ -22,6 +22,9 @@
 
 using SessionAnswer = std::variant<JobAnswer, AttemptRejected>;
 
+// Returns the listed member that owns the partition of `key`, or nothing.
+const Member* FindOwner(const PartitionTable& table, const SubmissionKey& key);
+
 // Carries one submission to the owner of its partition and waits for the whole
 // answer. When the owner is gone or has changed, it submits again to the new
 // one: submissions are idempotent by key. It keeps itself alive until it has
@@ -47,7 +50,6 @@
   void OnTimer();
   void Finish(SessionAnswer answer);
   void FinishAtDeadline();
-  const Member* FindOwner() const;
 
   ProcessNode& m_node;
   Submission m_submission;
--- /dev/null
+++ b/entry/store_sync.h
@@ -0,0 +1,48 @@
+#ifndef ENTRY_STORE_SYNC_H_
+#define ENTRY_STORE_SYNC_H_
+
+#include <memory>
+
+#include "core/core.h"
+#include "node/node.h"
+#include "store/store.h"
+
+namespace comfreyshift {
+
+// Reads the store's head about once a second and applies what is newer. Each
+// read is also the proof of freshness that the other processes learn by pings.
+class StoreSync : public std::enable_shared_from_this<StoreSync> {
+ public:
+  // `node` must outlive the sync and all its calls.
+  StoreSync(std::shared_ptr<StoreClient> store, ProcessNode& node);
+
+  // Reads when a read is due.
+  void Tick(MonoTime now);
+  MonoTime NextDeadline() const { return m_next_read; }
+
+  // Makes a read due at once, after an edit of this process.
+  void ReadNow();
+
+  // True while the last answer is younger than a few reads.
+  bool InContact(MonoTime now) const { return now < m_contact_until; }
+
+  // True when the store has answered and holds no configuration yet.
+  bool StoreIsEmpty() const { return m_store_is_empty; }
+
+ private:
+  void ReadHead(MonoTime now);
+  void OnHead(MonoTime sent_at, const RangeReply& reply);
+  void FetchChanges(MonoTime now);
+  void OnChanges(MonoTime sent_at, const TxnReply& reply);
+
+  std::shared_ptr<StoreClient> m_store;
+  ProcessNode& m_node;
+  MonoTime m_next_read;
+  MonoTime m_contact_until;
+  MonoTime m_fetch_deadline;
+  bool m_store_is_empty = false;
+};
+
+}  // namespace comfreyshift
+
+#endif  // ENTRY_STORE_SYNC_H_
