Run jobs through Owner and Starter

The headers were contracts without an implementation, so shells could not run a job. Owner now takes submissions, places their tasks by a Placer, settles lost replies and takes partitions over; Starter keeps a record of each start, queues tasks above its slots and answers settles, collects and adopts; the partition table is planned, encoded and decoded.

Start, settle and reply carry an attempt: a refusal holds for one attempt, so that a late or repeated command cannot start a task its owner has placed elsewhere, and the same agent may get the task again.

Before: no program could link against the library.

--- /dev/null
+++ b/dispatch/known_records.cc
@@ -0,0 +1,82 @@
+#include "dispatch/known_records.h"
+
+#include <utility>
+
+namespace comfreyshift {
+
+namespace {
+
+// An answer tells the most, then a running task that can still be asked.
+int Knowledge(const StartRecord& record) {
+  if (!record.m_ended) {
+    return 1;
+  }
+  return std::holds_alternative<TaskMayHaveRun>(record.m_outcome) ? 0 : 2;
+}
+
+}  // namespace
+
+void KnownRecords::Add(PartitionId partition, StartRecord record) {
+  Records& records = m_partitions[partition][record.m_task.m_key];
+  const auto [found, inserted] = records.try_emplace(record.m_task);
+  if (inserted) {
+    ++m_size;
+  } else if (Knowledge(record) <= Knowledge(found->second)) {
+    return;
+  }
+  found->second = std::move(record);
+}
+
+std::vector<StartRecord> KnownRecords::Take(PartitionId partition,
+                                            const SubmissionKey& key) {
+  std::vector<StartRecord> taken;
+  const auto keys = m_partitions.find(partition);
+  if (keys == m_partitions.end()) {
+    return taken;
+  }
+  auto records = keys->second.extract(key);
+  if (records.empty()) {
+    return taken;
+  }
+  for (auto& [task, record] : records.mapped()) {
+    taken.push_back(std::move(record));
+  }
+  m_size -= taken.size();
+  return taken;
+}
+
+void KnownRecords::Append(PartitionId partition,
+                          std::vector<StartRecord>& records) const {
+  const auto keys = m_partitions.find(partition);
+  if (keys == m_partitions.end()) {
+    return;
+  }
+  for (const auto& [key, known] : keys->second) {
+    for (const auto& [task, record] : known) {
+      records.push_back(record);
+    }
+  }
+}
+
+void KnownRecords::AppendAll(std::vector<StartRecord>& records) const {
+  for (const auto& [partition, keys] : m_partitions) {
+    Append(partition, records);
+  }
+}
+
+void KnownRecords::Expire(WallTime oldest) {
+  for (auto& [partition, keys] : m_partitions) {
+    std::erase_if(keys, [&](const auto& item) {
+      const Records& records = item.second;
+      const bool expired = records.begin()->second.m_first_sent < oldest;
+      if (expired) {
+        m_size -= records.size();
+      }
+      return expired;
+    });
+  }
+  std::erase_if(m_partitions,
+                [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/dispatch/known_records.h
@@ -0,0 +1,41 @@
+#ifndef DISPATCH_KNOWN_RECORDS_H_
+#define DISPATCH_KNOWN_RECORDS_H_
+
+#include <unordered_map>
+#include <vector>
+
+#include "core/core.h"
+#include "dispatch/messages.h"
+
+namespace comfreyshift {
+
+// Records that an owner knows of keys for which it holds no job: collected in a
+// takeover, or left from a partition that moved on.
+class KnownRecords {
+ public:
+  // Adds a record, or keeps the one that tells more about the same task.
+  void Add(PartitionId partition, StartRecord record);
+
+  // Removes and returns the records of one key.
+  std::vector<StartRecord> Take(PartitionId partition,
+                                const SubmissionKey& key);
+
+  void Append(PartitionId partition, std::vector<StartRecord>& records) const;
+  void AppendAll(std::vector<StartRecord>& records) const;
+
+  // Removes the records of keys first sent before `oldest`.
+  void Expire(WallTime oldest);
+
+  size_t size() const { return m_size; }
+
+ private:
+  using Records = std::unordered_map<TaskRef, StartRecord>;
+  using Keys = std::unordered_map<SubmissionKey, Records>;
+
+  std::unordered_map<PartitionId, Keys> m_partitions;
+  size_t m_size = 0;
+};
+
+}  // namespace comfreyshift
+
+#endif  // DISPATCH_KNOWN_RECORDS_H_
--- a/dispatch/messages.h
+++ b/dispatch/messages.h
@@ -80,6 +80,9 @@
 struct StartCommand {
   PartitionId m_partition = 0;
   Epoch m_epoch = 0;
+  // Counts the commands of one owner. A refusal or a tombstone holds for this
+  // and all lower pairs of epoch and attempt.
+  uint64_t m_attempt = 0;
   ProcessId m_owner;
   TaskRef m_task;
   WallTime m_first_sent;
@@ -91,6 +94,8 @@
 // Ends a StartCommand or a SettleCommand.
 struct StartReply {
   TaskRef m_task;
+  // The command's attempt.
+  uint64_t m_attempt = 0;
   TaskOutcome m_outcome;
   LoadReport m_load;
 };
@@ -100,14 +105,20 @@
 struct SettleCommand {
   PartitionId m_partition = 0;
   Epoch m_epoch = 0;
+  uint64_t m_attempt = 0;
   TaskRef m_task;
   WallTime m_first_sent;
 };
 
-// One start as its agent recorded it.
+// Task index of a record that refuses the whole job as not run.
+inline constexpr uint32_t kWholeJob = UINT32_MAX;
+
+// One start as its agent recorded it, or the refusal of a whole job.
 struct StartRecord {
   TaskRef m_task;
   WallTime m_first_sent;
+  // The agent that started the task; empty for the refusal of a job.
+  ProcessId m_agent;
   // False while the task runs.
   bool m_ended = false;
   TaskOutcome m_outcome;
@@ -121,15 +132,41 @@
 // Announces new epochs to an agent and asks for its records of those
 // partitions.
 struct CollectCommand {
+  // Tells the rounds of one owner apart. The shell hands it back with the reply
+  // and need not send it.
+  uint64_t m_round = 0;
   ProcessId m_owner;
   std::vector<PartitionEpoch> m_partitions;
 };
 
+// What an owner that is alive tells the one that takes its partition over.
+struct PartitionHistory {
+  PartitionId m_partition = 0;
+  // The epoch that it owned the partition under.
+  Epoch m_epoch = 0;
+  // A key first sent before this time, and of which no record exists, may have
+  // run. The allowed clock error is not included.
+  WallTime m_unknown_before;
+};
+
 struct CollectReply {
   // False when the agent knows a higher epoch for one of the partitions; then
   // there are no records.
   bool m_accepted = false;
   std::vector<StartRecord> m_records;
+  // Of the partitions that the agent served as their owner.
+  std::vector<PartitionHistory> m_histories;
+};
+
+// Hands records over to an agent that keeps them like its own: the refusal of a
+// job before its caller is told, or all records of a member that leaves.
+struct AdoptCommand {
+  // Chosen by the sender; names the command in its reply.
+  uint64_t m_id = 0;
+  // The sender's epochs of the records' partitions; empty for a member that
+  // leaves. The agent refuses the command when it knows a higher one.
+  std::vector<PartitionEpoch> m_epochs;
+  std::vector<StartRecord> m_records;
 };
 
 // Why a job failed. Some of its tasks may have run.
--- a/dispatch/owner.h
+++ b/dispatch/owner.h
@@ -2,19 +2,24 @@
 #define DISPATCH_OWNER_H_
 
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
-#include <string>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "core/core.h"
+#include "dispatch/change_log.h"
+#include "dispatch/job_runner.h"
+#include "dispatch/job_table.h"
+#include "dispatch/known_records.h"
 #include "dispatch/messages.h"
+#include "dispatch/owner_actions.h"
 #include "dispatch/partition_table.h"
+#include "dispatch/takeover.h"
 #include "inventory/inventory.h"
-#include "placement/placement.h"
 
 namespace comfreyshift {
 
@@ -24,35 +29,12 @@
   // The longest age of a proof of freshness anywhere in the system.
   Milliseconds m_freshness = std::chrono::seconds(5);
   uint64_t m_seed = 1;
+  // Jobs kept, running or ended; new ones above this are refused as not run.
+  size_t m_max_jobs = 200'000;
+  // Bytes of task answers kept; new jobs above this are refused as not run.
+  size_t m_max_answer_bytes = 64 << 20;
 };
 
-// What the shell has to do for the owner. Each command is answered by one call:
-// a start or settle by OnStartReply or OnReplyLost, a collect by OnCollectReply
-// or OnCollectLost.
-struct SendStart {
-  ProcessId m_to;
-  StartCommand m_command;
-};
-struct SendSettle {
-  ProcessId m_to;
-  SettleCommand m_command;
-};
-struct SendCancel {
-  ProcessId m_to;
-  TaskRef m_task;
-};
-struct SendCollect {
-  ProcessId m_to;
-  CollectCommand m_command;
-};
-// The answer of a job, for every caller that waits for it.
-struct JobEnded {
-  SubmissionKey m_key;
-  JobAnswer m_answer;
-};
-using OwnerAction =
-    std::variant<SendStart, SendSettle, SendCancel, SendCollect, JobEnded>;
-
 // The job already ended, with this answer.
 struct SubmitAnswered {
   JobAnswer m_answer;
@@ -74,9 +56,12 @@
 class Owner {
  public:
   Owner(OwnerConfig config, ProcessId self);
+  Owner(const Owner&) = delete;
+  Owner& operator=(const Owner&) = delete;
 
   // Takes a newer table. Partitions gained start their takeover; partitions
-  // lost drop their jobs, and callers that wait get a redirect by resubmitting.
+  // lost drop their jobs (JobDropped), and their records are kept for the next
+  // owner.
   void SetTable(MonoTime now,
                 WallTime wall_now,
                 Revision revision,
@@ -84,11 +69,16 @@
   void SetInventory(MonoTime now, std::shared_ptr<const Inventory> inventory);
 
   // This process may place tasks until `deadline`.
-  void SetFreshUntil(MonoTime deadline) { m_fresh_until = deadline; }
+  void SetFreshUntil(MonoTime deadline) {
+    m_fresh_until = deadline;
+    m_runner.SetFreshUntil(deadline);
+  }
 
   // More than half of the witnesses confirmed `revision` or a newer one.
   void OnRevisionConfirmed(MonoTime now, Revision revision);
 
+  // Runs a new job, or attaches to the one with the same key. A job refused as
+  // not run stays refused: its key never runs, here or at a later owner.
   SubmitResult Submit(MonoTime now, WallTime wall_now, Submission submission);
 
   // Returns the answer of an ended job, or nothing.
@@ -107,6 +97,22 @@
   void OnCollectLost(MonoTime now,
                      const ProcessId& from,
                      const CollectCommand& command);
+  void OnAdoptDone(MonoTime now, uint64_t id, bool adopted);
+
+  // Adds what this owner knows of the partitions to the reply of the agent in
+  // the same process, when that has accepted the command. Partitions that it
+  // owned under lower epochs are given up.
+  void OnCollect(MonoTime now,
+                 const CollectCommand& command,
+                 CollectReply& reply);
+
+  // Places nothing more and takes no new job. Once drained() is true and the
+  // process's own starter has ended its tasks, Records() of both go to other
+  // members by PlanHandover, and the process may leave the table.
+  void StartDraining(MonoTime now);
+  bool drained() const { return m_draining && m_runner.outstanding() == 0; }
+  std::vector<StartRecord> Records() const;
+
   void OnLoad(MonoTime now, const ProcessId& from, const LoadReport& load);
 
   // Runs all systems that are due: deadlines, retries, takeovers, placement of
@@ -119,9 +125,72 @@
   std::vector<OwnerAction> TakeActions();
 
   // Number of jobs without an answer yet.
-  size_t running_jobs() const;
+  size_t running_jobs() const { return m_jobs.running() + m_held.size(); }
+
+ private:
+  enum class Phase : uint8_t { kTakingOver, kServing, kLost };
+  struct Owned {
+    Epoch m_epoch = 0;
+    Phase m_phase = Phase::kTakingOver;
+    WallTime m_unknown_before;
+  };
+  // A submission that waits for the end of a takeover.
+  struct Held {
+    Submission m_submission;
+    PartitionId m_partition = 0;
+    bool m_cancelled = false;
+  };
+
+  PartitionId PartitionOf(const SubmissionKey& key) const;
+  // Gives up partitions whose table entry moved on, and returns those gained.
+  std::vector<PartitionId> CompareOwned(MonoTime now);
+  void Lose(MonoTime now, const std::set<PartitionId>& partitions);
+  void FinishTakeovers(MonoTime now, WallTime wall_now);
+  void SubmitHeld(MonoTime now, WallTime wall_now, PartitionId partition);
+
+  std::optional<SubmitResult> SubmitKnown(const Submission& submission) const;
+  std::optional<SubmitResult> WhyNotAccepted(MonoTime now,
+                                             WallTime wall_now,
+                                             const Submission& submission,
+                                             PartitionId partition) const;
+  Job& CreateJob(MonoTime now,
+                 WallTime wall_now,
+                 Submission submission,
+                 PartitionId partition);
+  // Returns why a new job is refused, or nothing when it may run.
+  std::optional<JobNotRun> WhyRefused(WallTime wall_now, const Job& job);
+  void StartJob(MonoTime now, WallTime wall_now, Submission submission);
+  bool Resume(Job& job, std::vector<StartRecord> records);
+  void MarkUnknown(Job& job) const;
+
+  OwnerConfig m_config;
+  ProcessId m_self;
+  std::shared_ptr<const PartitionTable> m_table;
+  std::shared_ptr<const Inventory> m_inventory;
+  Revision m_revision = 0;
+  MonoTime m_fresh_until = MonoTime::min();
+  bool m_draining = false;
+  std::vector<OwnerAction> m_actions;
+  JobTable m_jobs;
+  JobRunner m_runner;
+  Takeovers m_takeovers;
+  ChangeLog m_log;
+  KnownRecords m_known;
+  std::unordered_map<PartitionId, Owned> m_owned;
+  std::map<SubmissionKey, Held> m_held;
+  // Of partitions that this process served and gave up.
+  std::unordered_map<PartitionId, PartitionHistory> m_histories;
+  uint64_t m_sequence = 0;
+  MonoTime m_expire_at = MonoTime::min();
 };
 
+// Returns the commands that hand the records of a leaving member over, each to
+// an agent outside of the rack of the record's owner. When the table changes
+// before the member has left, they have to be planned and sent again.
+std::vector<SendAdopt> PlanHandover(const PartitionTable& table,
+                                    const ProcessId& self,
+                                    std::vector<StartRecord> records);
+
 }  // namespace comfreyshift
 
 #endif  // DISPATCH_OWNER_H_
--- a/dispatch/partition_table.h
+++ b/dispatch/partition_table.h
@@ -19,10 +19,18 @@
   // Nothing while no agent can own it.
   std::optional<ProcessId> m_owner;
   Epoch m_epoch = 0;
+  // All tasks of keys first sent since then were placed outside the owner's
+  // rack, or a live earlier owner has a copy of their records.
   WallTime m_owner_since;
   // A key first sent before this time, and of which no record exists, may have
   // run.
   WallTime m_unknown_before;
+  // Rack of the owner before this one, and since when that owner's placements
+  // avoided this rack. A takeover rates later losses of members by them.
+  std::string m_previous_rack;
+  WallTime m_previous_since;
+  // True when the owner before this one was alive when the partition moved.
+  bool m_moved_alive = false;
 
   bool operator==(const Partition&) const = default;
 };
@@ -41,6 +49,7 @@
 // The value of the store key `/comfreyshift/table`: all members, and the owner
 // and epoch of each partition.
 struct PartitionTable {
+  // Sorted by id.
   std::vector<Member> m_members;
   std::vector<Partition> m_partitions;
   std::vector<DepartedMember> m_departed;
@@ -51,6 +60,13 @@
   bool operator==(const PartitionTable&) const = default;
 };
 
+// Returns the time before which a key without a record may have run, when the
+// records of the unclean departures in `departed` are lost together with those
+// in rack `owner_rack`, whose owner avoided it since `owner_since`.
+WallTime UnknownBefore(const std::vector<DepartedMember>& departed,
+                       const std::string& owner_rack,
+                       WallTime owner_since);
+
 struct TableError {
   std::string m_message;
 };
--- a/dispatch/starter.h
+++ b/dispatch/starter.h
@@ -4,14 +4,15 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "core/core.h"
 #include "dispatch/messages.h"
 #include "dispatch/partition_table.h"
+#include "dispatch/record_table.h"
 #include "inventory/inventory.h"
 
 namespace comfreyshift {
@@ -67,6 +68,10 @@
                 const SettleCommand& command);
   CollectReply OnCollect(MonoTime now, const CollectCommand& command);
 
+  // Takes records over. Returns false, and keeps none of them, when one of the
+  // command's epochs is no longer current.
+  bool OnAdopt(WallTime wall_now, const AdoptCommand& command);
+
   // Removes a queued task; a running one goes on to its end.
   void OnCancel(MonoTime now, const TaskRef& task);
 
@@ -78,8 +83,55 @@
   std::vector<StarterAction> TakeActions();
 
   LoadReport Load() const;
-  size_t running() const;
-  size_t records() const;
+  size_t running() const { return m_running; }
+  size_t records() const { return m_records.size(); }
+
+  // Returns all records that other members must keep once this one has left:
+  // complete when it is draining and no task runs.
+  std::vector<StartRecord> Records() const { return m_records.CollectAll(); }
+
+ private:
+  struct QueuedTask {
+    PartitionId m_partition = 0;
+    RunTask m_run;
+  };
+
+  PartitionId PartitionOf(const SubmissionKey& key) const;
+  bool IsCurrent(PartitionId partition, Epoch epoch) const;
+  // Confirms the epoch against all that was seen in commands and in the table.
+  bool ConfirmEpoch(PartitionId partition, Epoch epoch);
+  std::optional<NotRunReason> WhyNotStart(MonoTime now,
+                                          WallTime wall_now,
+                                          const StartCommand& command) const;
+  // Returns why a task may not start now, or nothing when it may.
+  std::optional<NotRunReason> WhyNotNow(MonoTime now,
+                                        const std::string& client,
+                                        MonoTime deadline) const;
+  void RunQueued(MonoTime now);
+  // Ends all queued tasks that may no longer start as not started, so that
+  // their owners place them elsewhere.
+  void RefuseQueued(MonoTime now);
+  // Ends a record and answers all commands that wait for it.
+  void End(const TaskRef& task, TaskRecord& record, TaskOutcome outcome);
+  void Reply(ReplyToken token,
+             uint64_t attempt,
+             const TaskRef& task,
+             TaskOutcome outcome);
+  void AdoptRecord(WallTime wall_now, const StartRecord& adopted);
+
+  StarterConfig m_config;
+  ProcessId m_self;
+  std::shared_ptr<const PartitionTable> m_table;
+  std::shared_ptr<const Inventory> m_inventory;
+  MonoTime m_fresh_until = MonoTime::min();
+  bool m_listed = false;
+  bool m_draining = false;
+  RecordTable m_records;
+  std::deque<QueuedTask> m_queue;
+  // When a queued task may have to be refused next.
+  MonoTime m_next_check = MonoTime::max();
+  size_t m_running = 0;
+  std::vector<StarterAction> m_actions;
 };
 
 }  // namespace comfreyshift
--- /dev/null
+++ b/tests/dispatch/owner_test.cc
@@ -0,0 +1,185 @@
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <map>
+
+#include "dispatch/dispatch.h"
+
+namespace comfreyshift {
+namespace {
+
+constexpr WallTime kWall(Milliseconds(1'796'378'400'000));
+constexpr MonoTime kStart(Microseconds(1'000'000'000));
+constexpr Milliseconds kRetention = std::chrono::minutes(10);
+
+Member MakeMember(const std::string& name,
+                  const std::string& rack,
+                  MemberRole role = MemberRole::kAgent) {
+  Member member;
+  member.m_id = {name, 1};
+  member.m_role = role;
+  member.m_rack = rack;
+  member.m_worker = name;
+  member.m_zone = "medina";
+  member.m_target = role == MemberRole::kAgent ? "t-" + name : "";
+  return member;
+}
+
+// An owner and the agents of one small table, joined by calls in order.
+struct Fixture {
+  PartitionTable m_table = MakeEmptyTable(16);
+  Inventory m_inventory;
+  MonoTime m_now = kStart;
+  std::map<ProcessId, Starter> m_starters;
+  std::map<ProcessId, std::unique_ptr<Owner>> m_owners;
+  std::map<SubmissionKey, JobAnswer> m_answers;
+  std::map<TaskRef, int> m_starts;
+  ReplyToken m_token = 0;
+  std::map<ReplyToken, std::pair<ProcessId, ProcessId>> m_waiting;
+
+  explicit Fixture(const std::vector<std::string>& racks) {
+    TableChange change;
+    change.m_joining.push_back(MakeMember("e0", "re", MemberRole::kEntry));
+    for (size_t i = 0; i < racks.size(); ++i) {
+      change.m_joining.push_back(MakeMember("a" + std::to_string(i), racks[i]));
+    }
+    m_table = ApplyChange(m_table, change, kWall, kRetention);
+    m_inventory.m_zones["medina"] = {};
+    m_inventory.m_clients["c"] = {};
+    m_inventory.m_requests["r"] = {};
+    m_inventory.m_rules["all"] = {"c", {"*"}};
+    const auto inventory = std::make_shared<const Inventory>(WithTargets());
+    const auto table = std::make_shared<const PartitionTable>(m_table);
+    for (const Member& member : m_table.m_members) {
+      if (member.m_role != MemberRole::kAgent) {
+        continue;
+      }
+      StarterConfig config;
+      config.m_target = member.m_target;
+      Starter& starter =
+          m_starters.emplace(member.m_id, Starter(config, member.m_id))
+              .first->second;
+      starter.SetTable(table);
+      starter.SetInventory(inventory);
+      starter.SetFreshUntil(m_now + std::chrono::hours(1));
+      auto& owner = m_owners[member.m_id];
+      owner = std::make_unique<Owner>(OwnerConfig(), member.m_id);
+      owner->SetTable(m_now, kWall, 1, table);
+      owner->SetInventory(m_now, inventory);
+      owner->SetFreshUntil(m_now + std::chrono::hours(1));
+    }
+  }
+
+  Inventory WithTargets() {
+    for (const Member& member : m_table.m_members) {
+      m_inventory.m_targets[member.m_target].m_zone = member.m_zone;
+    }
+    return m_inventory;
+  }
+
+  WallTime wall() const {
+    return kWall + std::chrono::duration_cast<Milliseconds>(m_now - kStart);
+  }
+  ProcessId OwnerOf(const SubmissionKey& key) const {
+    return *m_table.m_partitions[key.Partition(16)].m_owner;
+  }
+  Submission MakeSubmission(uint64_t seed, size_t tasks) const {
+    Submission submission;
+    submission.m_first_sent = wall();
+    submission.m_key = SubmissionKey::Make(wall(), seed, seed);
+    submission.m_client = "c";
+    submission.m_tasks.assign(tasks, TaskSpec{"r", "x", {}, 0, false});
+    submission.m_deadline = m_now + std::chrono::seconds(60);
+    return submission;
+  }
+
+  // Delivers everything until nothing is left to do.
+  void Run() {
+    bool busy = true;
+    while (busy) {
+      busy = false;
+      for (auto& [id, owner] : m_owners) {
+        owner->Tick(m_now, wall());
+        for (OwnerAction& action : owner->TakeActions()) {
+          busy = true;
+          Deliver(id, action);
+        }
+      }
+      for (auto& [id, starter] : m_starters) {
+        starter.Tick(m_now, wall());
+        for (StarterAction& action : starter.TakeActions()) {
+          busy = true;
+          Deliver(id, action);
+        }
+      }
+    }
+  }
+
+  void Deliver(const ProcessId& from, OwnerAction& action) {
+    if (auto* start = std::get_if<SendStart>(&action)) {
+      m_waiting[++m_token] = {from, start->m_to};
+      m_starters.at(start->m_to)
+          .OnStart(m_now, wall(), m_token, start->m_command);
+    } else if (auto* ended = std::get_if<JobEnded>(&action)) {
+      m_answers.emplace(ended->m_key, ended->m_answer);
+    } else if (auto* adopt = std::get_if<SendAdopt>(&action)) {
+      const bool ok =
+          m_starters.at(adopt->m_to).OnAdopt(wall(), adopt->m_command);
+      m_owners.at(from)->OnAdoptDone(m_now, adopt->m_command.m_id, ok);
+    } else if (auto* cancel = std::get_if<SendCancel>(&action)) {
+      m_starters.at(cancel->m_to).OnCancel(m_now, cancel->m_task);
+    }
+  }
+  void Deliver(const ProcessId& from, StarterAction& action) {
+    if (auto* run = std::get_if<RunTask>(&action)) {
+      ++m_starts[run->m_task];
+      m_starters.at(from).OnTaskEnded(
+          m_now, run->m_task,
+          TaskDone{{200, std::to_string(run->m_task.m_index)}, {}});
+    } else {
+      auto& reply = std::get<ReplyStart>(action);
+      const auto [owner, starter] = m_waiting[reply.m_token];
+      m_owners.at(owner)->OnStartReply(m_now, starter, reply.m_reply);
+    }
+  }
+};
+
+// Guards the first end-to-end path: a whole answer, in order, each task started
+// once, and a resubmission attached to the same job.
+TEST(OwnerTest, RunsJobOf440TasksOnce) {
+  Fixture fixture({"r0", "r1", "r2"});
+  const Submission job = fixture.MakeSubmission(1, kMaxTasksPerJob);
+  Owner& owner = *fixture.m_owners.at(fixture.OwnerOf(job.m_key));
+  const auto first = owner.Submit(fixture.m_now, fixture.wall(), job);
+  EXPECT_FALSE(std::get<SubmitAccepted>(first).m_attached);
+  const auto again = owner.Submit(fixture.m_now, fixture.wall(), job);
+  EXPECT_TRUE(std::get<SubmitAccepted>(again).m_attached);
+  fixture.Run();
+  const auto& answer = std::get<JobComplete>(fixture.m_answers.at(job.m_key));
+  ASSERT_EQ(answer.m_answers.size(), kMaxTasksPerJob);
+  for (uint32_t i = 0; i < kMaxTasksPerJob; ++i) {
+    EXPECT_EQ(answer.m_answers[i].m_body, std::to_string(i));
+    EXPECT_EQ(fixture.m_starts[(TaskRef{job.m_key, i})], 1);
+  }
+  const auto later = owner.Submit(fixture.m_now, fixture.wall(), job);
+  EXPECT_TRUE(std::holds_alternative<SubmitAnswered>(later));
+}
+
+// Guards against "not run" without a reason, and against a key that runs after
+// its caller was told that it did not.
+TEST(OwnerTest, RefusedKeyStaysRefused) {
+  Fixture fixture({"r0", "r1"});
+  Submission job = fixture.MakeSubmission(2, 3);
+  job.m_client = "stranger";
+  Owner& owner = *fixture.m_owners.at(fixture.OwnerOf(job.m_key));
+  owner.Submit(fixture.m_now, fixture.wall(), job);
+  fixture.Run();
+  EXPECT_EQ(std::get<JobNotRun>(fixture.m_answers.at(job.m_key)).m_reason,
+            NotRunReason::kDenied);
+  const auto later = owner.Submit(fixture.m_now, fixture.wall(), job);
+  EXPECT_TRUE(std::holds_alternative<SubmitAnswered>(later));
+  EXPECT_TRUE(fixture.m_starts.empty());
+}
+
+}  // namespace
+}  // namespace comfreyshift
