--- a/placement/placement.h
+++ b/placement/placement.h
@@ -5,5 +5,6 @@
 // tasks are admitted at all.
 
 #include "placement/placer.h"
+#include "placement/start_queue.h"
 
 #endif  // PLACEMENT_PLACEMENT_H_
