Order tasks by tasks left and keep them at the owner until a slot is near

Cause: the queue at the agents was first come, first served, and every task was bound to a target at its arrival, so jobs of a few tasks waited behind jobs of hundreds.

--- a/bench/placement_bench_policies.cc
+++ b/bench/placement_bench_policies.cc
@@ -130,16 +130,18 @@
       policy);
 }
 
-MonoTime Due(const Policy& /*policy*/, MonoTime arrival, uint32_t /*tasks*/) {
-  return arrival;
+MonoTime Due(const Policy& policy, MonoTime arrival, uint32_t tasks_left) {
+  return std::holds_alternative<PlacerPolicy>(policy)
+             ? StartDue(arrival, tasks_left)
+             : arrival;
 }
 
-StartTerms TermsOf(const Policy& /*policy*/,
+StartTerms TermsOf(const Policy& policy,
                    MonoTime now,
                    uint32_t /*target*/,
-                   MonoTime /*due*/) {
-  // First come, first served.
-  return {now, kNoQueueLimit};
+                   MonoTime due) {
+  const bool first_come = !std::holds_alternative<PlacerPolicy>(policy);
+  return {first_come ? now : due, kNoQueueLimit};
 }
 
 void OnSent(Policy& policy, MonoTime now, uint32_t target) {
--- a/bench/placement_bench_policies.h
+++ b/bench/placement_bench_policies.h
@@ -80,8 +80,8 @@
                                MonoTime now,
                                const PlacementRequest& request);
 
-// Rank of a job's tasks at the owner; smaller goes first.
-MonoTime Due(const Policy& policy, MonoTime arrival, uint32_t tasks);
+// Due time of a job's next task at its owner.
+MonoTime Due(const Policy& policy, MonoTime arrival, uint32_t tasks_left);
 
 StartTerms TermsOf(const Policy& policy,
                    MonoTime now,
--- a/bench/placement_bench_sim.cc
+++ b/bench/placement_bench_sim.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Microseconds kPingPeriod = Milliseconds(200);
+// Jobs at one owner whose next task is kept before the owner stops looking.
+constexpr uint32_t kKeptJobs = 4;
 constexpr Microseconds kWakePeriod = Milliseconds(10);
 constexpr int64_t kLearnMinUs = 300'000;
 constexpr int64_t kLearnMaxUs = 2'600'000;
@@ -65,13 +67,14 @@
   std::deque<Reservation> m_reservations;
   uint32_t m_running = 0;
   bool m_open = true;
+  std::vector<uint32_t> m_queued_of_owner = std::vector<uint32_t>(kTargets);
   std::vector<uint32_t> m_peers;
 };
 
 struct OwnerState {
   Policy m_policy;
   std::vector<bool> m_allowed;
-  // Tasks not sent yet, by rank, then task.
+  // Jobs with tasks that are not sent yet, by due time.
   std::set<std::pair<MonoTime, uint32_t>> m_waiting;
   bool m_wake_set = false;
 };
@@ -79,6 +82,9 @@
 struct JobState {
   uint32_t m_unfinished = 0;
   uint32_t m_next_reserved = 0;
+  // Tasks not sent yet, the next one last, and their due time.
+  std::vector<uint32_t> m_unsent;
+  MonoTime m_due;
   bool m_failed = false;
 };
 
@@ -210,7 +216,15 @@
   LoadReport LoadOf(uint32_t target) const {
     const AgentState& agent = m_agents[target];
     const size_t queued = agent.m_queue.size() + agent.m_reservations.size();
-    return {agent.m_running, static_cast<uint32_t>(queued), kSlots};
+    return {agent.m_running, static_cast<uint32_t>(queued), kSlots,
+            std::nullopt};
+  }
+
+  // The load on the reply to a start of `owner`.
+  LoadReport LoadFor(uint32_t owner, uint32_t target) const {
+    LoadReport load = LoadOf(target);
+    load.m_queued_of_owner = m_agents[target].m_queued_of_owner[owner];
+    return load;
   }
 
   // Owner side.
@@ -234,40 +248,49 @@
 
   void Enqueue(uint32_t owner, uint32_t task) {
     const uint32_t job = m_workload.m_tasks[task].m_job;
-    m_owners[owner].m_waiting.insert({RankOf(job), task});
+    Unlist(owner, job);
+    m_jobs[job].m_unsent.push_back(task);
+    List(owner, job);
+  }
+
+  void Unlist(uint32_t owner, uint32_t job) {
+    m_owners[owner].m_waiting.erase({m_jobs[job].m_due, job});
   }
 
-  MonoTime RankOf(uint32_t job) const {
-    return Due(m_owners[m_workload.m_jobs[job].m_owner].m_policy,
-               m_workload.m_jobs[job].m_arrival,
-               m_workload.m_jobs[job].m_tasks);
+  void List(uint32_t owner, uint32_t job) {
+    JobState& state = m_jobs[job];
+    if (!state.m_unsent.empty()) {
+      state.m_due =
+          Due(m_owners[owner].m_policy, m_workload.m_jobs[job].m_arrival,
+              static_cast<uint32_t>(state.m_unsent.size()));
+      m_owners[owner].m_waiting.insert({state.m_due, job});
+    }
   }
 
-  PlacementRequest RequestOf(const OwnerState& owner, uint32_t task) const {
+  PlacementRequest RequestOf(const OwnerState& owner, uint32_t job) const {
     PlacementRequest request;
     request.m_allowed = &owner.m_allowed;
-    request.m_declared_run_time = m_workload.m_tasks[task].m_declared;
+    const JobState& state = m_jobs[job];
+    request.m_declared_run_time =
+        m_workload.m_tasks[state.m_unsent.back()].m_declared;
+    request.m_tasks_left = static_cast<uint32_t>(state.m_unsent.size());
     return request;
   }
 
-  // Sends the waiting tasks, first by rank, until the policy keeps one.
+  // Sends what the policy lets go, first by due time. A job whose next task is
+  // kept lets later jobs pass.
   void Dispatch(uint32_t index) {
     OwnerState& owner = m_owners[index];
-    while (!owner.m_waiting.empty()) {
-      const auto [rank, task] = *owner.m_waiting.begin();
-      const PlacementRequest request = RequestOf(owner, task);
-      const auto target = Choose(owner.m_policy, m_now, request);
-      if (!target) {
+    const auto waiting =
+        std::vector(owner.m_waiting.begin(), owner.m_waiting.end());
+    uint32_t kept = 0;
+    for (const auto& [due, job] : waiting) {
+      while (!m_jobs[job].m_unsent.empty() && SendNext(index, job)) {
+      }
+      kept += m_jobs[job].m_unsent.empty() ? 0 : 1;
+      if (kept == kKeptJobs) {
         break;
       }
-      owner.m_waiting.erase(owner.m_waiting.begin());
-      const StartTerms terms = TermsOf(owner.m_policy, m_now, *target, rank);
-      OnSent(owner.m_policy, m_now, *target);
-      Send({.m_kind = EventKind::kStart,
-            .m_owner = index,
-            .m_target = *target,
-            .m_index = task,
-            .m_terms = terms});
     }
     if (!owner.m_waiting.empty() && !owner.m_wake_set) {
       owner.m_wake_set = true;
@@ -275,6 +298,28 @@
     }
   }
 
+  bool SendNext(uint32_t index, uint32_t job) {
+    OwnerState& owner = m_owners[index];
+    const PlacementRequest request = RequestOf(owner, job);
+    const auto target = Choose(owner.m_policy, m_now, request);
+    if (!target) {
+      return false;
+    }
+    const uint32_t task = m_jobs[job].m_unsent.back();
+    const StartTerms terms =
+        TermsOf(owner.m_policy, m_now, *target, m_jobs[job].m_due);
+    Unlist(index, job);
+    m_jobs[job].m_unsent.pop_back();
+    List(index, job);
+    OnSent(owner.m_policy, m_now, *target);
+    Send({.m_kind = EventKind::kStart,
+          .m_owner = index,
+          .m_target = *target,
+          .m_index = task,
+          .m_terms = terms});
+    return true;
+  }
+
   void OnDoneReply(const Event& event) {
     Policy& policy = m_owners[event.m_owner].m_policy;
     OnDone(policy, m_now, event.m_target, event.m_run_time, event.m_ok);
@@ -357,6 +402,7 @@
       return;
     }
     while (const auto task = agent.m_queue.Pop()) {
+      --agent.m_queued_of_owner[m_owner_of_task[*task]];
       Refuse(target, static_cast<uint32_t>(*task));
     }
     for (const Reservation& reservation : agent.m_reservations) {
@@ -372,7 +418,7 @@
           .m_owner = m_owner_of_task[task],
           .m_target = target,
           .m_index = task,
-          .m_load = LoadOf(target)});
+          .m_load = LoadFor(m_owner_of_task[task], target)});
   }
 
   void OnStart(const Event& event) {
@@ -383,6 +429,7 @@
       return Refuse(event.m_target, event.m_index);
     }
     agent.m_queue.Push(event.m_index, event.m_terms.m_due);
+    ++agent.m_queued_of_owner[event.m_owner];
     FillSlots(event.m_target);
     if (RackOf(event.m_target) == kClosedZone && m_now >= kDisturbedUntil &&
         m_now < kDisturbedUntil + kReturnWindow) {
@@ -397,6 +444,7 @@
     while (agent.m_open && agent.m_running < kSlots) {
       if (const auto task = agent.m_queue.Pop()) {
         ++agent.m_running;
+        --agent.m_queued_of_owner[m_owner_of_task[*task]];
         Run(target, static_cast<uint32_t>(*task));
       } else if (!agent.m_reservations.empty()) {
         // The slot stays taken until the owner answers.
@@ -444,7 +492,7 @@
     FillSlots(event.m_target);
     Event reply = event;
     reply.m_kind = EventKind::kDone;
-    reply.m_load = LoadOf(event.m_target);
+    reply.m_load = LoadFor(event.m_owner, event.m_target);
     Send(reply);
   }
 
--- a/placement/placer.h
+++ b/placement/placer.h
@@ -19,6 +19,9 @@
   uint32_t m_running = 0;
   uint32_t m_queued = 0;
   uint32_t m_slots = 0;
+  // Of m_queued, the tasks of the owner that the reply goes to. Known only on
+  // the reply to a start.
+  std::optional<uint32_t> m_queued_of_owner;
 };
 
 // What a placement decision knows of a target.
@@ -44,8 +47,15 @@
   Milliseconds m_declared_run_time{0};
   uint64_t m_memory_mb = 0;
   bool m_needs_accelerator = false;
+  // Tasks of the job that are not sent yet, with this one; at least 1.
+  uint32_t m_tasks_left = 1;
 };
 
+// Returns the due time that orders a task at its owner and in its agent's
+// StartQueue: jobs with few tasks left go first, and a waiting job gains on
+// newer ones. `tasks_left` counts the tasks of the job that are not sent yet.
+MonoTime StartDue(MonoTime submitted, uint32_t tasks_left);
+
 // Chooses targets for the tasks of one owner, on the late information that the
 // owner's own replies and the members' acks bring.
 class Placer {
@@ -75,9 +85,36 @@
 
   const std::vector<PlacementTarget>& targets() const { return m_targets; }
 
+  // Tasks sent to `target` that have not ended.
+  uint32_t outstanding(TargetIndex target) const {
+    return m_states[target].m_outstanding;
+  }
+
  private:
+  // What is known of one target's load and speed.
+  struct State {
+    uint32_t m_outstanding = 0;
+    // From the last load report: tasks of other owners.
+    uint32_t m_others = 0;
+    // Own tasks in the target's queue: from the last reply, and all sent since.
+    uint32_t m_own_queued = 0;
+    // Mean of the logarithm of the run time in microseconds.
+    float m_log_run = 0;
+    uint32_t m_runs = 0;
+    // Mean run time in microseconds, from m_log_run.
+    float m_run_us = 0;
+  };
+
+  void Learn(State& state, Microseconds run_time);
+  float RunOf(const State& state) const;
+  float ExpectedEnd(TargetIndex target, const PlacementRequest& request) const;
+  bool HasRoom(TargetIndex target, const PlacementRequest& request) const;
+
   std::vector<PlacementTarget> m_targets;
-  std::vector<uint32_t> m_outstanding;
+  std::vector<State> m_states;
+  // Mean of the logarithm of all run times, for targets without runs.
+  float m_log_run = 0;
+  uint32_t m_runs = 0;
   std::mt19937_64 m_random;
 };
 
