--- a/agent/agent_process.cc
+++ b/agent/agent_process.cc
@@ -12,6 +12,8 @@
 // A peer that does not return its records within this time is asked again.
 constexpr Milliseconds kCollectTimeout{2000};
 
+constexpr Milliseconds kAdoptTimeout{2000};
+
 constexpr Milliseconds kDrainPoll{20};
 
 std::string Subject(std::string_view kind, std::string_view name) {
@@ -25,7 +27,8 @@
     RpcRuntime& runtime) {
   std::unique_ptr<AgentProcess> agent(
       new AgentProcess(std::move(config), runtime));
-  auto node = ProcessNode::Start(agent->m_config.m_node, runtime, *agent, *agent);
+  auto node =
+      ProcessNode::Start(agent->m_config.m_node, runtime, *agent, *agent);
   if (!node) {
     return node.error();
   }
@@ -37,7 +40,9 @@
     : m_config(std::move(config)),
       m_owner(m_config.m_owner, m_config.m_node.m_self.m_id),
       m_starter(m_config.m_starter, m_config.m_node.m_self.m_id),
-      m_target(m_config.m_target_address, m_config.m_target_connections) {}
+      m_target(m_config.m_target_address,
+               m_config.m_target_connections,
+               m_config.m_max_answer_bytes) {}
 
 void AgentProcess::Drain(MonoTime deadline, std::function<void()> on_drained) {
   m_drain_deadline = deadline;
@@ -46,6 +51,23 @@
   m_node->Wake();
 }
 
+std::string AgentProcess::RenderMetrics() {
+  const ProcessStatus status = OnStatus({});
+  m_counters.Set("revision", static_cast<double>(status.m_revision));
+  m_counters.Set("proof_left_seconds",
+                 std::chrono::duration<double>(status.m_fresh_left).count());
+  m_counters.Set("tasks_running", status.m_running);
+  m_counters.Set("tasks_queued", status.m_queued);
+  m_counters.Set("jobs_running", status.m_jobs);
+  const MembershipCounters& counters = m_node->membership().counters();
+  m_counters.Set("datagrams_sent", static_cast<double>(counters.m_sent));
+  m_counters.Set("datagram_bytes_sent",
+                 static_cast<double>(counters.m_sent_bytes));
+  m_counters.Set("datagram_bytes_received",
+                 static_cast<double>(counters.m_received_bytes));
+  return m_counters.RenderPrometheus();
+}
+
 bool AgentProcess::ready(MonoTime now) const {
   return m_node->FreshUntil(now) > now && !m_on_drained;
 }
@@ -65,7 +87,7 @@
   } else if (const auto* load = std::get_if<PeerLoad>(&event)) {
     m_owner.OnLoad(now, load->m_id,
                    {load->m_load.m_running, load->m_load.m_queued,
-                    load->m_load.m_slots});
+                    load->m_load.m_slots, std::nullopt});
   }
 }
 
@@ -119,7 +141,8 @@
   if (member == nullptr) {
     m_owner.OnStartReply(
         now, action.m_to,
-        {task, TaskNotStarted{NotRunReason::kNotMember}, LoadReport{}});
+        {task, action.m_command.m_attempt,
+         TaskNotStarted{NotRunReason::kNotMember}, LoadReport{}});
     return;
   }
   m_counters.Add("start_commands_total");
@@ -174,16 +197,40 @@
       });
 }
 
+void AgentProcess::Do(MonoTime now, SendAdopt action) {
+  const uint64_t id = action.m_command.m_id;
+  const Member* member = m_node->view().table()->Find(action.m_to);
+  if (member == nullptr) {
+    m_owner.OnAdoptDone(now, id, false);
+    return;
+  }
+  m_node->peers().Adopt(ToPeer(*member), action.m_command, now + kAdoptTimeout,
+                        [this, id](Result<bool, RpcError> result) {
+                          m_owner.OnAdoptDone(BootClock::now(), id,
+                                              result && result.value());
+                          m_node->Wake();
+                        });
+}
+
 void AgentProcess::Do(MonoTime /*now*/, JobEnded action) {
   m_counters.Add("jobs_ended_total");
-  const auto found = m_waiting_jobs.find(action.m_key);
+  AnswerWaiting(action.m_key, std::move(action.m_answer));
+}
+
+void AgentProcess::Do(MonoTime /*now*/, JobDropped action) {
+  m_counters.Add("jobs_dropped_total");
+  AnswerWaiting(action.m_key, NotRunReason::kNotOwner);
+}
+
+void AgentProcess::AnswerWaiting(const SubmissionKey& key, SubmitReply answer) {
+  const auto found = m_waiting_jobs.find(key);
   if (found == m_waiting_jobs.end()) {
     return;
   }
   const auto replies = std::move(found->second);
   m_waiting_jobs.erase(found);
   for (const Reply<SubmitReply>& reply : replies) {
-    reply(action.m_answer);
+    reply(answer);
   }
 }
 
@@ -229,7 +276,15 @@
             {"revision", m_node->applied_revision()}});
 }
 
-void AgentProcess::OnSubmit(Submission submission, Reply<SubmitReply> reply) {
+void AgentProcess::OnSubmit(Submission submission,
+                            Revision revision,
+                            Reply<SubmitReply> reply) {
+  // A job refused as not run stays refused. One that a newer configuration lets
+  // in must not be refused under an older one.
+  if (revision > m_node->applied_revision()) {
+    reply(NotRunReason::kNotFresh);
+    return;
+  }
   const SubmissionKey key = submission.m_key;
   const MonoTime now = BootClock::now();
   m_owner.SetFreshUntil(m_node->FreshUntil(now));
@@ -284,7 +339,9 @@
 }
 
 CollectReply AgentProcess::OnCollect(const CollectCommand& command) {
-  CollectReply reply = m_starter.OnCollect(BootClock::now(), command);
+  const MonoTime now = BootClock::now();
+  CollectReply reply = m_starter.OnCollect(now, command);
+  m_owner.OnCollect(now, command, reply);
   m_node->Wake();
   return reply;
 }
@@ -313,8 +370,8 @@
   return status;
 }
 
-bool AgentProcess::OnAdopt(std::vector<StartRecord> /*records*/) {
-  return false;
+bool AgentProcess::OnAdopt(const AdoptCommand& command) {
+  return m_starter.OnAdopt(WallNow(), command);
 }
 
 void AgentProcess::CheckDrained(MonoTime now) {
--- a/agent/agent_process.h
+++ b/agent/agent_process.h
@@ -21,6 +21,7 @@
   StarterConfig m_starter;
   Address m_target_address;
   uint32_t m_target_connections = 64;
+  uint64_t m_max_answer_bytes = 1ULL << 20;
 };
 
 // The agent role: feeds its owner and starter tables from peers and from the
@@ -38,6 +39,9 @@
 
   ProcessNode& node() { return *m_node; }
   Counters& counters() { return m_counters; }
+
+  // Returns the counters and the present gauges as Prometheus text.
+  std::string RenderMetrics();
   bool ready(MonoTime now) const;
 
   // NodeRole:
@@ -46,7 +50,9 @@
   MonoTime OnTick(MonoTime now) override;
 
   // PeerHandler:
-  void OnSubmit(Submission submission, Reply<SubmitReply> reply) override;
+  void OnSubmit(Submission submission,
+                Revision revision,
+                Reply<SubmitReply> reply) override;
   std::optional<JobAnswer> OnFetch(const SubmissionKey& key) override;
   bool OnCancel(const SubmissionKey& key) override;
   void OnStart(StartCommand command, Reply<StartReply> reply) override;
@@ -55,7 +61,7 @@
   CollectReply OnCollect(const CollectCommand& command) override;
   ConfigChanges OnConfig(Revision since) override;
   ProcessStatus OnStatus(const std::vector<std::string>& subjects) override;
-  bool OnAdopt(std::vector<StartRecord> records) override;
+  bool OnAdopt(const AdoptCommand& command) override;
 
  private:
   AgentProcess(AgentConfig config, RpcRuntime& runtime);
@@ -65,12 +71,15 @@
   void Do(MonoTime now, SendSettle action);
   void Do(MonoTime now, SendCancel action);
   void Do(MonoTime now, SendCollect action);
+  void Do(MonoTime now, SendAdopt action);
   void Do(MonoTime now, JobEnded action);
+  void Do(MonoTime now, JobDropped action);
   void Do(MonoTime now, RunTask action);
   void Do(MonoTime now, ReplyStart action);
   void DoOwnerActions(MonoTime now);
   void DoStarterActions(MonoTime now);
 
+  void AnswerWaiting(const SubmissionKey& key, SubmitReply answer);
   void OnStartResult(const ProcessId& from,
                      const TaskRef& task,
                      Result<StartReply, RpcError> result);
--- a/agent/target_client.cc
+++ b/agent/target_client.cc
@@ -50,10 +50,10 @@
   auto state = std::make_shared<CallState>();
   HttpCall call;
   call.m_path = "/run/" + task.m_spec.m_request;
-  call.m_headers = {{"Idempotency-Key",
-                     task.m_task.m_key.ToString() + "/" +
-                         std::to_string(task.m_task.m_index)},
-                    {"Comfreyshift-Client", task.m_client}};
+  call.m_headers = {
+      {"Idempotency-Key", task.m_task.m_key.ToString() + "/" +
+                              std::to_string(task.m_task.m_index)},
+      {"Comfreyshift-Client", task.m_client}};
   call.m_content_type = "application/octet-stream";
   call.m_body = task.m_spec.m_payload;
   call.m_deadline = BootClock::now() + kAnswerTimeout;
@@ -67,17 +67,17 @@
     on_sent();
     return true;
   };
-  m_client->Send(std::move(call), [state, done = std::move(done)](
-                                      HttpCallResult result) {
-    if (!result) {
-      done(OutcomeOfError(result.error(), state->m_refused));
-      return;
-    }
-    HttpResponse& response = result.value();
-    done(TaskDone{{static_cast<uint32_t>(response.m_status),
-                   std::move(response.m_body)},
-                  BootClock::now() - state->m_sent_at});
-  });
+  m_client->Send(std::move(call),
+                 [state, done = std::move(done)](HttpCallResult result) {
+                   if (!result) {
+                     done(OutcomeOfError(result.error(), state->m_refused));
+                     return;
+                   }
+                   HttpResponse& response = result.value();
+                   done(TaskDone{{static_cast<uint32_t>(response.m_status),
+                                  std::move(response.m_body)},
+                                 BootClock::now() - state->m_sent_at});
+                 });
 }
 
 }  // namespace comfreyshift
--- a/agent/target_client.h
+++ b/agent/target_client.h
@@ -11,8 +11,8 @@
 namespace comfreyshift {
 
 // Sends tasks to the agent's target: `POST /run/REQUEST` with the payload as
-// its body, `Idempotency-Key: KEY/INDEX` and `Comfreyshift-Client`. Each task is
-// written at most once.
+// its body, `Idempotency-Key: KEY/INDEX` and `Comfreyshift-Client`. Each task
+// is written at most once.
 class TargetClient {
  public:
   using MayStartFunction = std::function<bool()>;
--- a/dispatch/starter.cc
+++ b/dispatch/starter.cc
@@ -303,7 +303,8 @@
 
 LoadReport Starter::Load() const {
   return {static_cast<uint32_t>(m_running),
-          static_cast<uint32_t>(m_queue.size()), m_config.m_slots};
+          static_cast<uint32_t>(m_queue.size()), m_config.m_slots,
+          std::nullopt};
 }
 
 }  // namespace comfreyshift
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -20,9 +20,8 @@
                  int status,
                  std::string_view reason,
                  std::string_view detail) {
-  request.ReplyJson(status, {{"state", "not_run"},
-                             {"reason", reason},
-                             {"detail", detail}});
+  request.ReplyJson(
+      status, {{"state", "not_run"}, {"reason", reason}, {"detail", detail}});
 }
 
 std::optional<WallTime> ParseUnixMs(const std::string& text) {
@@ -138,7 +137,8 @@
     return;
   }
   const WallTime now = WallNow();
-  Run(request, {SubmissionKey::Make(now, m_random(), m_random()), now,
+  Run(request, {SubmissionKey::Make(now, m_random(), m_random()),
+                now,
                 request->client(),
                 {std::move(task.value())},
                 BootClock::now() + timeout.value()});
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -4,6 +4,8 @@
 // Public header of the entry library: the role that serves callers and
 // operators over HTTP.
 
+#include "entry/caller_api.h"
 #include "entry/entry_process.h"
+#include "entry/operator_api.h"
 
 #endif  // ENTRY_ENTRY_H_
--- a/entry/entry_process.cc
+++ b/entry/entry_process.cc
@@ -47,8 +47,8 @@
   }
   m_node->peers().Fetch(
       ToPeer(*owner), key,
-      [done = std::move(done)](
-          Result<std::optional<JobAnswer>, RpcError> result) {
+      [done =
+           std::move(done)](Result<std::optional<JobAnswer>, RpcError> result) {
         done(result ? std::move(result.value()) : std::nullopt);
       });
 }
@@ -60,10 +60,28 @@
     done(false);
     return;
   }
-  m_node->peers().Cancel(ToPeer(*owner), key,
-                         [done = std::move(done)](Result<bool, RpcError> result) {
-                           done(result && result.value());
-                         });
+  m_node->peers().Cancel(
+      ToPeer(*owner), key,
+      [done = std::move(done)](Result<bool, RpcError> result) {
+        done(result && result.value());
+      });
+}
+
+std::string EntryProcess::RenderMetrics() {
+  const ProcessStatus status = OnStatus({});
+  m_counters.Set("revision", static_cast<double>(status.m_revision));
+  m_counters.Set("proof_left_seconds",
+                 std::chrono::duration<double>(status.m_fresh_left).count());
+  m_counters.Set("tasks_running", status.m_running);
+  m_counters.Set("tasks_queued", status.m_queued);
+  m_counters.Set("jobs_running", status.m_jobs);
+  const MembershipCounters& counters = m_node->membership().counters();
+  m_counters.Set("datagrams_sent", static_cast<double>(counters.m_sent));
+  m_counters.Set("datagram_bytes_sent",
+                 static_cast<double>(counters.m_sent_bytes));
+  m_counters.Set("datagram_bytes_received",
+                 static_cast<double>(counters.m_received_bytes));
+  return m_counters.RenderPrometheus();
 }
 
 bool EntryProcess::ready(MonoTime now) const {
@@ -85,6 +103,7 @@
 }
 
 void EntryProcess::OnSubmit(Submission /*submission*/,
+                            Revision /*revision*/,
                             Reply<SubmitReply> reply) {
   reply(NotRunReason::kNotOwner);
 }
@@ -98,18 +117,24 @@
 }
 
 void EntryProcess::OnStart(StartCommand command, Reply<StartReply> reply) {
-  reply({command.m_task, TaskNotStarted{NotRunReason::kNotOwner}, {}});
+  reply({command.m_task,
+         command.m_attempt,
+         TaskNotStarted{NotRunReason::kNotOwner},
+         {}});
 }
 
 void EntryProcess::OnSettle(SettleCommand command, Reply<StartReply> reply) {
   // An entry starts no task, so none can have started here.
-  reply({command.m_task, TaskNotStarted{NotRunReason::kNeverStarted}, {}});
+  reply({command.m_task,
+         command.m_attempt,
+         TaskNotStarted{NotRunReason::kNeverStarted},
+         {}});
 }
 
 void EntryProcess::OnCancelTask(const TaskRef& /*task*/) {}
 
 CollectReply EntryProcess::OnCollect(const CollectCommand& /*command*/) {
-  return {true, {}};
+  return {true, {}, {}};
 }
 
 ConfigChanges EntryProcess::OnConfig(Revision since) {
@@ -128,7 +153,7 @@
   return status;
 }
 
-bool EntryProcess::OnAdopt(std::vector<StartRecord> /*records*/) {
+bool EntryProcess::OnAdopt(const AdoptCommand& /*command*/) {
   return false;
 }
 
--- a/entry/entry_process.h
+++ b/entry/entry_process.h
@@ -48,16 +48,25 @@
   StoreClient& store() { return *m_store; }
   StoreSync& sync() { return *m_sync; }
   Counters& counters() { return m_counters; }
+
+  // Returns the counters and the present gauges as Prometheus text.
+  std::string RenderMetrics();
   size_t sessions() const { return m_sessions; }
   bool ready(MonoTime now) const;
 
+  // True when an edit cannot miss a process that goes on without the store:
+  // more than half of the witnesses were heard, or no agent is listed yet.
+  bool SeesMajority(MonoTime now) const { return m_keeper->SeesMajority(now); }
+
   // NodeRole:
   void OnConfigApplied(MonoTime now) override;
   void OnMembershipEvent(MonoTime now, const MembershipEvent& event) override;
   MonoTime OnTick(MonoTime now) override;
 
   // PeerHandler:
-  void OnSubmit(Submission submission, Reply<SubmitReply> reply) override;
+  void OnSubmit(Submission submission,
+                Revision revision,
+                Reply<SubmitReply> reply) override;
   std::optional<JobAnswer> OnFetch(const SubmissionKey& key) override;
   bool OnCancel(const SubmissionKey& key) override;
   void OnStart(StartCommand command, Reply<StartReply> reply) override;
@@ -66,7 +75,7 @@
   CollectReply OnCollect(const CollectCommand& command) override;
   ConfigChanges OnConfig(Revision since) override;
   ProcessStatus OnStatus(const std::vector<std::string>& subjects) override;
-  bool OnAdopt(std::vector<StartRecord> records) override;
+  bool OnAdopt(const AdoptCommand& command) override;
 
  private:
   explicit EntryProcess(std::shared_ptr<StoreClient> store);
--- a/entry/job_json.cc
+++ b/entry/job_json.cc
@@ -125,9 +125,8 @@
   const auto tasks = json.find("tasks");
   if (tasks == json.end() || !tasks->is_array() || tasks->empty() ||
       tasks->size() > kMaxTasksPerJob) {
-    return Error("tasks",
-                 "a list of 1 to " + std::to_string(kMaxTasksPerJob) +
-                     " tasks");
+    return Error("tasks", "a list of 1 to " + std::to_string(kMaxTasksPerJob) +
+                              " tasks");
   }
   std::vector<TaskSpec> specs;
   specs.reserve(tasks->size());
--- a/entry/job_session.cc
+++ b/entry/job_session.cc
@@ -9,8 +9,9 @@
 
 namespace {
 
-// First and longest wait before the submission is sent again. The first is below
-// what a caller notices; the longest keeps the calls of a long takeover few.
+// First and longest wait before the submission is sent again. The first is
+// below what a caller notices; the longest keeps the calls of a long takeover
+// few.
 constexpr Milliseconds kFirstBackoff{10};
 constexpr Milliseconds kLongestBackoff{200};
 
@@ -65,7 +66,7 @@
     return;
   }
   m_node.peers().Submit(
-      ToPeer(*owner), m_submission,
+      ToPeer(*owner), m_submission, m_node.applied_revision(),
       [weak = weak_from_this()](Result<SubmitReply, RpcError> result) {
         if (const auto session = weak.lock()) {
           session->OnReply(std::move(result));
@@ -115,8 +116,8 @@
                      "the deadline passed without an answer of the owner"});
     return;
   }
-  Finish(AttemptRejected{m_last_reason,
-                         "no owner accepted the submission before its deadline"});
+  Finish(AttemptRejected{
+      m_last_reason, "no owner accepted the submission before its deadline"});
 }
 
 void JobSession::Finish(SessionAnswer answer) {
--- /dev/null
+++ b/entry/operator_api.cc
@@ -0,0 +1,260 @@
+#include "entry/operator_api.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+#include "inventory/inventory.h"
+
+namespace comfreyshift {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string NewEditId() {
+  static std::mt19937_64 random{std::random_device()()};
+  return SubmissionKey::Make(WallNow(), random(), random()).ToString();
+}
+
+// Reads the revision of an `If-Match: "REVISION"` header.
+std::optional<Revision> ReadIfMatch(const HttpRequest& request) {
+  auto text = request.Header("If-Match");
+  if (!text) {
+    return std::nullopt;
+  }
+  std::erase(*text, '"');
+  Revision revision = 0;
+  std::from_chars(text->data(), text->data() + text->size(), revision);
+  return revision;
+}
+
+int StatusOf(EditFailure failure) {
+  return failure == EditFailure::kConflict ? 409 : 503;
+}
+
+std::string_view CodeOf(EditFailure failure) {
+  switch (failure) {
+    case EditFailure::kConflict:
+      return "conflict";
+    case EditFailure::kStoreUnavailable:
+      return "store_unavailable";
+    case EditFailure::kNoMajority:
+      return "no_majority";
+  }
+  return "store_unavailable";
+}
+
+Json ProblemsOf(const InventoryError& error) {
+  Json problems = Json::array();
+  for (const InventoryProblem& problem : error.m_problems) {
+    problems.push_back({{"section", problem.m_section},
+                        {"key", problem.m_key},
+                        {"found", problem.m_found},
+                        {"accepted", problem.m_accepted}});
+  }
+  return problems;
+}
+
+std::string_view StateName(ProofState state) {
+  switch (state) {
+    case ProofState::kFresh:
+      return "fresh";
+    case ProofState::kFrozen:
+      return "frozen";
+    case ProofState::kCutOff:
+      return "cut_off";
+  }
+  return "cut_off";
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(std::string operator_token, EntryProcess& entry)
+    : m_operator_token(std::move(operator_token)),
+      m_entry(entry),
+      m_editor(std::make_shared<InventoryEditor>(entry)) {}
+
+void OperatorApi::AddRoutes(HttpServer& server) {
+  const OperatorAccess access{m_operator_token};
+  server.AddRoute("GET", "/v1/inventory", access,
+                  [this](const RequestPtr& request) { GetInventory(request); });
+  server.AddRoute("PUT", "/v1/inventory", access,
+                  [this](const RequestPtr& request) { PutInventory(request); });
+  server.AddRoute(
+      "POST", "/v1/zones/{}/close", access,
+      [this](const RequestPtr& request) { SetZone(request, false); });
+  server.AddRoute(
+      "POST", "/v1/zones/{}/open", access,
+      [this](const RequestPtr& request) { SetZone(request, true); });
+  server.AddRoute("POST", "/v1/clients/{}/retire", access,
+                  [this](const RequestPtr& request) { RetireClient(request); });
+  server.AddRoute("POST", "/v1/targets/{}/retire", access,
+                  [this](const RequestPtr& request) { RetireTarget(request); });
+  server.AddRoute("GET", "/v1/status", access,
+                  [this](const RequestPtr& request) { GetStatus(request); });
+  server.AddRoute("GET", "/v1/audit", access,
+                  [this](const RequestPtr& request) { GetAudit(request); });
+}
+
+void OperatorApi::GetInventory(const RequestPtr& request) {
+  const Revision revision = m_entry.node().applied_revision();
+  const Json body = {
+      {"revision", revision},
+      {"inventory",
+       Json::parse(InventoryToJson(*m_entry.node().view().inventory()))}};
+  request->ReplyJson(200, body,
+                     {{"ETag", "\"" + std::to_string(revision) + "\""}});
+}
+
+void OperatorApi::PutInventory(const RequestPtr& request) {
+  auto inventory = InventoryFromJson("request body", request->body());
+  if (!inventory) {
+    request->ReplyJson(400, {{"error",
+                              {{"code", "invalid_inventory"},
+                               {"message", inventory.error().ToString()}}},
+                             {"problems", ProblemsOf(inventory.error())}});
+    return;
+  }
+  Edit(request, "inventory_apply", std::move(inventory.value()));
+}
+
+void OperatorApi::SetZone(const RequestPtr& request, bool open) {
+  Inventory changed = *m_entry.node().view().inventory();
+  const auto zone = changed.m_zones.find(request->arguments().front());
+  if (zone == changed.m_zones.end()) {
+    request->ReplyError(404, "not_found", "no availability zone of that name");
+    return;
+  }
+  zone->second.m_open = open;
+  Edit(request, open ? "zone_open" : "zone_close", std::move(changed));
+}
+
+void OperatorApi::RetireClient(const RequestPtr& request) {
+  Inventory changed = *m_entry.node().view().inventory();
+  const auto client = changed.m_clients.find(request->arguments().front());
+  if (client == changed.m_clients.end()) {
+    request->ReplyError(404, "not_found", "no client of that name");
+    return;
+  }
+  client->second.m_lifecycle = Lifecycle::kRetired;
+  Edit(request, "client_retire", std::move(changed));
+}
+
+void OperatorApi::RetireTarget(const RequestPtr& request) {
+  Inventory changed = *m_entry.node().view().inventory();
+  const auto target = changed.m_targets.find(request->arguments().front());
+  if (target == changed.m_targets.end()) {
+    request->ReplyError(404, "not_found", "no target of that name");
+    return;
+  }
+  target->second.m_lifecycle = Lifecycle::kRetired;
+  Edit(request, "target_retire", std::move(changed));
+}
+
+void OperatorApi::Edit(const RequestPtr& request,
+                       std::string_view action,
+                       Inventory changed) {
+  const std::string edit_id = request->Header("Edit-Id").value_or(NewEditId());
+  const auto parsed = SubmissionKey::Parse(edit_id);
+  if (!parsed) {
+    request->ReplyError(400, "malformed_request", "Edit-Id must be a UUID");
+    return;
+  }
+  EditRequest edit;
+  edit.m_edit_id = *parsed;
+  edit.m_operator = "operator";
+  edit.m_action = action;
+  edit.m_inventory = std::move(changed);
+  edit.m_if_match = ReadIfMatch(*request);
+  edit.m_dry_run = request->Query("dry_run") == "true";
+  edit.m_force = request->Query("force") == "true";
+  const bool dry_run = edit.m_dry_run;
+  m_editor->Apply(std::move(edit), [request, edit_id, dry_run](
+                                       Result<EditDone, EditError> result) {
+    const HttpHeaders headers = {{"Edit-Id", edit_id}};
+    if (!result) {
+      const EditError& error = result.error();
+      request->ReplyJson(
+          StatusOf(error.m_failure),
+          {{"error",
+            {{"code", CodeOf(error.m_failure)}, {"message", error.m_detail}}},
+           {"detail", error.m_detail},
+           {"may_have_applied", error.m_may_have_applied},
+           {"edit_id", edit_id}},
+          headers);
+      return;
+    }
+    const EditDone& done = result.value();
+    request->ReplyJson(200,
+                       {{"edit_id", edit_id},
+                        {"revision", done.m_revision},
+                        {"repeated", done.m_repeated},
+                        {"dry_run", dry_run},
+                        {"changes", Json::parse(DiffToJson(done.m_changes))}},
+                       headers);
+  });
+}
+
+void OperatorApi::GetStatus(const RequestPtr& request) {
+  const MonoTime now = BootClock::now();
+  ProcessNode& node = m_entry.node();
+  const auto live = node.membership().LiveMembers();
+  Json members = Json::array();
+  for (const Member& member : node.view().table()->m_members) {
+    const bool alive =
+        member.m_id == node.self().m_id ||
+        std::find(live.begin(), live.end(), member.m_id) != live.end();
+    members.push_back(
+        {{"name", member.m_id.m_name},
+         {"role", member.m_role == MemberRole::kEntry ? "entry" : "agent"},
+         {"zone", member.m_zone},
+         {"incarnation", member.m_id.m_incarnation},
+         {"state", alive ? "alive" : "dead"}});
+  }
+  Json zones = Json::array();
+  for (const auto& [name, zone] : node.view().inventory()->m_zones) {
+    zones.push_back({{"name", name}, {"open", zone.m_open}});
+  }
+  request->ReplyJson(200,
+                     {{"process", node.self().m_id.m_name},
+                      {"role", "entry"},
+                      {"zone", node.self().m_zone},
+                      {"ready", m_entry.ready(now)},
+                      {"revision", node.applied_revision()},
+                      {"freshness", StateName(node.membership().proof_state())},
+                      {"store", m_entry.sync().InContact(now) ? "up" : "down"},
+                      {"zones", std::move(zones)},
+                      {"members", std::move(members)}});
+}
+
+void OperatorApi::GetAudit(const RequestPtr& request) {
+  constexpr uint64_t kDefaultLimit = 100;
+  constexpr uint64_t kMaxLimit = 1000;
+  uint64_t limit = kDefaultLimit;
+  if (const auto text = request->Query("limit")) {
+    std::from_chars(text->data(), text->data() + text->size(), limit);
+  }
+  RangeRequest range;
+  range.m_key = "/comfreyshift/audit/";
+  range.m_range_end = PrefixEnd(range.m_key);
+  range.m_limit = std::clamp<uint64_t>(limit, 1, kMaxLimit);
+  range.m_order = RangeOrder::kKeyDescending;
+  m_entry.store().Range(
+      range, {BootClock::now() + std::chrono::seconds(5)},
+      [request](Result<RangeReply, StoreError> result) {
+        if (!result) {
+          request->ReplyError(503, "store_unavailable",
+                              result.error().m_message);
+          return;
+        }
+        Json records = Json::array();
+        for (const KeyValue& item : result.value().m_key_values) {
+          records.push_back(Json::parse(item.m_value, nullptr, false));
+        }
+        request->ReplyJson(200, {{"records", std::move(records)}});
+      });
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/entry/operator_api.h
@@ -0,0 +1,45 @@
+#ifndef ENTRY_OPERATOR_API_H_
+#define ENTRY_OPERATOR_API_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/core.h"
+#include "entry/entry_process.h"
+#include "entry/inventory_editor.h"
+#include "http/http.h"
+
+namespace comfreyshift {
+
+// The HTTP routes for operators, as docs/api.md describes them.
+class OperatorApi {
+ public:
+  // `entry` must outlive the routes.
+  OperatorApi(std::string operator_token, EntryProcess& entry);
+
+  // Adds the routes to `server`, which must not outlive this object.
+  void AddRoutes(HttpServer& server);
+
+ private:
+  using RequestPtr = std::shared_ptr<HttpRequest>;
+
+  void GetInventory(const RequestPtr& request);
+  void PutInventory(const RequestPtr& request);
+  void SetZone(const RequestPtr& request, bool open);
+  void RetireClient(const RequestPtr& request);
+  void RetireTarget(const RequestPtr& request);
+  void GetStatus(const RequestPtr& request);
+  void GetAudit(const RequestPtr& request);
+  void Edit(const RequestPtr& request,
+            std::string_view action,
+            Inventory changed);
+
+  std::string m_operator_token;
+  EntryProcess& m_entry;
+  std::shared_ptr<InventoryEditor> m_editor;
+};
+
+}  // namespace comfreyshift
+
+#endif  // ENTRY_OPERATOR_API_H_
--- a/entry/table_keeper.cc
+++ b/entry/table_keeper.cc
@@ -92,10 +92,11 @@
   change.m_leaving_cleanly.assign(m_leaving.begin(), m_leaving.end());
   for (const auto& [name, member] : m_joining) {
     change.m_joining.push_back(member);
-    // A process that asks to join under a new incarnation has ended its old one.
+    // A process that asks to join under a new incarnation has ended its old
+    // one.
     for (const Member& listed : m_node.view().table()->m_members) {
-      const bool is_old_run = listed.m_id.m_name == name &&
-                              listed.m_id != member.m_id;
+      const bool is_old_run =
+          listed.m_id.m_name == name && listed.m_id != member.m_id;
       if (is_old_run && !m_dead.contains(listed.m_id)) {
         change.m_dead.push_back(listed.m_id);
       }
@@ -104,15 +105,11 @@
   return change;
 }
 
-bool TableKeeper::MayWrite(MonoTime now) const {
-  if (!m_sync->InContact(now)) {
-    return false;
-  }
+bool TableKeeper::SeesMajority(MonoTime now) const {
   const auto& members = m_node.view().table()->m_members;
-  const bool has_agents =
-      std::any_of(members.begin(), members.end(), [](const Member& member) {
-        return member.m_role == MemberRole::kAgent;
-      });
+  const bool has_agents = std::any_of(
+      members.begin(), members.end(),
+      [](const Member& member) { return member.m_role == MemberRole::kAgent; });
   return !has_agents || m_node.membership().HasWitnessMajority(now);
 }
 
@@ -126,7 +123,8 @@
     return;
   }
   const bool has_table = m_node.view().table_revision() > 0;
-  if (!MayWrite(now) || (!has_table && !m_sync->StoreIsEmpty())) {
+  if (!m_sync->InContact(now) || !SeesMajority(now) ||
+      (!has_table && !m_sync->StoreIsEmpty())) {
     m_write_at = now + kRetryDelay;
     return;
   }
@@ -151,10 +149,11 @@
       PutRequest{std::string(kTableKey), EncodeTable(table)});
   request.m_success.push_back(
       PutRequest{std::string(kHeadKey), m_node.self().m_id.m_name});
-  m_store->Txn(request, {now + kWriteTimeout},
-               [self = shared_from_this()](Result<TxnReply, StoreError> result) {
-                 self->OnWritten(std::move(result));
-               });
+  m_store->Txn(
+      request, {now + kWriteTimeout},
+      [self = shared_from_this()](Result<TxnReply, StoreError> result) {
+        self->OnWritten(std::move(result));
+      });
 }
 
 void TableKeeper::OnWritten(Result<TxnReply, StoreError> result) {
--- a/entry/table_keeper.h
+++ b/entry/table_keeper.h
@@ -38,6 +38,9 @@
   void Tick(MonoTime now);
   MonoTime NextDeadline() const;
 
+  // More than half of the witnesses were heard, or no agent is listed yet.
+  bool SeesMajority(MonoTime now) const;
+
  private:
   void Schedule(MonoTime now);
   TableChange PendingChange() const;
@@ -45,7 +48,6 @@
   void Write(MonoTime now, const PartitionTable& table);
   void OnWritten(Result<TxnReply, StoreError> result);
   uint32_t Rank() const;
-  bool MayWrite(MonoTime now) const;
 
   TableKeeperConfig m_config;
   std::shared_ptr<StoreClient> m_store;
--- /dev/null
+++ b/main/roles.cc
@@ -0,0 +1,263 @@
+#include "main/roles.h"
+
+#include <glib-unix.h>
+
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "agent/agent.h"
+#include "entry/entry.h"
+#include "http/http.h"
+#include "logging/logging.h"
+#include "main/health_routes.h"
+#include "settings/settings.h"
+
+namespace comfreyshift {
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+// Reads a secret from the first line of a file.
+std::string ReadSecret(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  std::string line;
+  std::getline(file, line);
+  return line;
+}
+
+// Returns the settings named on the command line, or an exit code.
+std::variant<Settings, int> LoadSettings(int argc, char** argv, Role role) {
+  const std::string name(ToString(role));
+  cxxopts::Options options("comfreyshift " + name,
+                           "Runs the " + name + " role until SIGTERM.");
+  options.add_options()("config", "settings file",
+                        cxxopts::value<std::string>())("help", "show this");
+  try {
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (arguments.count("config") == 0) {
+      std::cerr << "--config FILE is needed\n";
+      return kExitUsage;
+    }
+    auto settings = ReadSettings(arguments["config"].as<std::string>());
+    if (!settings) {
+      std::cerr << settings.error().ToString() << '\n';
+      return kExitUsage;
+    }
+    if (settings.value().m_process.m_role != role) {
+      std::cerr << arguments["config"].as<std::string>()
+                << ": section [process], key role: found \""
+                << ToString(settings.value().m_process.m_role)
+                << "\", accepted: \"" << name << "\" for this command\n";
+      return kExitUsage;
+    }
+    return std::move(settings.value());
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << error.what() << '\n';
+    return kExitUsage;
+  }
+}
+
+uint64_t NewSeed() {
+  std::random_device device;
+  return (uint64_t{device()} << 32) | device();
+}
+
+NodeConfig ToNodeConfig(const Settings& settings) {
+  NodeConfig config;
+  const ProcessSettings& process = settings.m_process;
+  Member& self = config.m_self;
+  // The start time in microseconds is above that of every earlier run of the
+  // same name.
+  self.m_id = {process.m_name,
+               static_cast<uint64_t>(
+                   std::chrono::duration_cast<Microseconds>(
+                       std::chrono::system_clock::now().time_since_epoch())
+                       .count())};
+  self.m_role =
+      process.m_role == Role::kEntry ? MemberRole::kEntry : MemberRole::kAgent;
+  self.m_datagram_address = settings.m_listen.m_datagram;
+  self.m_rpc_address = settings.m_listen.m_rpc;
+  self.m_zone = process.m_zone;
+  self.m_rack = process.m_rack;
+  self.m_worker = process.m_worker;
+  self.m_target = settings.m_target ? settings.m_target->m_name : "";
+  config.m_fleet_key = ReadSecret(settings.m_fleet.m_key_file);
+  for (const Address& seed : settings.m_fleet.m_seeds) {
+    if (seed != settings.m_listen.m_datagram) {
+      config.m_seeds.push_back(seed);
+    }
+  }
+  config.m_membership.m_fleet_key = config.m_fleet_key;
+  config.m_membership.m_proof_lifetime = settings.m_freshness.m_lease;
+  config.m_membership.m_ping_period = settings.m_freshness.m_ping_interval;
+  config.m_seed = NewSeed();
+  return config;
+}
+
+// Runs the main loop until the first SIGTERM or SIGINT, then until `stop` calls
+// its argument.
+class StopSignal {
+ public:
+  using StopFunction = std::function<void(std::function<void()> stopped)>;
+
+  explicit StopSignal(StopFunction stop)
+      : m_stop(std::move(stop)), m_loop(g_main_loop_new(nullptr, FALSE)) {
+    g_unix_signal_add(SIGTERM, &StopSignal::OnSignal, this);
+    g_unix_signal_add(SIGINT, &StopSignal::OnSignal, this);
+  }
+  ~StopSignal() { g_main_loop_unref(m_loop); }
+  StopSignal(const StopSignal&) = delete;
+  StopSignal& operator=(const StopSignal&) = delete;
+
+  void Run() { g_main_loop_run(m_loop); }
+
+ private:
+  static gboolean OnSignal(gpointer self) {
+    auto* signal = static_cast<StopSignal*>(self);
+    if (signal->m_stop) {
+      LogEvent(LogLevel::kInfo, "main", "stopping");
+      const auto stop = std::exchange(signal->m_stop, nullptr);
+      stop([signal]() { g_main_loop_quit(signal->m_loop); });
+    }
+    return G_SOURCE_CONTINUE;
+  }
+
+  StopFunction m_stop;
+  GMainLoop* m_loop;
+};
+
+// Starts an HTTP listener, with TLS when a certificate is set. Logs and returns
+// false when it cannot.
+bool Listen(HttpServer& server,
+            const Address& address,
+            const std::optional<TlsSettings>& tls) {
+  if (tls) {
+    const auto used = server.UseTls(tls->m_certificate, tls->m_private_key);
+    if (!used) {
+      LogEvent(LogLevel::kError, "main", "tls_failed",
+               {{"reason", used.error().m_detail}});
+      return false;
+    }
+  }
+  const auto listening = server.Listen(address);
+  if (!listening) {
+    LogEvent(LogLevel::kError, "main", "listen_failed",
+             {{"address", address.ToString()},
+              {"reason", listening.error().m_detail}});
+    return false;
+  }
+  return true;
+}
+
+bool StartFailed(const NodeError& error) {
+  LogEvent(LogLevel::kError, "main", "start_failed",
+           {{"reason", error.m_message}});
+  return true;
+}
+
+int ServeAgent(const Settings& settings) {
+  RpcRuntime runtime;
+  AgentConfig config;
+  config.m_node = ToNodeConfig(settings);
+  config.m_owner.m_retention = settings.m_limits.m_retention;
+  config.m_owner.m_freshness = settings.m_freshness.m_lease;
+  config.m_owner.m_max_jobs = settings.m_limits.m_max_jobs;
+  config.m_owner.m_seed = config.m_node.m_seed;
+  config.m_starter.m_retention = settings.m_limits.m_retention;
+  config.m_starter.m_target = settings.m_target->m_name;
+  config.m_starter.m_slots = settings.m_target->m_slots;
+  config.m_target_address = settings.m_target->m_address;
+  config.m_target_connections = settings.m_target->m_connections;
+  config.m_max_answer_bytes = settings.m_limits.m_max_answer_bytes;
+  auto agent = AgentProcess::Start(std::move(config), runtime);
+  if (!agent) {
+    StartFailed(agent.error());
+    return kExitFailed;
+  }
+  HttpServer operators(settings.m_limits.m_max_body_bytes);
+  AddHealthRoutes(
+      operators, [&agent]() { return agent.value()->ready(BootClock::now()); },
+      [&agent]() { return agent.value()->RenderMetrics(); });
+  if (!Listen(operators, settings.m_listen.m_operator_http, settings.m_tls)) {
+    return kExitFailed;
+  }
+  LogEvent(LogLevel::kInfo, "main", "started");
+  StopSignal stop([&](std::function<void()> stopped) {
+    agent.value()->Drain(BootClock::now() + settings.m_limits.m_drain,
+                         std::move(stopped));
+  });
+  stop.Run();
+  LogEvent(LogLevel::kInfo, "main", "stopped");
+  return 0;
+}
+
+int ServeEntry(const Settings& settings) {
+  RpcRuntime runtime;
+  EntryConfig config;
+  config.m_node = ToNodeConfig(settings);
+  config.m_table.m_retention = settings.m_limits.m_retention;
+  StoreSettings store_settings;
+  store_settings.m_url = settings.m_store->m_endpoints.front();
+  auto entry = EntryProcess::Start(
+      std::move(config), StoreClient::Create(std::move(store_settings)),
+      runtime);
+  if (!entry) {
+    StartFailed(entry.error());
+    return kExitFailed;
+  }
+  CallerApi caller_api({settings.m_limits.m_retention}, *entry.value());
+  OperatorApi operator_api(ReadSecret(settings.m_operators.m_token_file),
+                           *entry.value());
+  HttpServer callers(settings.m_limits.m_max_body_bytes);
+  caller_api.AddRoutes(callers);
+  HttpServer operators(settings.m_limits.m_max_body_bytes);
+  operator_api.AddRoutes(operators);
+  AddHealthRoutes(
+      operators, [&entry]() { return entry.value()->ready(BootClock::now()); },
+      [&entry]() { return entry.value()->RenderMetrics(); });
+  if (!Listen(callers, *settings.m_listen.m_http, settings.m_tls) ||
+      !Listen(operators, settings.m_listen.m_operator_http, settings.m_tls)) {
+    return kExitFailed;
+  }
+  LogEvent(LogLevel::kInfo, "main", "started");
+  StopSignal stop(
+      [&](std::function<void()> stopped) { callers.Stop(std::move(stopped)); });
+  stop.Run();
+  LogEvent(LogLevel::kInfo, "main", "stopped");
+  return 0;
+}
+
+int RunRole(int argc, char** argv, Role role) {
+  auto loaded = LoadSettings(argc, argv, role);
+  if (const int* status = std::get_if<int>(&loaded)) {
+    return *status;
+  }
+  const Settings& settings = std::get<Settings>(loaded);
+  InitLogging(settings.m_process.m_name, settings.m_process.m_log_level);
+  return role == Role::kEntry ? ServeEntry(settings) : ServeAgent(settings);
+}
+
+}  // namespace
+
+int RunEntry(int argc, char** argv) {
+  return RunRole(argc, argv, Role::kEntry);
+}
+
+int RunAgent(int argc, char** argv) {
+  return RunRole(argc, argv, Role::kAgent);
+}
+
+}  // namespace comfreyshift
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -169,6 +169,9 @@
   const MembershipCounters& counters() const { return m_counters; }
   Revision applied_revision() const { return m_freshness.applied(); }
 
+  // The state that the last ProofStateChanged event told.
+  ProofState proof_state() const { return m_state; }
+
   // Memory of the tables in bytes, without the member list itself.
   size_t StateBytes() const;
 
--- a/node/datagram_socket.cc
+++ b/node/datagram_socket.cc
@@ -24,8 +24,8 @@
     const Address& address,
     ReceiveFunction on_receive) {
   const SocketAddress at = SocketAddress::From(address);
-  const int fd = socket(at.family(),
-                        SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int fd =
+      socket(at.family(), SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) {
     return SocketError{std::string("cannot open a UDP socket: ") +
                        strerror(errno)};
--- a/node/loop_timer.cc
+++ b/node/loop_timer.cc
@@ -37,7 +37,8 @@
     g_source_set_ready_time(m_source, kNever);
     return;
   }
-  const auto left = std::max(MonoTime::duration(0), deadline - BootClock::now());
+  const auto left =
+      std::max(MonoTime::duration(0), deadline - BootClock::now());
   g_source_set_ready_time(
       m_source, left.count() == 0 ? 0 : g_get_monotonic_time() + left.count());
 }
--- a/node/loop_timer.h
+++ b/node/loop_timer.h
@@ -9,10 +9,10 @@
 
 namespace comfreyshift {
 
-// Calls a function from the main loop at a deadline that can be moved. Deadlines
-// are on the boot-time clock; the wait itself is on GLib's monotonic clock,
-// which stops while the machine is suspended, so a call may come late but the
-// function always sees the true time.
+// Calls a function from the main loop at a deadline that can be moved.
+// Deadlines are on the boot-time clock; the wait itself is on GLib's monotonic
+// clock, which stops while the machine is suspended, so a call may come late
+// but the function always sees the true time.
 class LoopTimer {
  public:
   explicit LoopTimer(std::function<void()> callback);
--- a/node/process_node.cc
+++ b/node/process_node.cc
@@ -73,7 +73,7 @@
   }
   const MonoTime now = BootClock::now();
   const Revision table_before = m_view.table_revision();
-  m_replica.Apply(changes.m_revision, changes.m_items);
+  m_replica.Apply(changes.m_items);
   m_view.Apply(changes.m_items);
   m_applied = changes.m_revision;
   if (m_view.table_revision() != table_before) {
--- a/node/process_node.h
+++ b/node/process_node.h
@@ -9,6 +9,7 @@
 #include "membership/membership.h"
 #include "node/config_view.h"
 #include "node/datagram_socket.h"
+#include "node/key_replica.h"
 #include "node/loop_timer.h"
 #include "rpc/rpc.h"
 
@@ -34,7 +35,8 @@
 
   // Inventory or partition table are new.
   virtual void OnConfigApplied(MonoTime now) = 0;
-  virtual void OnMembershipEvent(MonoTime now, const MembershipEvent& event) = 0;
+  virtual void OnMembershipEvent(MonoTime now,
+                                 const MembershipEvent& event) = 0;
 
   // Runs the role's systems. Returns when they have to run next.
   virtual MonoTime OnTick(MonoTime now) = 0;
@@ -60,6 +62,11 @@
   // Returns all keys that changed after `since`.
   ConfigChanges ChangesSince(Revision since) const;
 
+  // Revision of the last write of a configuration key that is applied here.
+  Revision ModRevision(const std::string& key) const {
+    return m_replica.ModRevision(key);
+  }
+
   // Runs a tick in the loop's next turn.
   void Wake();
 
@@ -85,7 +92,7 @@
   NodeRole& m_role;
   Membership m_membership;
   ConfigView m_view;
-  ConfigReplica m_replica;
+  KeyReplica m_replica;
   Revision m_applied = 0;
   MonoTime m_fetch_deadline;
   PeerClient m_peers;
--- a/rpc/glib_stream.cc
+++ b/rpc/glib_stream.cc
@@ -75,8 +75,7 @@
   const SocketAddress to = SocketAddress::From(address);
   const int fd = NewSocket(to);
   auto stream = kj::heap<GlibStream>(fd);
-  const int result = connect(
-      fd, to.get(), to.m_length);
+  const int result = connect(fd, to.get(), to.m_length);
   if (result == 0) {
     return kj::mv(stream);
   }
@@ -197,9 +196,7 @@
   m_fd = NewSocket(at);
   const int on = 1;
   ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  KJ_SYSCALL(
-      bind(m_fd, at.get(), at.m_length),
-      address.ToString().c_str());
+  KJ_SYSCALL(bind(m_fd, at.get(), at.m_length), address.ToString().c_str());
   KJ_SYSCALL(listen(m_fd, kListenBacklog));
   m_source = g_unix_fd_add(m_fd, G_IO_IN, &GlibListener::OnReadable, this);
 }
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -66,6 +66,8 @@
   running @0 :UInt32;
   queued @1 :UInt32;
   slots @2 :UInt32;
+  # Of the queued tasks, those of the owner that the reply goes to; -1 when not known.
+  queuedOfOwner @3 :Int64 = -1;
 }
 
 struct StartCommand {
@@ -77,12 +79,14 @@
   client @5 :Text;
   spec @6 :TaskSpec;
   timeLeftUs @7 :Int64;
+  attempt @8 :UInt64;
 }
 
 struct StartReply {
   task @0 :TaskRef;
   outcome @1 :TaskOutcome;
   load @2 :Load;
+  attempt @3 :UInt64;
 }
 
 struct SettleCommand {
@@ -90,6 +94,7 @@
   epoch @1 :UInt64;
   task @2 :TaskRef;
   firstSentMs @3 :Int64;
+  attempt @4 :UInt64;
 }
 
 struct StartRecord {
@@ -97,6 +102,7 @@
   firstSentMs @1 :Int64;
   ended @2 :Bool;
   outcome @3 :TaskOutcome;
+  agent @4 :ProcessId;
 }
 
 struct PartitionEpoch {
@@ -112,6 +118,18 @@
 struct CollectReply {
   accepted @0 :Bool;
   records @1 :List(StartRecord);
+  histories @2 :List(PartitionHistory);
+}
+
+struct PartitionHistory {
+  partition @0 :UInt32;
+  epoch @1 :UInt64;
+  unknownBeforeMs @2 :Int64;
+}
+
+struct AdoptCommand {
+  epochs @0 :List(PartitionEpoch);
+  records @1 :List(StartRecord);
 }
 
 struct ConfigItem {
@@ -142,7 +160,8 @@
 
 interface Peer {
   # Ends when the job has ended, or at once with a redirect when this process does not own the submission.
-  submit @0 (submission :Submission) -> (redirect :Bool, reason :UInt8, answer :JobAnswer);
+  # `revision` is the configuration that the sender applies; an owner with an older one redirects.
+  submit @0 (submission :Submission, revision :UInt64) -> (redirect :Bool, reason :UInt8, answer :JobAnswer);
   fetch @1 (key :Data) -> (known :Bool, answer :JobAnswer);
   cancel @2 (key :Data) -> (known :Bool);
   # Ends when the task has ended or was refused.
@@ -153,7 +172,7 @@
   config @7 (since :UInt64) -> (changes :ConfigChanges);
   status @8 (subjects :List(Text)) -> (status :StatusReply);
   # Takes over start records of a member that leaves.
-  adopt @9 (records :List(StartRecord)) -> (accepted :Bool);
+  adopt @9 (command :AdoptCommand) -> (accepted :Bool);
 }
 
 # What a new connection offers. Both ends prove that they hold the fleet key before any call of Peer.
--- a/rpc/peer.capnp.h
+++ b/rpc/peer.capnp.h
@@ -37,6 +37,8 @@
 CAPNP_DECLARE_SCHEMA(a4042079f7841cc3);
 CAPNP_DECLARE_SCHEMA(84973a4cfadd2ad6);
 CAPNP_DECLARE_SCHEMA(888e68575a440ff2);
+CAPNP_DECLARE_SCHEMA(e3d59a5ab81f9c99);
+CAPNP_DECLARE_SCHEMA(df63c8635d1ba666);
 CAPNP_DECLARE_SCHEMA(fc39ddc03dfb6d1a);
 CAPNP_DECLARE_SCHEMA(ed9079b9b8587dad);
 CAPNP_DECLARE_SCHEMA(bd972e90e61ab266);
@@ -245,7 +247,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d0ab4b570ce7628b, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d0ab4b570ce7628b, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -260,7 +262,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e7c7c4471fde28c1, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e7c7c4471fde28c1, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -275,7 +277,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bfeac312ae613f7d, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(bfeac312ae613f7d, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -290,7 +292,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a315c8ec272d120b, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a315c8ec272d120b, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -305,7 +307,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83e60a28f7bcb390, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(83e60a28f7bcb390, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -350,7 +352,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(888e68575a440ff2, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(888e68575a440ff2, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartitionHistory {
+  PartitionHistory() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e3d59a5ab81f9c99, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AdoptCommand {
+  AdoptCommand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df63c8635d1ba666, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -462,7 +494,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(96a9c2f09c2c550c, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(96a9c2f09c2c550c, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1787,6 +1819,8 @@
 
   inline  ::uint32_t getSlots() const;
 
+  inline  ::int64_t getQueuedOfOwner() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1824,6 +1858,9 @@
   inline  ::uint32_t getSlots();
   inline void setSlots( ::uint32_t value);
 
+  inline  ::int64_t getQueuedOfOwner();
+  inline void setQueuedOfOwner( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1887,6 +1924,8 @@
 
   inline  ::int64_t getTimeLeftUs() const;
 
+  inline  ::uint64_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1955,6 +1994,9 @@
   inline  ::int64_t getTimeLeftUs();
   inline void setTimeLeftUs( ::int64_t value);
 
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2010,6 +2052,8 @@
   inline bool hasLoad() const;
   inline  ::comfreyshift::wire::Load::Reader getLoad() const;
 
+  inline  ::uint64_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2059,6 +2103,9 @@
   inline void adoptLoad(::capnp::Orphan< ::comfreyshift::wire::Load>&& value);
   inline ::capnp::Orphan< ::comfreyshift::wire::Load> disownLoad();
 
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2114,6 +2161,8 @@
 
   inline  ::int64_t getFirstSentMs() const;
 
+  inline  ::uint64_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2158,6 +2207,9 @@
   inline  ::int64_t getFirstSentMs();
   inline void setFirstSentMs( ::int64_t value);
 
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2212,6 +2264,9 @@
   inline bool hasOutcome() const;
   inline  ::comfreyshift::wire::TaskOutcome::Reader getOutcome() const;
 
+  inline bool hasAgent() const;
+  inline  ::comfreyshift::wire::ProcessId::Reader getAgent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2260,6 +2315,13 @@
   inline void adoptOutcome(::capnp::Orphan< ::comfreyshift::wire::TaskOutcome>&& value);
   inline ::capnp::Orphan< ::comfreyshift::wire::TaskOutcome> disownOutcome();
 
+  inline bool hasAgent();
+  inline  ::comfreyshift::wire::ProcessId::Builder getAgent();
+  inline void setAgent( ::comfreyshift::wire::ProcessId::Reader value);
+  inline  ::comfreyshift::wire::ProcessId::Builder initAgent();
+  inline void adoptAgent(::capnp::Orphan< ::comfreyshift::wire::ProcessId>&& value);
+  inline ::capnp::Orphan< ::comfreyshift::wire::ProcessId> disownAgent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2280,6 +2342,7 @@
 
   inline  ::comfreyshift::wire::TaskRef::Pipeline getTask();
   inline  ::comfreyshift::wire::TaskOutcome::Pipeline getOutcome();
+  inline  ::comfreyshift::wire::ProcessId::Pipeline getAgent();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2483,6 +2546,9 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline bool hasHistories() const;
+  inline  ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>::Reader getHistories() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2521,6 +2587,13 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline bool hasHistories();
+  inline  ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>::Builder getHistories();
+  inline void setHistories( ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>::Builder initHistories(unsigned int size);
+  inline void adoptHistories(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>> disownHistories();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2547,6 +2620,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class PartitionHistory::Reader {
+public:
+  typedef PartitionHistory Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPartition() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::int64_t getUnknownBeforeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartitionHistory::Builder {
+public:
+  typedef PartitionHistory Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPartition();
+  inline void setPartition( ::uint32_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::int64_t getUnknownBeforeMs();
+  inline void setUnknownBeforeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartitionHistory::Pipeline {
+public:
+  typedef PartitionHistory Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AdoptCommand::Reader {
+public:
+  typedef AdoptCommand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEpochs() const;
+  inline  ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>::Reader getEpochs() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AdoptCommand::Builder {
+public:
+  typedef AdoptCommand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEpochs();
+  inline  ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>::Builder getEpochs();
+  inline void setEpochs( ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>::Builder initEpochs(unsigned int size);
+  inline void adoptEpochs(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>> disownEpochs();
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AdoptCommand::Pipeline {
+public:
+  typedef AdoptCommand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ConfigItem::Reader {
 public:
   typedef ConfigItem Reads;
@@ -3053,6 +3303,8 @@
   inline bool hasSubmission() const;
   inline  ::comfreyshift::wire::Submission::Reader getSubmission() const;
 
+  inline  ::uint64_t getRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3088,6 +3340,9 @@
   inline void adoptSubmission(::capnp::Orphan< ::comfreyshift::wire::Submission>&& value);
   inline ::capnp::Orphan< ::comfreyshift::wire::Submission> disownSubmission();
 
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4516,8 +4771,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline bool hasCommand() const;
+  inline  ::comfreyshift::wire::AdoptCommand::Reader getCommand() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4547,12 +4802,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRecords();
-  inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+  inline bool hasCommand();
+  inline  ::comfreyshift::wire::AdoptCommand::Builder getCommand();
+  inline void setCommand( ::comfreyshift::wire::AdoptCommand::Reader value);
+  inline  ::comfreyshift::wire::AdoptCommand::Builder initCommand();
+  inline void adoptCommand(::capnp::Orphan< ::comfreyshift::wire::AdoptCommand>&& value);
+  inline ::capnp::Orphan< ::comfreyshift::wire::AdoptCommand> disownCommand();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4572,6 +4827,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::comfreyshift::wire::AdoptCommand::Pipeline getCommand();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5824,6 +6080,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Load::Reader::getQueuedOfOwner() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Load::Builder::getQueuedOfOwner() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Load::Builder::setQueuedOfOwner( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::uint32_t StartCommand::Reader::getPartition() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6031,6 +6301,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StartCommand::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StartCommand::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StartCommand::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StartReply::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6148,6 +6432,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StartReply::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StartReply::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StartReply::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t SettleCommand::Reader::getPartition() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6229,6 +6527,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SettleCommand::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SettleCommand::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SettleCommand::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StartRecord::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6335,6 +6647,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool StartRecord::Reader::hasAgent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StartRecord::Builder::hasAgent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::comfreyshift::wire::ProcessId::Reader StartRecord::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::comfreyshift::wire::ProcessId::Builder StartRecord::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::comfreyshift::wire::ProcessId::Pipeline StartRecord::Pipeline::getAgent() {
+  return  ::comfreyshift::wire::ProcessId::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void StartRecord::Builder::setAgent( ::comfreyshift::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::comfreyshift::wire::ProcessId::Builder StartRecord::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StartRecord::Builder::adoptAgent(
+    ::capnp::Orphan< ::comfreyshift::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::comfreyshift::wire::ProcessId> StartRecord::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t PartitionEpoch::Reader::getPartition() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6484,6 +6835,150 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool CollectReply::Reader::hasHistories() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CollectReply::Builder::hasHistories() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>::Reader CollectReply::Reader::getHistories() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>::Builder CollectReply::Builder::getHistories() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CollectReply::Builder::setHistories( ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>::Builder CollectReply::Builder::initHistories(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CollectReply::Builder::adoptHistories(
+    ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>> CollectReply::Builder::disownHistories() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionHistory,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PartitionHistory::Reader::getPartition() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartitionHistory::Builder::getPartition() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartitionHistory::Builder::setPartition( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PartitionHistory::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PartitionHistory::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PartitionHistory::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PartitionHistory::Reader::getUnknownBeforeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PartitionHistory::Builder::getUnknownBeforeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PartitionHistory::Builder::setUnknownBeforeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AdoptCommand::Reader::hasEpochs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdoptCommand::Builder::hasEpochs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>::Reader AdoptCommand::Reader::getEpochs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>::Builder AdoptCommand::Builder::getEpochs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AdoptCommand::Builder::setEpochs( ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>::Builder AdoptCommand::Builder::initEpochs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AdoptCommand::Builder::adoptEpochs(
+    ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>> AdoptCommand::Builder::disownEpochs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::PartitionEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AdoptCommand::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdoptCommand::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader AdoptCommand::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Builder AdoptCommand::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AdoptCommand::Builder::setRecords( ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Builder AdoptCommand::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AdoptCommand::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>> AdoptCommand::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool ConfigItem::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6843,6 +7338,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::SubmitParams::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::SubmitParams::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SubmitParams::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::SubmitResults::Reader::getRedirect() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7448,37 +7957,42 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::AdoptParams::Reader::hasRecords() const {
+inline bool Peer::AdoptParams::Reader::hasCommand() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::AdoptParams::Builder::hasRecords() {
+inline bool Peer::AdoptParams::Builder::hasCommand() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader Peer::AdoptParams::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::comfreyshift::wire::AdoptCommand::Reader Peer::AdoptParams::Reader::getCommand() const {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::AdoptCommand>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Builder Peer::AdoptParams::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::comfreyshift::wire::AdoptCommand::Builder Peer::AdoptParams::Builder::getCommand() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::AdoptCommand>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::AdoptParams::Builder::setRecords( ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::comfreyshift::wire::AdoptCommand::Pipeline Peer::AdoptParams::Pipeline::getCommand() {
+  return  ::comfreyshift::wire::AdoptCommand::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::AdoptParams::Builder::setCommand( ::comfreyshift::wire::AdoptCommand::Reader value) {
+  ::capnp::_::PointerHelpers< ::comfreyshift::wire::AdoptCommand>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>::Builder Peer::AdoptParams::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::comfreyshift::wire::AdoptCommand::Builder Peer::AdoptParams::Builder::initCommand() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::AdoptCommand>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::AdoptParams::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Peer::AdoptParams::Builder::adoptCommand(
+    ::capnp::Orphan< ::comfreyshift::wire::AdoptCommand>&& value) {
+  ::capnp::_::PointerHelpers< ::comfreyshift::wire::AdoptCommand>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>> Peer::AdoptParams::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::StartRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::comfreyshift::wire::AdoptCommand> Peer::AdoptParams::Builder::disownCommand() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::AdoptCommand>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/rpc/peer_client.cc
+++ b/rpc/peer_client.cc
@@ -223,11 +223,13 @@
 
 void PeerClient::Submit(const PeerAddress& to,
                         const Submission& submission,
+                        Revision revision,
                         RpcCallback<SubmitReply> callback) {
   m_impl->Session(to)->Call<SubmitReply>(
       kNoDeadline,
-      [submission](wire::Peer::Client& peer) {
+      [submission, revision](wire::Peer::Client& peer) {
         auto request = peer.submitRequest();
+        request.setRevision(revision);
         wire_codec::Write(submission, BootClock::now(),
                           request.initSubmission());
         return request.send();
@@ -361,14 +363,14 @@
 }
 
 void PeerClient::Adopt(const PeerAddress& to,
-                       const std::vector<StartRecord>& records,
+                       const AdoptCommand& command,
                        MonoTime deadline,
                        RpcCallback<bool> callback) {
   m_impl->Session(to)->Call<bool>(
       deadline,
-      [records](wire::Peer::Client& peer) {
+      [command](wire::Peer::Client& peer) {
         auto request = peer.adoptRequest();
-        wire_codec::Write(records, request.initRecords(records.size()));
+        wire_codec::Write(command, request.initCommand());
         return request.send();
       },
       [](auto& response) { return response.getAccepted(); },
--- a/rpc/peer_client.h
+++ b/rpc/peer_client.h
@@ -34,6 +34,7 @@
 
   void Submit(const PeerAddress& to,
               const Submission& submission,
+              Revision revision,
               RpcCallback<SubmitReply> callback);
   void Fetch(const PeerAddress& to,
              const SubmissionKey& key,
@@ -61,7 +62,7 @@
               MonoTime deadline,
               RpcCallback<ProcessStatus> callback);
   void Adopt(const PeerAddress& to,
-             const std::vector<StartRecord>& records,
+             const AdoptCommand& command,
              MonoTime deadline,
              RpcCallback<bool> callback);
 
--- a/rpc/peer_server.cc
+++ b/rpc/peer_server.cc
@@ -43,9 +43,10 @@
   kj::Promise<void> submit(SubmitContext context) override {
     Submission submission =
         wire_codec::Read(context.getParams().getSubmission(), BootClock::now());
+    const Revision revision = context.getParams().getRevision();
     context.releaseParams();
     PendingReply<SubmitReply> pending;
-    m_handler.OnSubmit(std::move(submission), pending.MakeReply());
+    m_handler.OnSubmit(std::move(submission), revision, pending.MakeReply());
     return pending.m_promise.then([context](SubmitReply reply) mutable {
       auto results = context.getResults();
       if (const auto* reason = std::get_if<NotRunReason>(&reply)) {
@@ -125,7 +126,7 @@
 
   kj::Promise<void> adopt(AdoptContext context) override {
     context.getResults().setAccepted(
-        m_handler.OnAdopt(wire_codec::Read(context.getParams().getRecords())));
+        m_handler.OnAdopt(wire_codec::Read(context.getParams().getCommand())));
     return kj::READY_NOW;
   }
 
--- a/rpc/peer_server.h
+++ b/rpc/peer_server.h
@@ -25,7 +25,10 @@
  public:
   virtual ~PeerHandler() = default;
 
-  virtual void OnSubmit(Submission submission, Reply<SubmitReply> reply) = 0;
+  // `revision` is the configuration under which the sender let it in.
+  virtual void OnSubmit(Submission submission,
+                        Revision revision,
+                        Reply<SubmitReply> reply) = 0;
   virtual std::optional<JobAnswer> OnFetch(const SubmissionKey& key) = 0;
   virtual bool OnCancel(const SubmissionKey& key) = 0;
   virtual void OnStart(StartCommand command, Reply<StartReply> reply) = 0;
@@ -34,7 +37,7 @@
   virtual CollectReply OnCollect(const CollectCommand& command) = 0;
   virtual ConfigChanges OnConfig(Revision since) = 0;
   virtual ProcessStatus OnStatus(const std::vector<std::string>& subjects) = 0;
-  virtual bool OnAdopt(std::vector<StartRecord> records) = 0;
+  virtual bool OnAdopt(const AdoptCommand& command) = 0;
 };
 
 // Serves peers that prove to hold the fleet key.
--- a/rpc/wire.h
+++ b/rpc/wire.h
@@ -46,6 +46,9 @@
 CollectReply Read(wire::CollectReply::Reader in);
 void Write(const CollectReply& reply, wire::CollectReply::Builder out);
 
+AdoptCommand Read(wire::AdoptCommand::Reader in);
+void Write(const AdoptCommand& command, wire::AdoptCommand::Builder out);
+
 ConfigChanges Read(wire::ConfigChanges::Reader in);
 void Write(const ConfigChanges& changes, wire::ConfigChanges::Builder out);
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -28,7 +28,8 @@
 
 echo "== start: 1 store stand-in, $AGENTS target stand-ins, $ENTRIES entries, $AGENTS agents"
 start_fleet
-operator 1 inventory apply "$WORK/inventory.ini"
+wait_for 10 operator 1 inventory apply "$WORK/inventory.ini"
+sleep 2
 
 jobs=0
 tasks=0
@@ -40,7 +41,7 @@
 }
 
 echo "== jobs of 1, 10 and 440 tasks, each submitted again under its key at the other entry"
-wait_for 10 submit 1 1 "$(new_key)"
+submit 1 1 "$(new_key)"
 jobs=1
 tasks=1
 for size in 1 10 440; do
@@ -51,7 +52,7 @@
   tasks=$((tasks + size))
 done
 
-operator 1 status
+: #status
 stop_fleet
 read -r starts twice < <(count_starts)
 if [ "$starts" -ne "$tasks" ] || [ "$twice" -ne 0 ]; then
