Add the HTTP server and client

Cause: callers, operators and targets speak HTTP. A request must never be sent twice by a library, and a planned stop must interrupt none. Ruled out: POST without SOUP_MESSAGE_IDEMPOTENT, because libsoup then opens a connection for every request (its NEWS); with the flag it sends the request again when a kept-alive connection breaks before the answer, so the client cancels the call on the signal "restarted". Ruled out: libsoup's own listener, because soup_server_disconnect() also breaks the requests in progress; a GSocketService accepts instead. Ruled out: the signal "disconnected" for clients that leave, because libsoup does not poll the socket of a paused message; a source on POLLRDHUP does. Before: no HTTP. Without the guard on "restarted" the client test for kept-alive connections fails (the request is sent again and answered); without the guard on "starting" the test for expired permission fails; with soup_server_disconnect() the test for a graceful stop fails. Conclusion: the roles and the commands can use http/http.h.

--- /dev/null
+++ b/http/request.cc
@@ -0,0 +1,234 @@
+#include "http/request.h"
+
+#include <glib-unix.h>
+#include <libsoup/soup.h>
+#include <poll.h>
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "http/message_socket.h"
+
+namespace comfreyshift {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+// Parses strictly; returns a discarded value for malformed JSON and for objects
+// with repeated keys, of which the last would win unseen.
+Json ParseStrict(const std::string& text) {
+  std::vector<std::set<std::string>> open_objects;
+  bool has_repeated_key = false;
+  const auto callback = [&](int, Json::parse_event_t event, Json& parsed) {
+    if (event == Json::parse_event_t::object_start) {
+      open_objects.emplace_back();
+    } else if (event == Json::parse_event_t::object_end) {
+      open_objects.pop_back();
+    } else if (event == Json::parse_event_t::key) {
+      has_repeated_key |=
+          !open_objects.back().insert(parsed.get<std::string>()).second;
+    }
+    return true;
+  };
+  Json json = Json::parse(text, callback, /*allow_exceptions=*/false);
+  if (has_repeated_key) {
+    return {Json::value_t::discarded};
+  }
+  return json;
+}
+
+}  // namespace
+
+// Watches the socket of a paused request. libsoup does not poll the socket
+// meanwhile, so it does not see the client go.
+struct HttpRequest::Watch {
+  Watch(GSocket* socket, HttpRequest* request)
+      : m_socket(G_SOCKET(g_object_ref(socket))),
+        // POLLRDHUP reports the end of the client's side even behind unread
+        // data; GLib hands conditions to poll() as they are.
+        m_source(g_unix_fd_source_new(
+            g_socket_get_fd(socket),
+            static_cast<GIOCondition>(POLLRDHUP | G_IO_HUP | G_IO_ERR))) {
+    g_source_set_callback(m_source, G_SOURCE_FUNC(&Watch::OnEvent), request,
+                          nullptr);
+    g_source_attach(m_source, g_main_context_get_thread_default());
+  }
+  ~Watch() {
+    g_source_destroy(m_source);
+    g_source_unref(m_source);
+    g_object_unref(m_socket);
+  }
+  Watch(const Watch&) = delete;
+  Watch& operator=(const Watch&) = delete;
+
+  static gboolean OnEvent(gint, GIOCondition, gpointer data) {
+    const auto request = static_cast<HttpRequest*>(data)->shared_from_this();
+    request->HandleDisconnect();
+    return G_SOURCE_REMOVE;
+  }
+
+  GSocket* m_socket;
+  GSource* m_source;
+};
+
+HttpRequest::HttpRequest(_SoupServerMessage* message)
+    : m_message(SOUP_SERVER_MESSAGE(g_object_ref(message))),
+      m_method(soup_server_message_get_method(message)),
+      m_path(g_uri_get_path(soup_server_message_get_uri(message))) {}
+
+HttpRequest::~HttpRequest() {
+  Close();
+}
+
+std::optional<std::string> HttpRequest::Header(const std::string& name) const {
+  if (m_message == nullptr) {
+    return std::nullopt;
+  }
+  const char* value = soup_message_headers_get_one(
+      soup_server_message_get_request_headers(m_message), name.c_str());
+  return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+std::optional<std::string> HttpRequest::Query(const std::string& name) const {
+  const auto found = m_query.find(name);
+  if (found == m_query.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void HttpRequest::ReadMessage() {
+  SoupMessageBody* body = soup_server_message_get_request_body(m_message);
+  GBytes* bytes = soup_message_body_flatten(body);
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  m_body.assign(data == nullptr ? "" : data, size);
+  g_bytes_unref(bytes);
+  const char* query = g_uri_get_query(soup_server_message_get_uri(m_message));
+  if (query == nullptr) {
+    return;
+  }
+  GHashTable* values = soup_form_decode(query);
+  GHashTableIter iterator;
+  g_hash_table_iter_init(&iterator, values);
+  gpointer key = nullptr;
+  gpointer value = nullptr;
+  while (g_hash_table_iter_next(&iterator, &key, &value)) {
+    m_query[static_cast<const char*>(key)] = static_cast<const char*>(value);
+  }
+  g_hash_table_unref(values);
+}
+
+void HttpRequest::Reply(int status,
+                        const std::string& content_type,
+                        std::string_view body,
+                        const HttpHeaders& headers) {
+  if (m_is_answered || m_message == nullptr) {
+    return;
+  }
+  m_is_answered = true;
+  m_watch.reset();
+  m_on_disconnect = nullptr;
+  SoupMessageHeaders* fields =
+      soup_server_message_get_response_headers(m_message);
+  for (const auto& [name, value] : headers) {
+    soup_message_headers_replace(fields, name.c_str(), value.c_str());
+  }
+  if (m_closes_connection) {
+    soup_message_headers_replace(fields, "Connection", "close");
+  }
+  soup_server_message_set_status(m_message, status, nullptr);
+  soup_server_message_set_response(m_message, content_type.c_str(),
+                                   SOUP_MEMORY_COPY, body.data(), body.size());
+  if (m_is_paused) {
+    m_is_paused = false;
+    soup_server_message_unpause(m_message);
+  }
+}
+
+void HttpRequest::ReplyJson(int status,
+                            const nlohmann::json& body,
+                            const HttpHeaders& headers) {
+  Reply(status, "application/json", Dump(body), headers);
+}
+
+void HttpRequest::ReplyError(int status,
+                             std::string_view code,
+                             std::string_view message,
+                             const HttpHeaders& headers) {
+  ReplyJson(status, {{"error", {{"code", code}, {"message", message}}}},
+            headers);
+}
+
+void HttpRequest::OnDisconnect(std::function<void()> handler) {
+  if (m_is_disconnected) {
+    handler();
+  } else if (!m_is_answered) {
+    m_on_disconnect = std::move(handler);
+  }
+}
+
+void HttpRequest::Pause() {
+  m_is_paused = true;
+  soup_server_message_pause(m_message);
+  StartWatch();
+}
+
+void HttpRequest::StartWatch() {
+  GSocket* socket = SocketOf(m_message);
+  if (socket != nullptr) {
+    m_watch = std::make_unique<Watch>(socket, this);
+  }
+}
+
+void HttpRequest::HandleDisconnect() {
+  if (m_is_answered || m_is_disconnected) {
+    return;
+  }
+  m_is_disconnected = true;
+  m_watch.reset();
+  if (const std::function<void()> handler =
+          std::exchange(m_on_disconnect, {})) {
+    handler();
+  }
+  if (!m_is_answered && m_message != nullptr) {
+    DropConnection();
+  }
+}
+
+// Lets libsoup find the broken connection. A client that closed only its own
+// side gets no answer either, because any answer would be wrong.
+void HttpRequest::DropConnection() {
+  GSocket* socket = SocketOf(m_message);
+  if (socket != nullptr) {
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+  }
+  Reply(SOUP_STATUS_INTERNAL_SERVER_ERROR, "text/plain", "");
+}
+
+void HttpRequest::Close() {
+  if (m_message == nullptr) {
+    return;
+  }
+  m_watch.reset();
+  g_object_unref(std::exchange(m_message, nullptr));
+}
+
+bool ParseJsonBody(HttpRequest& request, nlohmann::json& body) {
+  body = ParseStrict(request.body());
+  if (body.is_object()) {
+    return true;
+  }
+  request.ReplyError(
+      SOUP_STATUS_BAD_REQUEST, "malformed_request",
+      "the body is not a JSON object in UTF-8 without repeated keys");
+  return false;
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/http/server.h
@@ -0,0 +1,64 @@
+#ifndef HTTP_SERVER_H_
+#define HTTP_SERVER_H_
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/core.h"
+#include "http/error.h"
+#include "http/request.h"
+#include "http/token.h"
+
+namespace comfreyshift {
+
+using HttpHandler = std::function<void(const std::shared_ptr<HttpRequest>&)>;
+
+// An HTTP/1.1 server with asynchronous handlers. It answers by itself: 404
+// `unknown_path`, 405 `wrong_method`, 401 `unauthorized`, 413 `body_too_large`
+// and, after Stop, 503 `stopping`.
+class HttpServer {
+ public:
+  // Larger bodies are answered with 413 and not kept.
+  explicit HttpServer(uint64_t max_body_bytes);
+
+  // Breaks the connections of requests in progress; see Stop.
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Serves HTTPS with PEM files; must be called before Listen.
+  Result<void, HttpError> UseTls(const std::filesystem::path& certificate,
+                                 const std::filesystem::path& private_key);
+
+  // Starts to accept connections and returns the address in use, which differs
+  // from `address` only if its port is 0.
+  Result<Address, HttpError> Listen(const Address& address);
+
+  // Calls `handler` for requests with this method whose path fits `pattern`. A
+  // part `{}` of the pattern fits any part of the path that is not empty.
+  void AddRoute(std::string_view method,
+                std::string_view pattern,
+                Access access,
+                HttpHandler handler);
+
+  // Refuses new connections, answers new requests on open ones with 503, and
+  // calls `done` once when the answers to all others are written; never from
+  // within Stop. The caller limits how long it waits.
+  void Stop(std::function<void()> done);
+
+  // Requests whose answer is not yet written.
+  size_t pending() const;
+
+ private:
+  struct Impl;
+
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace comfreyshift
+
+#endif  // HTTP_SERVER_H_
