Bound the store calls by time, rate and repetition

Cause: the store has outages and shared rates, and its answer can be lost after the write has taken effect. A caller must know which of these happened.

An error now says whether the call wrote nothing, may have written, or met an unavailable store. A write is repeated only while nothing can have been written. Ruled out: one backoff for the whole client, because the call budget already bounds the sum of repeated calls.

The stand-in kept watchers whose connection a restart had closed; it now drops them and holds references to waiting messages.

--- a/store/client.cc
+++ b/store/client.cc
@@ -1,39 +1,19 @@
 #include "store/client.h"
 
-#include <libsoup/soup.h>
-
 #include <utility>
 
 #include "store/codec.h"
-#include "store/gobject.h"
-#include "store/http_post.h"
+#include "store/store_call.h"
 #include "store/watch.h"
 
 namespace comfreyshift {
 
 namespace {
 
-// libsoup's default of 2 connections to a host would queue calls behind each
-// other.
-constexpr int kMaxConnections = 16;
-
-SoupSession* NewSession() {
-  return soup_session_new_with_options("max-conns", kMaxConnections,
-                                       "max-conns-per-host", kMaxConnections,
-                                       "proxy-resolver", nullptr, nullptr);
-}
-
 class SoupStoreClient : public StoreClient {
  public:
-  explicit SoupStoreClient(StoreSettings settings)
-      : m_settings(std::move(settings)),
-        m_session(NewSession()),
-        m_watch_session(NewSession()) {}
-
-  ~SoupStoreClient() override {
-    soup_session_abort(m_session.get());
-    soup_session_abort(m_watch_session.get());
-  }
+  explicit SoupStoreClient(const StoreSettings& settings)
+      : m_channel(std::make_shared<Channel>(settings)) {}
 
   void Range(const RangeRequest& request,
              const CallOptions& options,
@@ -79,16 +59,17 @@
 
   std::shared_ptr<StoreWatch> Watch(const WatchRequest& request,
                                     Callback<WatchReply> callback) override {
-    auto stream = std::make_shared<WatchStream>(m_watch_session.get(),
-                                                std::move(callback));
-    stream->Start(m_settings.m_url + "/v3/watch", EncodeWatch(request));
+    auto stream = std::make_shared<WatchStream>(m_channel, std::move(callback));
+    stream->Start(EncodeWatch(request));
     return std::make_shared<WatchHandle>(stream);
   }
 
+  const StoreCounts& counts() const override { return m_channel->m_counts; }
+
  private:
   template <class T>
   void Post(const char* path,
-            const std::string& body,
+            std::string body,
             bool writes,
             const CallOptions& options,
             std::optional<T> (*decode)(std::string_view),
@@ -106,8 +87,9 @@
       }
       callback(*std::move(reply));
     };
-    std::make_shared<HttpPost>(m_session.get(), writes, std::move(done))
-        ->Send(m_settings.m_url + path, body, options.m_deadline);
+    std::make_shared<StoreCall>(m_channel, path, writes, options,
+                                std::move(done))
+        ->Start(std::move(body));
   }
 
   static StoreError MalformedAnswer(bool writes) {
@@ -119,15 +101,14 @@
     return error;
   }
 
-  StoreSettings m_settings;
-  GObjectPtr<SoupSession> m_session;
-  GObjectPtr<SoupSession> m_watch_session;
+  std::shared_ptr<Channel> m_channel;
 };
 
 }  // namespace
 
-std::shared_ptr<StoreClient> StoreClient::Create(StoreSettings settings) {
-  return std::make_shared<SoupStoreClient>(std::move(settings));
+std::shared_ptr<StoreClient> StoreClient::Create(
+    const StoreSettings& settings) {
+  return std::make_shared<SoupStoreClient>(settings);
 }
 
 }  // namespace comfreyshift
--- a/store/client.h
+++ b/store/client.h
@@ -9,6 +9,8 @@
 
 #include "config/config.h"
 #include "core/core.h"
+#include "store/backoff.h"
+#include "store/call_budget.h"
 #include "store/error.h"
 
 namespace comfreyshift {
@@ -16,11 +18,34 @@
 struct StoreSettings {
   // Base address of the etcd v3 JSON gateway, such as `http://10.0.0.1:2379`.
   std::string m_url{};
+  // How long one attempt of a call may take.
+  Milliseconds m_attempt_timeout{1000};
+  BackoffSettings m_backoff{};
+  CallBudgetSettings m_budget{};
+  // Seed of the jitter. Processes need different ones.
+  uint64_t m_seed = 0;
 };
 
 struct CallOptions {
-  // The call fails with kTimeout at this time.
+  // The call ends by this time: with kTimeout, or with the error of the last
+  // attempt.
   MonoTime m_deadline;
+  // Tries again after a failure that leaves nothing written (kUnavailable),
+  // with backoff, until the deadline. Each attempt takes from the call budget,
+  // and a spent budget ends the call.
+  bool m_repeat = false;
+};
+
+// Totals since the client was created.
+struct StoreCounts {
+  // Attempts sent, and watches started.
+  uint64_t m_sent = 0;
+  // Attempts that follow a failed one of the same call.
+  uint64_t m_repeated = 0;
+  // Attempts and watches that the call budget stopped.
+  uint64_t m_over_budget = 0;
+  // Calls that ended with an error.
+  uint64_t m_failed = 0;
 };
 
 using LeaseId = int64_t;
@@ -63,13 +88,15 @@
 // GLib main context that is the thread's default when it is created.
 //
 // Each callback runs exactly once, from the main loop and never inside the
-// call itself.
-class StoreClient : public std::enable_shared_from_this<StoreClient> {
+// call itself. Calls in progress go on after the client is destroyed. A call
+// that the budget does not allow fails with kBudgetSpent in the next turn of
+// the loop.
+class StoreClient {
  public:
   template <class T>
   using Callback = std::function<void(Result<T, StoreError>)>;
 
-  static std::shared_ptr<StoreClient> Create(StoreSettings settings);
+  static std::shared_ptr<StoreClient> Create(const StoreSettings& settings);
 
   virtual ~StoreClient() = default;
 
@@ -95,9 +122,12 @@
                            Callback<std::monostate> callback) = 0;
 
   // Calls `callback` with each reply of the watch. An error ends the watch and
-  // is the last call.
+  // is the last call; the caller may then watch again from the last revision
+  // it has seen. A watch takes one call from the budget.
   virtual std::shared_ptr<StoreWatch> Watch(const WatchRequest& request,
                                             Callback<WatchReply> callback) = 0;
+
+  virtual const StoreCounts& counts() const = 0;
 };
 
 }  // namespace comfreyshift
--- a/store/error.h
+++ b/store/error.h
@@ -28,8 +28,6 @@
   kRefused,
   // The answer is not valid JSON of the gateway protocol.
   kMalformedAnswer,
-  // The client was shut down.
-  kShutdown,
 };
 
 // Error type of the store library.
--- a/store/watch.cc
+++ b/store/watch.cc
@@ -16,9 +16,9 @@
 
 }  // namespace
 
-WatchStream::WatchStream(SoupSession* session,
+WatchStream::WatchStream(std::shared_ptr<Channel> channel,
                          StoreClient::Callback<WatchReply> callback)
-    : m_session(SOUP_SESSION(g_object_ref(session))),
+    : m_channel(std::move(channel)),
       m_cancellable(g_cancellable_new()),
       m_callback(std::move(callback)) {}
 
@@ -26,13 +26,21 @@
   return new std::shared_ptr<WatchStream>(shared_from_this());
 }
 
-void WatchStream::Start(const std::string& url, const std::string& body) {
+void WatchStream::Start(const std::string& body) {
+  if (!m_channel->TakeCall()) {
+    m_timer.Set(BootClock::now(), [self = shared_from_this()] {
+      self->End(BudgetSpentError(self->m_channel->m_settings.m_budget));
+    });
+    return;
+  }
+  std::string url = m_channel->m_settings.m_url + "/v3/watch";
   m_message.reset(soup_message_new(SOUP_METHOD_POST, url.c_str()));
   GBytesPtr bytes(g_bytes_new(body.data(), body.size()));
   soup_message_set_request_body_from_bytes(m_message.get(), "application/json",
                                            bytes.get());
-  soup_session_send_async(m_session.get(), m_message.get(), G_PRIORITY_DEFAULT,
-                          m_cancellable.get(), &WatchStream::OnSent, Hold());
+  soup_session_send_async(m_channel->m_watch_session.get(), m_message.get(),
+                          G_PRIORITY_DEFAULT, m_cancellable.get(),
+                          &WatchStream::OnSent, Hold());
 }
 
 void WatchStream::Stop() {
@@ -106,15 +114,20 @@
 }
 
 void WatchStream::Fail(StoreErrorCode code, std::string message) {
+  StoreError error;
+  error.m_code = code;
+  error.m_effect = StoreEffect::kUnavailable;
+  error.m_message = std::move(message);
+  End(std::move(error));
+}
+
+void WatchStream::End(StoreError error) {
   auto callback = std::exchange(m_callback, nullptr);
   if (!callback) {
     return;
   }
   g_cancellable_cancel(m_cancellable.get());
-  StoreError error;
-  error.m_code = code;
-  error.m_effect = StoreEffect::kUnavailable;
-  error.m_message = std::move(message);
+  ++m_channel->m_counts.m_failed;
   callback(std::move(error));
 }
 
--- a/store/watch.h
+++ b/store/watch.h
@@ -1,22 +1,25 @@
 #ifndef STORE_WATCH_H_
 #define STORE_WATCH_H_
 
-#include <libsoup/soup.h>
+#include <gio/gio.h>
 
 #include <memory>
 #include <string>
 
+#include "store/channel.h"
 #include "store/client.h"
 #include "store/gobject.h"
+#include "store/timer.h"
 
 namespace comfreyshift {
 
 // One watch stream. The pending read keeps it alive; its handle cancels it.
 class WatchStream : public std::enable_shared_from_this<WatchStream> {
  public:
-  WatchStream(SoupSession* session, StoreClient::Callback<WatchReply> callback);
+  WatchStream(std::shared_ptr<Channel> channel,
+              StoreClient::Callback<WatchReply> callback);
 
-  void Start(const std::string& url, const std::string& body);
+  void Start(const std::string& body);
   void Stop();
 
  private:
@@ -27,11 +30,13 @@
   void ReadLine();
   void TakeLine(std::string_view line);
   void Fail(StoreErrorCode code, std::string message);
+  void End(StoreError error);
 
-  GObjectPtr<SoupSession> m_session;
+  std::shared_ptr<Channel> m_channel;
   GObjectPtr<SoupMessage> m_message;
   GObjectPtr<GCancellable> m_cancellable;
   GObjectPtr<GDataInputStream> m_lines;
+  Timer m_timer;
   // Empty once the watch has ended.
   StoreClient::Callback<WatchReply> m_callback;
 };
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -75,15 +75,15 @@
            {"code", 14}}};
 }
 
+}  // namespace
+
 // An answer that waits for its time.
-struct Delayed {
+struct StoreStandin::Delayed {
   StoreStandin* m_standin;
   SoupServerMessage* m_message;
   StandinAnswer m_answer;
 };
 
-}  // namespace
-
 StoreStandin::StoreStandin() {
   m_server = soup_server_new(nullptr, nullptr);
   soup_server_add_handler(m_server, nullptr, &StoreStandin::OnRequest, this,
@@ -96,6 +96,7 @@
   if (m_restart != 0) {
     g_source_remove(m_restart);
   }
+  ForgetMessages();
   soup_server_disconnect(m_server);
   g_object_unref(m_server);
 }
@@ -120,8 +121,8 @@
 
 void StoreStandin::SetMode(StandinMode mode) {
   m_mode = mode;
-  std::set<SoupServerMessage*> held = m_held;
-  for (SoupServerMessage* message : held) {
+  std::map<SoupServerMessage*, guint> held = m_held;
+  for (auto [message, timer] : held) {
     CloseConnection(message);
     soup_server_message_unpause(message);
   }
@@ -132,7 +133,21 @@
   FeedWatchers();
 }
 
+void StoreStandin::ForgetMessages() {
+  while (!m_held.empty()) {
+    SoupServerMessage* message = m_held.begin()->first;
+    g_signal_handlers_disconnect_by_data(message, this);
+    DropHeld(message);
+  }
+  while (!m_watchers.empty()) {
+    SoupServerMessage* message = m_watchers.front().m_message;
+    g_signal_handlers_disconnect_by_data(message, this);
+    DropWatcher(message);
+  }
+}
+
 bool StoreStandin::Restart() {
+  ForgetMessages();
   soup_server_disconnect(m_server);
   return Listen(m_port);
 }
@@ -174,10 +189,29 @@
 
 void StoreStandin::OnFinished(SoupServerMessage* message, gpointer data) {
   auto* self = static_cast<StoreStandin*>(data);
-  self->m_held.erase(message);
-  self->m_watchers.remove_if(
-      [message](const Watcher& w) { return w.m_message == message; });
   g_signal_handlers_disconnect_by_data(message, data);
+  self->DropHeld(message);
+  self->DropWatcher(message);
+}
+
+void StoreStandin::DropWatcher(SoupServerMessage* message) {
+  auto removed = m_watchers.remove_if(
+      [message](const Watcher& w) { return w.m_message == message; });
+  if (removed > 0) {
+    g_object_unref(message);
+  }
+}
+
+void StoreStandin::DropHeld(SoupServerMessage* message) {
+  auto found = m_held.find(message);
+  if (found == m_held.end()) {
+    return;
+  }
+  if (found->second != 0) {
+    g_source_remove(found->second);
+  }
+  m_held.erase(found);
+  g_object_unref(message);
 }
 
 gboolean StoreStandin::OnTick(gpointer data) {
@@ -250,31 +284,34 @@
   SetAnswer(message, answer);
 }
 
+void StoreStandin::Follow(SoupServerMessage* message) {
+  for (const char* end : {"finished", "disconnected"}) {
+    g_signal_connect(message, end, G_CALLBACK(&StoreStandin::OnFinished), this);
+  }
+}
+
 void StoreStandin::Hold(SoupServerMessage* message) {
-  m_held.insert(message);
-  g_signal_connect(message, "finished", G_CALLBACK(&StoreStandin::OnFinished),
-                   this);
+  g_object_ref(message);
+  m_held[message] = 0;
+  Follow(message);
   soup_server_message_pause(message);
 }
 
 void StoreStandin::AnswerLater(SoupServerMessage* message,
                                StandinAnswer answer) {
   Hold(message);
-  auto* delayed =
-      new Delayed{this, static_cast<SoupServerMessage*>(g_object_ref(message)),
-                  std::move(answer)};
-  g_timeout_add(
-      static_cast<guint>(m_delay.count()),
-      [](gpointer data) -> gboolean {
-        std::unique_ptr<Delayed> due(static_cast<Delayed*>(data));
-        if (due->m_standin->m_held.erase(due->m_message) > 0) {
-          SetAnswer(due->m_message, due->m_answer);
-          soup_server_message_unpause(due->m_message);
-        }
-        g_object_unref(due->m_message);
-        return G_SOURCE_REMOVE;
-      },
-      delayed);
+  auto* delayed = new Delayed{this, message, std::move(answer)};
+  m_held[message] = g_timeout_add_full(
+      G_PRIORITY_DEFAULT, static_cast<guint>(m_delay.count()), &OnDelayOver,
+      delayed, [](gpointer data) { delete static_cast<Delayed*>(data); });
+}
+
+gboolean StoreStandin::OnDelayOver(gpointer data) {
+  auto* due = static_cast<Delayed*>(data);
+  due->m_standin->m_held[due->m_message] = 0;
+  SetAnswer(due->m_message, due->m_answer);
+  soup_server_message_unpause(due->m_message);
+  return G_SOURCE_REMOVE;
 }
 
 void StoreStandin::StartWatch(SoupServerMessage* message, const Json& request) {
@@ -293,8 +330,8 @@
   soup_server_message_set_status(message, 200, nullptr);
   soup_message_headers_set_encoding(
       soup_server_message_get_response_headers(message), SOUP_ENCODING_CHUNKED);
-  g_signal_connect(message, "finished", G_CALLBACK(&StoreStandin::OnFinished),
-                   this);
+  g_object_ref(message);
+  Follow(message);
   std::string line =
       Json{{"result", {{"header", m_state.Header()}, {"created", true}}}}
           .dump() +
--- a/tests/standins/store_standin.h
+++ b/tests/standins/store_standin.h
@@ -6,7 +6,6 @@
 #include <list>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "core/core.h"
@@ -60,6 +59,7 @@
   StandinState& state() { return m_state; }
 
  private:
+  struct Delayed;
   struct Watcher {
     SoupServerMessage* m_message = nullptr;
     std::string m_key;
@@ -74,6 +74,7 @@
                         gpointer data);
   static void OnFinished(SoupServerMessage* message, gpointer data);
   static gboolean OnTick(gpointer data);
+  static gboolean OnDelayOver(gpointer data);
 
   void Serve(SoupServerMessage* message, const std::string& path);
   void ServeControl(SoupServerMessage* message,
@@ -85,6 +86,11 @@
   void Answer(SoupServerMessage* message, StandinAnswer answer);
   void AnswerLater(SoupServerMessage* message, StandinAnswer answer);
   void Hold(SoupServerMessage* message);
+  // Reports the end of a message that is held or watches to OnFinished.
+  void Follow(SoupServerMessage* message);
+  void ForgetMessages();
+  void DropWatcher(SoupServerMessage* message);
+  void DropHeld(SoupServerMessage* message);
   void StartWatch(SoupServerMessage* message, const nlohmann::json& request);
   void FeedWatchers();
   void Feed(Watcher& watcher);
@@ -99,8 +105,8 @@
   int m_answers_to_lose = 0;
   std::map<std::string, uint64_t> m_counts;
   std::list<Watcher> m_watchers;
-  // Messages that wait for their answer, or for none.
-  std::set<SoupServerMessage*> m_held;
+  // Messages that wait, with the timer of their answer; 0 when none will come.
+  std::map<SoupServerMessage*, guint> m_held;
 };
 
 }  // namespace comfreyshift
--- a/tests/store/client_test.cc
+++ b/tests/store/client_test.cc
@@ -3,30 +3,13 @@
 #include <gtest/gtest.h>
 
 #include "tests/standins/store_standin.h"
+#include "tests/store/wait.h"
 
 namespace comfreyshift {
 namespace {
 
 using namespace std::chrono_literals;
 
-CallOptions Within(Milliseconds time) {
-  return {.m_deadline = BootClock::now() + time};
-}
-
-// Runs the main loop until `done` has a value.
-template <class T>
-T Wait(const std::optional<T>& done) {
-  while (!done) {
-    g_main_context_iteration(nullptr, TRUE);
-  }
-  return *done;
-}
-
-template <class T>
-StoreClient::Callback<T> Into(std::optional<Result<T, StoreError>>& slot) {
-  return [&slot](Result<T, StoreError> result) { slot = std::move(result); };
-}
-
 class ClientTest : public testing::Test {
  protected:
   ClientTest() {
@@ -36,21 +19,15 @@
 
   Result<PutReply, StoreError> Put(const std::string& key,
                                    const std::string& value) {
-    std::optional<Result<PutReply, StoreError>> done;
-    m_client->Put({.m_key = key, .m_value = value}, Within(2s), Into(done));
-    return Wait(done);
+    return AwaitPut(*m_client, {.m_key = key, .m_value = value}, Within(2s));
   }
 
   Result<RangeReply, StoreError> Range(const RangeRequest& request) {
-    std::optional<Result<RangeReply, StoreError>> done;
-    m_client->Range(request, Within(2s), Into(done));
-    return Wait(done);
+    return AwaitRange(*m_client, request, Within(2s));
   }
 
   Result<TxnReply, StoreError> Txn(const TxnRequest& request) {
-    std::optional<Result<TxnReply, StoreError>> done;
-    m_client->Txn(request, Within(2s), Into(done));
-    return Wait(done);
+    return AwaitTxn(*m_client, request, Within(2s));
   }
 
   StoreStandin m_standin;
@@ -94,7 +71,8 @@
       first + 1);
 }
 
-// Guards against a watch that misses changes made before it was set up.
+// Guards against a watch that misses changes made before it was set up, or
+// that reports after it was stopped.
 TEST_F(ClientTest, WatchReportsFromStartRevision) {
   Revision first = Put("/w/a", "1").assume_value().m_revision;
   std::vector<std::string> seen;
@@ -110,6 +88,8 @@
   while (seen.size() < 2) {
     g_main_context_iteration(nullptr, TRUE);
   }
+  watch.reset();
+  ASSERT_TRUE(Put("/w/c", "3"));
   EXPECT_EQ(seen, (std::vector<std::string>{"1", "2"}));
 }
 
