--- a/membership/membership.cc
+++ b/membership/membership.cc
@@ -297,6 +297,10 @@
   return m_freshness.FreshUntil();
 }
 
+ProofState Membership::StateAt(MonoTime now) const {
+  return m_freshness.StateAt(now);
+}
+
 bool Membership::MayStart(MonoTime now) const {
   const bool listed =
       m_self.m_role == MemberRole::kEntry || m_table.lists_self();
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -146,6 +146,9 @@
   // End of the proof that the applied revision is current.
   MonoTime FreshUntil() const;
 
+  // Which proof holds at `now`.
+  ProofState StateAt(MonoTime now) const;
+
   // Whether this process may start or place work: its proof has not ended and,
   // for an agent, the table lists this incarnation.
   bool MayStart(MonoTime now) const;
--- a/tests/membership/datagram_test.cc
+++ b/tests/membership/datagram_test.cc
@@ -1,9 +1,12 @@
 #include "membership/datagram.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
 
 #include <vector>
 
+#include "membership/membership.h"
+
 namespace comfreyshift {
 namespace {
 
@@ -49,5 +52,71 @@
   EXPECT_LE(EncodeDatagram({1, 2, Ping{3}, {}}, kReceiver, kKey).size(), 50U);
 }
 
+// A datagram changed anywhere, cut, extended or meant for another process must
+// be rejected. With the right tag any content must decode or fail cleanly.
+TEST(DatagramTest, MutatedDatagramsAreRejected) {
+  EXPECT_TRUE(rc::check("mutations", [] {
+    auto bytes = EncodeDatagram(FullAck(), kReceiver, kKey);
+    const auto original = bytes;
+    const auto position = *rc::gen::inRange<size_t>(0, bytes.size());
+    const auto kind = *rc::gen::inRange(0, 3);
+    if (kind == 0) {
+      bytes[position] ^= *rc::gen::inRange<uint8_t>(1, 255);
+    } else if (kind == 1) {
+      bytes.resize(position);
+    } else {
+      bytes.insert(bytes.end(), position + 1, 0);
+    }
+    RC_ASSERT(!DecodeDatagram(bytes, kReceiver, kKey));
+    RC_ASSERT(!DecodeDatagram(original, kReceiver + 1, kKey));
+    RC_ASSERT(!DecodeDatagram(original, kReceiver, "other key"));
+  }));
+  EXPECT_TRUE(rc::check("signed noise", [] {
+    auto content = *rc::gen::arbitrary<std::vector<uint8_t>>();
+    content.insert(content.begin(), {1, *rc::gen::inRange<uint8_t>(0, 7)});
+    std::vector<uint8_t> covered(8, 0);
+    covered.insert(covered.end(), content.begin(), content.end());
+    const MacTag tag = ComputeMac(kKey, covered);
+    content.insert(content.end(), tag.begin(), tag.end());
+    const auto decoded = DecodeDatagram(content, 0, kKey);
+    // RC_ASSERT evaluates both sides of ||, so the condition stands outside.
+    if (decoded) {
+      const auto again = EncodeDatagram(decoded.value(), 0, kKey);
+      RC_ASSERT(again.size() == content.size());
+    }
+  }));
+  const std::vector<uint8_t> large(kMaxDatagramSize + 1, 1);
+  EXPECT_EQ(DecodeDatagram(large, 0, kKey).error(), DatagramError::kOversized);
+}
+
+// A repeated ping must not be answered again, and a repeated ack must not
+// refresh anything.
+TEST(DatagramTest, ReplaysAreCountedAndIgnored) {
+  const Address a_address{"10.0.0.1", 1};
+  const Address b_address{"10.0.0.1", 2};
+  std::vector<Member> members(2);
+  members[0] = {{"a", 1}, MemberRole::kAgent, a_address, a_address, "", "", "",
+                ""};
+  members[1] = {{"b", 1}, MemberRole::kAgent, b_address, b_address, "", "", "",
+                ""};
+  const MonoTime start(std::chrono::seconds(1));
+  Membership a({.m_fleet_key = "k"}, members[0], 1, start);
+  Membership b({.m_fleet_key = "k"}, members[1], 2, start);
+  a.SetMembers(start, 1, members);
+  b.SetMembers(start, 1, members);
+  const MonoTime now = start + Milliseconds(200);
+  a.Tick(now);
+  const auto pings = a.TakeDatagrams();
+  ASSERT_EQ(pings.size(), 1U);
+  b.OnDatagram(now, a_address, pings[0].m_bytes);
+  b.OnDatagram(now, a_address, pings[0].m_bytes);
+  const auto acks = b.TakeDatagrams();
+  EXPECT_EQ(acks.size(), 1U);
+  EXPECT_EQ(b.counters().m_replayed, 1U);
+  a.OnDatagram(now, b_address, acks[0].m_bytes);
+  a.OnDatagram(now, b_address, acks[0].m_bytes);
+  EXPECT_EQ(a.counters().m_unmatched, 1U);
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- /dev/null
+++ b/tests/membership/fake_network.h
@@ -0,0 +1,271 @@
+#ifndef TESTS_MEMBERSHIP_FAKE_NETWORK_H_
+#define TESTS_MEMBERSHIP_FAKE_NETWORK_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "membership/membership.h"
+#include "membership/random.h"
+
+namespace comfreyshift {
+
+struct FakeNetworkOptions {
+  size_t m_entries = 2;
+  size_t m_agents = 7;
+  uint64_t m_seed = 1;
+  Milliseconds m_max_delay{20};
+  // Chances in percent.
+  uint64_t m_loss = 0;
+  uint64_t m_duplicates = 0;
+};
+
+// Several Membership instances, a store and a network that delays, reorders,
+// duplicates, loses and cuts. Each process has its own clock offset. Process i
+// has address 10.0.0.1:(1 + i); the first ones are entries.
+class FakeNetwork {
+ public:
+  struct Process {
+    Member m_member;
+    // Null while the process is down.
+    std::unique_ptr<Membership> m_membership;
+    Microseconds m_clock_offset{0};
+    MonoTime m_paused_until;
+    MonoTime m_next_read_at;
+    // Processes on different sides of a cut do not reach each other.
+    int m_side = 0;
+    bool m_reaches_store = true;
+  };
+
+  // A revision of the configuration as the store holds it.
+  struct Written {
+    MonoTime m_at;
+    Revision m_table_revision = 0;
+    MemberList m_members;
+    std::vector<WitnessSet> m_previous;
+    MonoTime m_confirmed_at = MonoTime::max();
+  };
+
+  explicit FakeNetwork(const FakeNetworkOptions& options)
+      : m_options(options), m_random(options.m_seed) {
+    for (size_t i = 0; i < options.m_entries + options.m_agents; ++i) {
+      m_processes.emplace_back();
+      Start(i);
+    }
+    std::vector<Member> members;
+    for (const Process& process : m_processes) {
+      members.push_back(process.m_member);
+    }
+    Append(members, {});
+    for (size_t i = 0; i < m_processes.size(); ++i) {
+      Apply(i, 1);
+    }
+  }
+
+  // Starts process `i` as a new incarnation that knows only the entries.
+  void Start(size_t i) {
+    Process& process = m_processes[i];
+    const Address address{"10.0.0.1", static_cast<uint16_t>(1 + i)};
+    const std::string number = std::to_string(i);
+    process.m_member = {
+        {"p" + number, ++m_incarnation},
+        i < m_options.m_entries ? MemberRole::kEntry : MemberRole::kAgent,
+        address,
+        address,
+        "zone-" + std::to_string(i % 3),
+        "rack-" + number,
+        "worker-" + number,
+        ""};
+    process.m_clock_offset = Milliseconds(m_random.Below(1'000'000));
+    MembershipConfig config;
+    config.m_fleet_key = "fleet key";
+    process.m_membership = std::make_unique<Membership>(
+        config, process.m_member, m_random(), Local(i));
+    process.m_membership->SetSeeds({{"10.0.0.1", 1}, {"10.0.0.1", 2}});
+  }
+
+  MonoTime Local(size_t i) const {
+    return m_now + m_processes[i].m_clock_offset;
+  }
+
+  // Process `i` writes a revision with `members`, or the last table's when
+  // null. Returns false when the rules for a write do not allow it.
+  bool Write(size_t i, const std::vector<Member>* members) {
+    Process& process = m_processes[i];
+    if (!process.m_membership || !m_store_up || !process.m_reaches_store ||
+        process.m_paused_until > m_now ||
+        process.m_membership->applied_revision() != m_written.size() ||
+        !process.m_membership->HasWitnessMajority(Local(i))) {
+      return false;
+    }
+    if (members == nullptr) {
+      Written written = m_written.back();
+      written.m_at = m_now;
+      written.m_confirmed_at = MonoTime::max();
+      m_written.push_back(std::move(written));
+    } else {
+      Append(*members, process.m_membership->UnretiredSets());
+    }
+    Apply(i, m_written.size());
+    return true;
+  }
+
+  // Handles all that happens up to `end`, calling `check` after each step.
+  void RunUntil(MonoTime end, const std::function<void()>& check) {
+    while (true) {
+      MonoTime next = m_queue.empty() ? end : m_queue.begin()->first;
+      for (size_t i = 0; i < m_processes.size(); ++i) {
+        next = std::min(next, WakeTime(i));
+      }
+      if (next >= end) {
+        m_now = end;
+        return;
+      }
+      m_now = std::max(m_now, next);
+      Step();
+      check();
+    }
+  }
+
+  std::vector<Process>& processes() { return m_processes; }
+  std::vector<Written>& written() { return m_written; }
+  MonoTime now() const { return m_now; }
+
+  bool m_store_up = true;
+  FakeNetworkOptions m_options;
+  std::function<void(size_t, const MembershipEvent&)> m_on_event =
+      [](size_t, const MembershipEvent&) {};
+
+ private:
+  void Append(const std::vector<Member>& members,
+              std::vector<WitnessSet> previous) {
+    m_written.push_back({m_now, m_written.size() + 1,
+                         std::make_shared<std::vector<Member>>(members),
+                         std::move(previous), MonoTime::max()});
+  }
+
+  void Apply(size_t i, Revision revision) {
+    Membership& membership = *m_processes[i].m_membership;
+    const Written& written = m_written[revision - 1];
+    membership.SetMembers(Local(i), written.m_table_revision, written.m_members,
+                          written.m_previous);
+    membership.SetAppliedRevision(Local(i), revision);
+  }
+
+  MonoTime WakeTime(size_t i) const {
+    const Process& process = m_processes[i];
+    if (!process.m_membership) {
+      return MonoTime::max();
+    }
+    MonoTime at = process.m_membership->NextDeadline() - process.m_clock_offset;
+    if (i < m_options.m_entries) {
+      at = std::min(at, process.m_next_read_at);
+    }
+    return std::max(at, process.m_paused_until);
+  }
+
+  void Step() {
+    while (!m_queue.empty() && m_queue.begin()->first <= m_now) {
+      const std::function<void()> action = std::move(m_queue.begin()->second);
+      m_queue.erase(m_queue.begin());
+      action();
+    }
+    for (size_t i = 0; i < m_processes.size(); ++i) {
+      if (WakeTime(i) <= m_now) {
+        ReadStore(i);
+        m_processes[i].m_membership->Tick(Local(i));
+        Drain(i);
+      }
+    }
+  }
+
+  // Runs `action` on process `i` at `at`, or when it wakes from a pause.
+  void Later(MonoTime at, size_t i, std::function<void()> action) {
+    m_queue.emplace(at, [this, i, action = std::move(action)]() mutable {
+      const Process& process = m_processes[i];
+      if (process.m_paused_until > m_now) {
+        Later(process.m_paused_until, i, std::move(action));
+      } else if (process.m_membership) {
+        action();
+        Drain(i);
+      }
+    });
+  }
+
+  void ReadStore(size_t i) {
+    Process& process = m_processes[i];
+    if (i >= m_options.m_entries || process.m_next_read_at > m_now) {
+      return;
+    }
+    process.m_next_read_at = m_now + std::chrono::seconds(1);
+    if (!m_store_up || !process.m_reaches_store) {
+      return;
+    }
+    const Revision head = m_written.size();
+    const uint64_t incarnation = process.m_member.m_id.m_incarnation;
+    // The read took effect now and was sent earlier or now.
+    Later(m_now + Delay(), i, [this, i, head, incarnation, sent = Local(i)] {
+      Process& reader = m_processes[i];
+      if (reader.m_member.m_id.m_incarnation == incarnation) {
+        reader.m_membership->OnStoreRead(head, sent);
+        Apply(i, std::max(head, reader.m_membership->applied_revision()));
+      }
+    });
+  }
+
+  void Drain(size_t i) {
+    Membership& membership = *m_processes[i].m_membership;
+    for (const MembershipEvent& event : membership.TakeEvents()) {
+      if (const auto* confirmed = std::get_if<RevisionConfirmed>(&event)) {
+        for (Revision r = 1; r <= confirmed->m_revision; ++r) {
+          Written& written = m_written[r - 1];
+          written.m_confirmed_at = std::min(written.m_confirmed_at, m_now);
+        }
+      }
+      if (const auto* newer = std::get_if<NewerRevisionSeen>(&event)) {
+        // Stands for the fetch over RPC.
+        Later(m_now + Delay(), i,
+              [this, i, r = newer->m_revision] { Apply(i, r); });
+      }
+      m_on_event(i, event);
+    }
+    for (const OutboundDatagram& datagram : membership.TakeDatagrams()) {
+      Transmit(i, datagram);
+      if (m_random.Below(100) < m_options.m_duplicates) {
+        Transmit(i, datagram);
+      }
+    }
+  }
+
+  void Transmit(size_t from, const OutboundDatagram& datagram) {
+    const size_t to = datagram.m_to.m_port - 1;
+    if (m_random.Below(100) < m_options.m_loss ||
+        m_processes[from].m_side != m_processes[to].m_side) {
+      return;
+    }
+    const Address address = m_processes[from].m_member.m_datagram_address;
+    Later(m_now + Delay(), to, [this, to, address, b = datagram.m_bytes] {
+      m_processes[to].m_membership->OnDatagram(Local(to), address, b);
+    });
+  }
+
+  Microseconds Delay() {
+    return Microseconds(1 + m_random.Below(static_cast<uint64_t>(
+                                Microseconds(m_options.m_max_delay).count())));
+  }
+
+  RandomBits m_random;
+  MonoTime m_now{std::chrono::seconds(10)};
+  uint64_t m_incarnation = 0;
+  std::vector<Process> m_processes;
+  std::vector<Written> m_written;
+  std::multimap<MonoTime, std::function<void()>> m_queue;
+};
+
+}  // namespace comfreyshift
+
+#endif  // TESTS_MEMBERSHIP_FAKE_NETWORK_H_
--- /dev/null
+++ b/tests/membership/liveness_test.cc
@@ -0,0 +1,145 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/membership/fake_network.h"
+
+namespace comfreyshift {
+namespace {
+
+constexpr std::chrono::seconds kSecond{1};
+
+FakeNetworkOptions Options(uint64_t seed, size_t agents) {
+  FakeNetworkOptions options;
+  options.m_seed = seed;
+  options.m_agents = agents;
+  options.m_max_delay = Milliseconds(90);
+  return options;
+}
+
+size_t CountMayStart(FakeNetwork& network, int side) {
+  size_t count = 0;
+  for (size_t i = 0; i < network.processes().size(); ++i) {
+    const FakeNetwork::Process& process = network.processes()[i];
+    if (process.m_side == side &&
+        process.m_membership->MayStart(network.Local(i))) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+// Without loss, only a process that is paused may be declared dead: neither
+// delays below the ack time-out nor the time-outs that ran out while a process
+// was paused tell anything about the others.
+TEST(LivenessTest, NoReachableMemberIsDeclaredDead) {
+  EXPECT_TRUE(rc::check("no false death", [] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    FakeNetwork network(Options(seed, 3 + seed % 10));
+    const size_t paused = seed / 16 % network.processes().size();
+    const ProcessId paused_id = network.processes()[paused].m_member.m_id;
+    network.m_on_event = [&](size_t, const MembershipEvent& event) {
+      const auto* dead = std::get_if<MemberDead>(&event);
+      const bool allowed = dead == nullptr || dead->m_id == paused_id;
+      RC_ASSERT(allowed);
+    };
+    network.RunUntil(network.now() + 3 * kSecond, [] {});
+    network.processes()[paused].m_paused_until =
+        network.now() + Milliseconds(seed / 256 % 10'000);
+    network.RunUntil(network.now() + 20 * kSecond, [] {});
+  }));
+}
+
+// A paused process must hold no proof on waking, before any datagram arrives.
+TEST(LivenessTest, APausedProcessHoldsNoProofOnWaking) {
+  FakeNetwork network(Options(3, 7));
+  network.RunUntil(network.now() + 5 * kSecond, [] {});
+  EXPECT_EQ(CountMayStart(network, 0), 9U);
+  network.processes()[4].m_paused_until = network.now() + 6 * kSecond;
+  network.RunUntil(network.now() + Milliseconds(5'900), [] {});
+  EXPECT_FALSE(network.processes()[4].m_membership->MayStart(network.Local(4)));
+  EXPECT_EQ(CountMayStart(network, 0), 8U);
+  // Waiting datagrams must not count from their arrival either, and then new
+  // proof comes with the next pings.
+  network.RunUntil(network.now() + 3 * kSecond, [] {});
+  EXPECT_EQ(CountMayStart(network, 0), 9U);
+}
+
+// Guards the bound on detection, which delays every takeover.
+TEST(LivenessTest, ADeadMemberIsDeclaredDeadByAllWithinTheBound) {
+  EXPECT_TRUE(rc::check("detection", [] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    FakeNetwork network(Options(seed, 3 + seed % 10));
+    const size_t count = network.processes().size();
+    const size_t victim = seed / 16 % count;
+    const ProcessId victim_id = network.processes()[victim].m_member.m_id;
+    std::set<size_t> detected;
+    network.m_on_event = [&](size_t i, const MembershipEvent& event) {
+      const auto* dead = std::get_if<MemberDead>(&event);
+      if (dead != nullptr && dead->m_id == victim_id) {
+        detected.insert(i);
+      }
+    };
+    network.RunUntil(network.now() + 3 * kSecond, [] {});
+    network.processes()[victim].m_membership.reset();
+    // Two rounds until someone pings it, both probe time-outs, the suspicion,
+    // and 5 periods until the last one has heard of it.
+    const double periods = 2.0 * static_cast<double>(count) + 3 +
+                           2 * std::log2(static_cast<double>(count) + 1) + 5;
+    const Milliseconds bound(std::llround(200 * periods));
+    network.RunUntil(network.now() + bound, [] {});
+    RC_ASSERT(detected.size() == count - 1);
+  }));
+}
+
+// Section 5: in a store outage the side with more than half of the witnesses
+// continues beyond F and the other one stops.
+TEST(LivenessTest, OnlyTheMajorityContinuesInAStoreOutage) {
+  FakeNetwork network(Options(5, 7));
+  network.RunUntil(network.now() + 3 * kSecond, [] {});
+  network.m_store_up = false;
+  network.RunUntil(network.now() + 20 * kSecond, [] {});
+  EXPECT_EQ(CountMayStart(network, 0), 9U);
+  for (const size_t i : {0, 2, 3, 4}) {
+    network.processes()[i].m_side = 1;
+  }
+  network.RunUntil(network.now() + 6 * kSecond, [] {});
+  EXPECT_EQ(CountMayStart(network, 1), 0U);
+  EXPECT_EQ(CountMayStart(network, 0), 5U);
+  EXPECT_FALSE(network.processes()[0].m_membership->HasWitnessMajority(
+      network.Local(0)));
+  EXPECT_TRUE(network.processes()[1].m_membership->HasWitnessMajority(
+      network.Local(1)));
+}
+
+// A restarted process must not start work before the table lists its new
+// incarnation, and an entry must hear that it asks.
+TEST(LivenessTest, ARestartedProcessWaitsForTheTable) {
+  FakeNetwork network(Options(7, 5));
+  network.RunUntil(network.now() + 3 * kSecond, [] {});
+  std::vector<Member> members = *network.written().back().m_members;
+  bool listed = false;
+  network.m_on_event = [&](size_t i, const MembershipEvent& event) {
+    const auto* join = std::get_if<JoinRequested>(&event);
+    if (join != nullptr && !listed) {
+      members[4] = join->m_member;
+      listed = network.Write(i, &members);
+    }
+  };
+  network.Start(4);
+  const auto check = [&] {
+    const bool may_start =
+        network.processes()[4].m_membership->MayStart(network.Local(4));
+    EXPECT_TRUE(!may_start || listed);
+  };
+  network.RunUntil(network.now() + 5 * kSecond, check);
+  EXPECT_TRUE(listed);
+  EXPECT_EQ(CountMayStart(network, 0), 7U);
+}
+
+}  // namespace
+}  // namespace comfreyshift
