--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -3,8 +3,10 @@
 //
 // usage: placement_bench [--seeds N] [--seconds N] [--scenario NAME]
 //                        [--deployment NAME] [--policy NAME]
+//                        [--bound no]
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <future>
 #include <iostream>
@@ -32,6 +34,7 @@
   std::string m_scenario;
   std::string m_deployment;
   std::string m_policy;
+  bool m_bound = true;
 };
 
 const std::vector<Scenario>& Scenarios() {
@@ -97,6 +100,8 @@
                            one.m_task_ratios.end());
   sum.m_job_ratios.insert(sum.m_job_ratios.end(), one.m_job_ratios.begin(),
                           one.m_job_ratios.end());
+  sum.m_job_sizes.insert(sum.m_job_sizes.end(), one.m_job_sizes.begin(),
+                         one.m_job_sizes.end());
   sum.m_tasks_done += one.m_tasks_done;
   sum.m_messages += one.m_messages;
   sum.m_wasted += one.m_wasted;
@@ -113,11 +118,27 @@
   double m_p99 = 0;
 };
 
+// Median job ratio for jobs of up to 8, 64 and 440 tasks.
+Json MediansBySize(const Outcome& outcome) {
+  std::array<std::vector<double>, 3> classes;
+  for (size_t i = 0; i < outcome.m_job_ratios.size(); ++i) {
+    const uint32_t size = outcome.m_job_sizes[i];
+    classes[size <= 8 ? 0 : (size <= 64 ? 1 : 2)].push_back(
+        outcome.m_job_ratios[i]);
+  }
+  Json medians = Json::array();
+  for (auto& values : classes) {
+    medians.push_back(Rounded(Quantile(values, 0.5)));
+  }
+  return medians;
+}
+
 Json Report(Pool& pool, const Scenario& scenario) {
   Outcome& sum = pool.m_sum;
   const auto tasks = static_cast<double>(sum.m_tasks_done);
   Json line;
   line["jobs"] = sum.m_job_ratios.size();
+  line["job_p50_by_size"] = MediansBySize(sum);
   line["tasks"] = sum.m_tasks_done;
   line["job_mean"] = Rounded(Mean(sum.m_job_ratios));
   line["job_p50"] = Rounded(Quantile(sum.m_job_ratios, 0.5));
@@ -165,6 +186,9 @@
   std::vector<std::string> Names() const {
     std::vector<std::string> names;
     for (const auto& [name, order] : CentralOrders()) {
+      if (!m_options.m_bound) {
+        break;
+      }
       names.push_back(name);
     }
     for (const std::string& name : kPolicyNames) {
@@ -256,6 +280,8 @@
       options.m_deployment = value;
     } else if (name == "--policy") {
       options.m_policy = value;
+    } else if (name == "--bound") {
+      options.m_bound = value != "no";
     } else {
       return std::nullopt;
     }
@@ -270,7 +296,7 @@
   const auto options = comfreyshift::bench::ParseOptions(argc, argv);
   if (!options) {
     std::cerr << "usage: placement_bench [--seeds N] [--seconds N] "
-                 "[--scenario NAME] [--deployment NAME] [--policy NAME]\n";
+                 "[--scenario NAME] [--deployment NAME] [--policy NAME] [--bound no]\n";
     return 2;
   }
   comfreyshift::bench::Bench(*options).Run();
--- a/bench/placement_bench_central.cc
+++ b/bench/placement_bench_central.cc
@@ -130,6 +130,7 @@
                   .count()));
     }
     if (--m_jobs[index].m_left == 0 && measured) {
+      m_outcome.m_job_sizes.push_back(job.m_tasks);
       m_outcome.m_job_ratios.push_back(
           static_cast<double>(response.count()) /
           static_cast<double>(job.m_ideal.count()));
--- a/bench/placement_bench_sim.cc
+++ b/bench/placement_bench_sim.cc
@@ -348,6 +348,7 @@
     --m_jobs_left;
     m_outcome.m_failed_jobs += state.m_failed ? 1 : 0;
     if (measured) {
+      m_outcome.m_job_sizes.push_back(job.m_tasks);
       m_outcome.m_job_ratios.push_back(
           static_cast<double>(response.count()) /
           static_cast<double>(job.m_ideal.count()));
--- a/bench/placement_bench_workload.h
+++ b/bench/placement_bench_workload.h
@@ -117,6 +117,8 @@
 struct Outcome {
   std::vector<double> m_task_ratios;
   std::vector<double> m_job_ratios;
+  // Tasks of the job of each ratio.
+  std::vector<uint32_t> m_job_sizes;
   uint64_t m_tasks_done = 0;
   uint64_t m_messages = 0;
   uint64_t m_wasted = 0;
