--- a/store/client.cc
+++ b/store/client.cc
@@ -1,5 +1,6 @@
 #include "store/client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "store/codec.h"
@@ -10,6 +11,17 @@
 
 namespace {
 
+bool Writes(const std::vector<TxnOperation>& operations) {
+  return std::any_of(operations.begin(), operations.end(),
+                     [](const TxnOperation& operation) {
+                       return !std::holds_alternative<RangeRequest>(operation);
+                     });
+}
+
+bool Writes(const TxnRequest& request) {
+  return Writes(request.m_success) || Writes(request.m_failure);
+}
+
 class SoupStoreClient : public StoreClient {
  public:
   explicit SoupStoreClient(const StoreSettings& settings)
@@ -32,7 +44,7 @@
   void Txn(const TxnRequest& request,
            const CallOptions& options,
            Callback<TxnReply> callback) override {
-    Post("/v3/kv/txn", EncodeTxn(request), true, options, &DecodeTxn,
+    Post("/v3/kv/txn", EncodeTxn(request), Writes(request), options, &DecodeTxn,
          std::move(callback));
   }
 
@@ -64,6 +76,10 @@
     return std::make_shared<WatchHandle>(stream);
   }
 
+  Backoff NewBackoff() override {
+    return Backoff(m_channel->m_settings.m_backoff, m_channel->m_random());
+  }
+
   const StoreCounts& counts() const override { return m_channel->m_counts; }
 
  private:
--- a/store/client.h
+++ b/store/client.h
@@ -106,6 +106,8 @@
   virtual void Put(const PutRequest& request,
                    const CallOptions& options,
                    Callback<PutReply> callback) = 0;
+  // A transaction of reads alone counts as a read: it never fails with
+  // kMayBeWritten.
   virtual void Txn(const TxnRequest& request,
                    const CallOptions& options,
                    Callback<TxnReply> callback) = 0;
@@ -127,6 +129,9 @@
   virtual std::shared_ptr<StoreWatch> Watch(const WatchRequest& request,
                                             Callback<WatchReply> callback) = 0;
 
+  // Returns a backoff by the client's settings, with its own jitter.
+  virtual Backoff NewBackoff() = 0;
+
   virtual const StoreCounts& counts() const = 0;
 };
 
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -1,7 +1,5 @@
 #include "tests/standins/store_standin.h"
 
-#include <algorithm>
-#include <array>
 #include <cstring>
 
 namespace comfreyshift {
@@ -11,20 +9,12 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kControlPrefix = "/standin/";
-constexpr std::array<std::string_view, 3> kWritePaths = {
-    "/v3/kv/put", "/v3/kv/txn", "/v3/lease/grant"};
-
 // How often expired leases are looked for.
 constexpr guint kTickMs = 50;
 
 // Leaves time for the answer to the control call that asked for the restart.
 constexpr guint kRestartDelayMs = 20;
 
-bool IsWrite(std::string_view path) {
-  return std::find(kWritePaths.begin(), kWritePaths.end(), path) !=
-         kWritePaths.end();
-}
-
 int QueryNumber(GHashTable* query, const char* name) {
   const char* text =
       query == nullptr
@@ -243,9 +233,11 @@
     StartWatch(message, request);
     return;
   }
+  int64_t revision = m_state.revision();
   StandinAnswer answer = Call(path, request);
   FeedWatchers();
-  if (m_answers_to_lose > 0 && IsWrite(path)) {
+  bool wrote = m_state.revision() != revision || path == "/v3/lease/grant";
+  if (m_answers_to_lose > 0 && wrote) {
     --m_answers_to_lose;
     CloseConnection(message);
     return;
--- a/tests/store/failure_test.cc
+++ b/tests/store/failure_test.cc
@@ -67,6 +67,14 @@
   EXPECT_GE(BootClock::now() - start, 50ms);
 }
 
+// Guards against "may have been written" for a transaction without writes.
+TEST_F(FailureTest, LostReadTransactionIsUnavailable) {
+  m_standin.SetDelay(5s);
+  TxnRequest read{.m_success = {RangeRequest{.m_key = "/a"}}};
+  auto result = AwaitTxn(*m_client, read, Within(50ms));
+  EXPECT_EQ(result.assume_error().m_effect, StoreEffect::kUnavailable);
+}
+
 // Guards against "may have been written" where the store was never reached:
 // it would make an operator wait for nothing.
 TEST_F(FailureTest, RefusedConnectionIsUnavailable) {
