--- a/entry/entry_process.h
+++ b/entry/entry_process.h
@@ -46,6 +46,7 @@
 
   ProcessNode& node() { return *m_node; }
   StoreClient& store() { return *m_store; }
+  const std::shared_ptr<StoreClient>& shared_store() const { return m_store; }
   StoreSync& sync() { return *m_sync; }
   Counters& counters() { return m_counters; }
 
--- a/entry/inventory_editor.cc
+++ b/entry/inventory_editor.cc
@@ -1,35 +1,56 @@
 #include "entry/inventory_editor.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
 #include <utility>
 
+#include "store/store.h"
+
 namespace comfreyshift {
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr Milliseconds kEditTimeout{5000};
 
-std::string AuditKey(WallTime now, const SubmissionKey& edit_id) {
-  std::string ms = std::to_string(now.time_since_epoch().count());
-  ms.insert(0, ms.size() < 16 ? 16 - ms.size() : 0, '0');
-  return "/comfreyshift/audit/" + ms + "-" + edit_id.ToString();
+// Returns the id of one batch of an edit: the edit's own for the first one, and
+// fixed others after it, so that a repeated edit repeats its batches.
+std::string BatchId(const SubmissionKey& edit_id, size_t batch) {
+  std::array<uint8_t, 16> bytes = edit_id.bytes();
+  bytes[14] ^= static_cast<uint8_t>(batch >> 8);
+  bytes[15] ^= static_cast<uint8_t>(batch);
+  return SubmissionKey(bytes).ToString();
 }
 
-std::string AuditRecord(const EditRequest& request,
-                        const std::vector<InventoryChange>& changes,
-                        WallTime now) {
-  const Json record = {{"time_ms", now.time_since_epoch().count()},
-                       {"operator", request.m_operator},
-                       {"edit_id", request.m_edit_id.ToString()},
-                       {"action", request.m_action},
-                       {"changes", Json::parse(DiffToJson(changes))}};
-  return record.dump();
+EditError ToError(const EditConflict& conflict) {
+  return {EditFailure::kConflict, "another edit was faster", false,
+          conflict.m_current};
+}
+
+EditError ToError(const EditNotApplied& not_applied) {
+  return {not_applied.m_unavailable ? EditFailure::kStoreUnavailable
+                                    : EditFailure::kIdReused,
+          not_applied.m_reason,
+          false,
+          {}};
+}
+
+EditError ToError(const EditUnknown& unknown) {
+  return {EditFailure::kStoreUnavailable, unknown.m_reason, true, {}};
+}
+
+EditError ToError(const EditApplied& /*applied*/) {
+  return {};
 }
 
 }  // namespace
 
+struct InventoryEditor::Pending {
+  EditRequest m_request;
+  DoneFunction m_done;
+  EditDone m_result;
+  MonoTime m_deadline;
+  size_t m_written = 0;
+};
+
 InventoryEditor::InventoryEditor(EntryProcess& entry) : m_entry(entry) {}
 
 void InventoryEditor::Apply(EditRequest request, DoneFunction done) {
@@ -39,60 +60,84 @@
       Diff(*node.view().inventory(), request.m_inventory);
   if (request.m_if_match && *request.m_if_match != node.applied_revision()) {
     done(EditError{EditFailure::kConflict,
-                   "the configuration has changed since that revision", false});
+                   "the configuration has changed since that revision",
+                   false,
+                   {}});
     return;
   }
   if (request.m_dry_run || changes.empty()) {
     done(EditDone{node.applied_revision(), false, std::move(changes)});
     return;
   }
-  if (!m_entry.sync().InContact(now)) {
-    done(EditError{EditFailure::kStoreUnavailable,
-                   "the store has not answered for some seconds", false});
-    return;
-  }
   if (!request.m_force && !m_entry.SeesMajority(now)) {
     done(EditError{EditFailure::kNoMajority,
-                   "fewer than half of the witnesses were heard", false});
+                   "fewer than half of the witnesses were heard",
+                   false,
+                   {}});
     return;
   }
-  Write(request, std::move(changes), std::move(done));
+  auto pending = std::make_shared<Pending>();
+  pending->m_request = std::move(request);
+  pending->m_done = std::move(done);
+  pending->m_result.m_changes = std::move(changes);
+  pending->m_deadline = now + kEditTimeout;
+  WriteBatch(pending);
 }
 
-void InventoryEditor::Write(const EditRequest& request,
-                            std::vector<InventoryChange> changes,
-                            DoneFunction done) {
-  const WallTime wall_now = WallNow();
-  TxnRequest txn;
-  for (const InventoryChange& change : changes) {
-    txn.m_compares.push_back(
-        {change.m_key, CompareResult::kEqual,
-         CompareModRevision{m_entry.node().ModRevision(change.m_key)}});
-    txn.m_success.push_back(
-        PutRequest{change.m_key, change.m_after.value_or("")});
+void InventoryEditor::WriteBatch(const std::shared_ptr<Pending>& pending) {
+  const std::vector<InventoryChange>& changes = pending->m_result.m_changes;
+  const size_t first = pending->m_written;
+  const size_t last = std::min(first + kMaxEditChanges, changes.size());
+  Edit edit;
+  edit.m_id = BatchId(pending->m_request.m_edit_id, first / kMaxEditChanges);
+  edit.m_actor = pending->m_request.m_operator;
+  edit.m_time = WallNow();
+  edit.m_description = pending->m_request.m_action;
+  for (size_t i = first; i < last; ++i) {
+    edit.m_changes.push_back({changes[i].m_key,
+                              m_entry.node().ModRevision(changes[i].m_key),
+                              changes[i].m_after});
+  }
+  const WriteCheck check =
+      [this,
+       force = pending->m_request.m_force]() -> std::optional<std::string> {
+    if (force || m_entry.SeesMajority(BootClock::now())) {
+      return std::nullopt;
+    }
+    return "fewer than half of the witnesses were heard";
+  };
+  pending->m_written = last;
+  const auto started =
+      RunEdit(m_entry.shared_store(), std::move(edit), pending->m_deadline,
+              check, [self = shared_from_this(), pending](EditOutcome outcome) {
+                self->OnBatch(pending, std::move(outcome));
+              });
+  if (!started) {
+    pending->m_done(
+        EditError{EditFailure::kInvalid, started.error().m_message, false, {}});
+  }
+}
+
+void InventoryEditor::OnBatch(const std::shared_ptr<Pending>& pending,
+                              EditOutcome outcome) {
+  m_entry.sync().ReadNow();
+  const auto* applied = std::get_if<EditApplied>(&outcome);
+  if (applied == nullptr) {
+    EditError error =
+        std::visit([](const auto& value) { return ToError(value); }, outcome);
+    if (pending->m_written > kMaxEditChanges) {
+      error.m_detail += "; an earlier part of this edit is in force";
+    }
+    pending->m_done(std::move(error));
+    return;
+  }
+  pending->m_result.m_revision = applied->m_revision;
+  pending->m_result.m_repeated = applied->m_earlier;
+  if (pending->m_written < pending->m_result.m_changes.size()) {
+    WriteBatch(pending);
+    return;
   }
-  txn.m_success.push_back(
-      PutRequest{std::string(kHeadKey), request.m_edit_id.ToString()});
-  txn.m_success.push_back(PutRequest{AuditKey(wall_now, request.m_edit_id),
-                                     AuditRecord(request, changes, wall_now)});
-  m_entry.store().Txn(
-      txn, {BootClock::now() + kEditTimeout},
-      [self = shared_from_this(), changes = std::move(changes),
-       done = std::move(done)](Result<TxnReply, StoreError> result) mutable {
-        self->m_entry.sync().ReadNow();
-        if (!result) {
-          done(EditError{
-              EditFailure::kStoreUnavailable, result.error().m_message,
-              result.error().m_effect == StoreEffect::kMayBeWritten});
-          return;
-        }
-        if (!result.value().m_succeeded) {
-          done(EditError{EditFailure::kConflict,
-                         "another edit was faster; read again", false});
-          return;
-        }
-        done(EditDone{result.value().m_revision, false, std::move(changes)});
-      });
+  pending->m_done(std::move(pending->m_result));
 }
 
 }  // namespace comfreyshift
--- a/entry/inventory_editor.h
+++ b/entry/inventory_editor.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "config/config.h"
 #include "core/core.h"
 #include "entry/entry_process.h"
 #include "inventory/inventory.h"
@@ -30,6 +31,8 @@
 
 enum class EditFailure : uint8_t {
   kConflict,
+  kIdReused,
+  kInvalid,
   kStoreUnavailable,
   kNoMajority,
 };
@@ -39,6 +42,8 @@
   std::string m_detail;
   // True when the edit may have taken effect all the same.
   bool m_may_have_applied = false;
+  // In a conflict: the keys that others have written, as they are now.
+  std::vector<KeyValue> m_current;
 };
 
 struct EditDone {
@@ -48,7 +53,9 @@
 };
 
 // Writes edits of the inventory to the store, each as one transaction with its
-// audit record.
+// audit record. An edit of more than kMaxEditChanges records takes several
+// transactions, in the order of their keys; when one of them fails, the earlier
+// ones stay in force and the error says so.
 class InventoryEditor : public std::enable_shared_from_this<InventoryEditor> {
  public:
   using DoneFunction = std::function<void(Result<EditDone, EditError>)>;
@@ -59,9 +66,11 @@
   void Apply(EditRequest request, DoneFunction done);
 
  private:
-  void Write(const EditRequest& request,
-             std::vector<InventoryChange> changes,
-             DoneFunction done);
+  struct Pending;
+
+  // Writes the next batch of an edit that is larger than one transaction.
+  void WriteBatch(const std::shared_ptr<Pending>& pending);
+  void OnBatch(const std::shared_ptr<Pending>& pending, EditOutcome outcome);
 
   EntryProcess& m_entry;
 };
--- a/entry/operator_api.cc
+++ b/entry/operator_api.cc
@@ -13,6 +13,8 @@
 
 using Json = nlohmann::json;
 
+constexpr Milliseconds kAuditTimeout{5000};
+
 std::string NewEditId() {
   static std::mt19937_64 random{std::random_device()()};
   return SubmissionKey::Make(WallNow(), random(), random()).ToString();
@@ -31,13 +33,27 @@
 }
 
 int StatusOf(EditFailure failure) {
-  return failure == EditFailure::kConflict ? 409 : 503;
+  switch (failure) {
+    case EditFailure::kConflict:
+    case EditFailure::kIdReused:
+      return 409;
+    case EditFailure::kInvalid:
+      return 400;
+    case EditFailure::kStoreUnavailable:
+    case EditFailure::kNoMajority:
+      return 503;
+  }
+  return 503;
 }
 
 std::string_view CodeOf(EditFailure failure) {
   switch (failure) {
     case EditFailure::kConflict:
       return "conflict";
+    case EditFailure::kIdReused:
+      return "edit_id_reused";
+    case EditFailure::kInvalid:
+      return "invalid_inventory";
     case EditFailure::kStoreUnavailable:
       return "store_unavailable";
     case EditFailure::kNoMajority:
@@ -57,6 +73,33 @@
   return problems;
 }
 
+Json ToJson(const AuditValue& value) {
+  if (const auto* text = std::get_if<std::string>(&value)) {
+    Json parsed = Json::parse(*text, nullptr, false);
+    return parsed.is_discarded() ? Json(*text) : parsed;
+  }
+  if (const auto* digest = std::get_if<ValueDigest>(&value)) {
+    return {{"bytes", digest->m_bytes}, {"sha256", digest->m_sha256}};
+  }
+  return nullptr;
+}
+
+Json ToJson(const AuditRecord& record) {
+  Json changes = Json::array();
+  for (const AuditChange& change : record.m_changes) {
+    changes.push_back({{"key", change.m_key},
+                       {"before", ToJson(change.m_before)},
+                       {"after", ToJson(change.m_after)}});
+  }
+  return {{"id", AuditKey(record.m_time, record.m_edit_id)},
+          {"time_ms", record.m_time.time_since_epoch().count()},
+          {"operator", record.m_actor},
+          {"edit_id", record.m_edit_id},
+          {"action", record.m_description},
+          {"revision", record.m_revision},
+          {"changes", std::move(changes)}};
+}
+
 std::string_view StateName(ProofState state) {
   switch (state) {
     case ProofState::kFresh:
@@ -236,25 +279,21 @@
   if (const auto text = request->Query("limit")) {
     std::from_chars(text->data(), text->data() + text->size(), limit);
   }
-  RangeRequest range;
-  range.m_key = "/comfreyshift/audit/";
-  range.m_range_end = PrefixEnd(range.m_key);
-  range.m_limit = std::clamp<uint64_t>(limit, 1, kMaxLimit);
-  range.m_order = RangeOrder::kKeyDescending;
-  m_entry.store().Range(
-      range, {BootClock::now() + std::chrono::seconds(5)},
-      [request](Result<RangeReply, StoreError> result) {
-        if (!result) {
-          request->ReplyError(503, "store_unavailable",
-                              result.error().m_message);
-          return;
-        }
-        Json records = Json::array();
-        for (const KeyValue& item : result.value().m_key_values) {
-          records.push_back(Json::parse(item.m_value, nullptr, false));
-        }
-        request->ReplyJson(200, {{"records", std::move(records)}});
-      });
+  AuditQuery query;
+  query.m_limit = std::clamp<uint64_t>(limit, 1, kMaxLimit);
+  ReadAudit(m_entry.store(), query, {BootClock::now() + kAuditTimeout},
+            [request](Result<AuditPage, StoreError> result) {
+              if (!result) {
+                request->ReplyError(503, "store_unavailable",
+                                    result.error().m_message);
+                return;
+              }
+              Json records = Json::array();
+              for (const AuditRecord& record : result.value().m_records) {
+                records.push_back(ToJson(record));
+              }
+              request->ReplyJson(200, {{"records", std::move(records)}});
+            });
 }
 
 }  // namespace comfreyshift
--- a/entry/store_sync.cc
+++ b/entry/store_sync.cc
@@ -16,21 +16,6 @@
 // Contact is lost when three reads in a row bring nothing.
 constexpr Milliseconds kContactLifetime{3000};
 
-RangeRequest PrefixSince(std::string_view prefix, Revision since) {
-  RangeRequest request;
-  request.m_key = std::string(prefix);
-  request.m_range_end = PrefixEnd(prefix);
-  request.m_min_mod_revision = since + 1;
-  return request;
-}
-
-RangeRequest ExactSince(std::string_view key, Revision since) {
-  RangeRequest request;
-  request.m_key = std::string(key);
-  request.m_min_mod_revision = since + 1;
-  return request;
-}
-
 }  // namespace
 
 StoreSync::StoreSync(std::shared_ptr<StoreClient> store, ProcessNode& node)
@@ -50,9 +35,7 @@
 }
 
 void StoreSync::ReadHead(MonoTime now) {
-  RangeRequest request;
-  request.m_key = std::string(kHeadKey);
-  m_store->Range(request, {now + kReadTimeout},
+  m_store->Range(HeadRequest(), {now + kReadTimeout},
                  [self = shared_from_this(),
                   sent_at = now](Result<RangeReply, StoreError> result) {
                    if (result) {
@@ -63,12 +46,12 @@
 
 void StoreSync::OnHead(MonoTime sent_at, const RangeReply& reply) {
   m_contact_until = sent_at + kContactLifetime;
-  m_store_is_empty = reply.m_key_values.empty();
+  const Revision head = HeadRevision(reply);
+  m_store_is_empty = head == 0;
   if (m_store_is_empty) {
     m_node.Wake();
     return;
   }
-  const Revision head = reply.m_key_values.front().m_mod_revision;
   if (head > m_node.applied_revision()) {
     FetchChanges(BootClock::now());
     return;
@@ -87,37 +70,27 @@
   }
   m_fetch_deadline = now + kReadTimeout;
   const Revision since = m_node.applied_revision();
-  TxnRequest request;
-  request.m_success = {ExactSince(kHeadKey, 0), ExactSince(kTableKey, since),
-                       PrefixSince(kInventoryPrefix, since)};
-  m_store->Txn(request, {m_fetch_deadline},
-               [self = shared_from_this(),
-                sent_at = now](Result<TxnReply, StoreError> result) {
+  m_store->Txn(ConfigReadRequest(since), {m_fetch_deadline},
+               [self = shared_from_this(), sent_at = now,
+                since](Result<TxnReply, StoreError> result) {
                  self->m_fetch_deadline = MonoTime();
                  if (result) {
-                   self->OnChanges(sent_at, result.value());
+                   self->OnChanges(sent_at, since, result.value());
                  }
                });
 }
 
-void StoreSync::OnChanges(MonoTime sent_at, const TxnReply& reply) {
-  ConfigChanges changes;
-  for (const TxnOperationReply& part : reply.m_replies) {
-    const auto* range = std::get_if<RangeReply>(&part);
-    if (range == nullptr) {
-      continue;
-    }
-    for (const KeyValue& item : range->m_key_values) {
-      if (item.m_key == kHeadKey) {
-        changes.m_revision = item.m_mod_revision;
-      } else {
-        changes.m_items.push_back(
-            {item.m_key, item.m_value, item.m_mod_revision});
-      }
-    }
+void StoreSync::OnChanges(MonoTime sent_at,
+                          Revision since,
+                          const TxnReply& reply) {
+  const auto changes = ReadConfigReply(since, reply);
+  if (!changes) {
+    LogEvent(LogLevel::kError, "store", "reply_malformed",
+             {{"reason", changes.error().m_message}});
+    return;
   }
-  m_node.ApplyChanges(changes);
-  m_node.membership().OnStoreRead(changes.m_revision, sent_at);
+  m_node.ApplyChanges(changes.value());
+  m_node.membership().OnStoreRead(changes.value().m_revision, sent_at);
   m_node.Wake();
 }
 
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -33,7 +33,7 @@
   void ReadHead(MonoTime now);
   void OnHead(MonoTime sent_at, const RangeReply& reply);
   void FetchChanges(MonoTime now);
-  void OnChanges(MonoTime sent_at, const TxnReply& reply);
+  void OnChanges(MonoTime sent_at, Revision since, const TxnReply& reply);
 
   std::shared_ptr<StoreClient> m_store;
   ProcessNode& m_node;
--- a/inventory/record.h
+++ b/inventory/record.h
@@ -6,15 +6,13 @@
 #include <string_view>
 #include <variant>
 
+#include "config/config.h"
 #include "core/core.h"
 #include "inventory/error.h"
 #include "inventory/model.h"
 
 namespace comfreyshift {
 
-// Prefix of the store keys of all records.
-inline constexpr std::string_view kInventoryPrefix = "/comfreyshift/inventory/";
-
 // One named entry of the inventory.
 using InventoryEntry =
     std::variant<AvailabilityZone, Target, Client, Request, Rule>;
--- a/node/config_view.cc
+++ b/node/config_view.cc
@@ -10,14 +10,15 @@
     : m_inventory(std::make_shared<Inventory>()),
       m_table(std::make_shared<PartitionTable>()) {}
 
-void ConfigView::Apply(const std::vector<ConfigItem>& items) {
+void ConfigView::Apply(const ConfigReplica& replica,
+                       const std::vector<std::string>& changed_keys) {
   auto inventory = std::make_shared<Inventory>(*m_inventory);
   bool inventory_changed = false;
-  for (const ConfigItem& item : items) {
-    if (item.m_key == kTableKey) {
-      ApplyTable(item);
-    } else if (item.m_key.starts_with(kInventoryPrefix)) {
-      ApplyRecordItem(*inventory, item);
+  for (const std::string& key : changed_keys) {
+    if (key == kTableKey) {
+      ApplyTable(replica);
+    } else {
+      ApplyKey(replica, key, *inventory);
       inventory_changed = true;
     }
   }
@@ -26,30 +27,36 @@
   }
 }
 
-void ConfigView::ApplyTable(const ConfigItem& item) {
-  if (item.m_mod_revision <= m_table_revision) {
+void ConfigView::ApplyTable(const ConfigReplica& replica) {
+  const Revision revision = replica.ModRevision(kTableKey);
+  const auto value = replica.Find(kTableKey);
+  if (!value) {
+    LogEvent(LogLevel::kError, "config", "table_deleted",
+             {{"revision", revision}});
     return;
   }
-  auto table = DecodeTable(item.m_value);
+  auto table = DecodeTable(*value);
   if (!table) {
     LogEvent(LogLevel::kError, "config", "table_not_readable",
-             {{"revision", item.m_mod_revision},
-              {"reason", table.error().m_message}});
+             {{"revision", revision}, {"reason", table.error().m_message}});
     return;
   }
   m_table = std::make_shared<PartitionTable>(std::move(table.value()));
-  m_table_revision = item.m_mod_revision;
+  m_table_revision = revision;
 }
 
-void ConfigView::ApplyRecordItem(Inventory& inventory, const ConfigItem& item) {
-  if (item.m_value.empty()) {
-    RemoveRecord(inventory, item.m_key);
+void ConfigView::ApplyKey(const ConfigReplica& replica,
+                          const std::string& key,
+                          Inventory& inventory) {
+  const auto value = replica.Find(key);
+  if (!value) {
+    RemoveRecord(inventory, key);
     return;
   }
-  auto record = DecodeRecord(item.m_key, item.m_value);
+  auto record = DecodeRecord(key, *value);
   if (!record) {
     LogEvent(LogLevel::kError, "config", "record_not_readable",
-             {{"key", item.m_key}, {"reason", record.error().ToString()}});
+             {{"key", key}, {"reason", record.error().ToString()}});
     return;
   }
   ApplyRecord(inventory, std::move(record.value()));
--- a/node/config_view.h
+++ b/node/config_view.h
@@ -5,27 +5,23 @@
 #include <string>
 #include <vector>
 
+#include "config/config.h"
 #include "core/core.h"
 #include "dispatch/dispatch.h"
 #include "inventory/inventory.h"
-#include "rpc/rpc.h"
 
 namespace comfreyshift {
 
-// Store keys of the configuration.
-inline constexpr std::string_view kKeyPrefix = "/comfreyshift/";
-inline constexpr std::string_view kHeadKey = "/comfreyshift/head";
-inline constexpr std::string_view kTableKey = "/comfreyshift/table";
-
 // The typed form of the configuration that this process applies.
 class ConfigView {
  public:
   ConfigView();
 
-  // Takes changed keys. An empty value removes a record. A key that cannot be
-  // decoded is logged and keeps its former value: one bad record must not stop
-  // the process.
-  void Apply(const std::vector<ConfigItem>& items);
+  // Takes the present values of `changed_keys`. A value that cannot be decoded
+  // is logged and the former one is kept: one bad record must not stop the
+  // process.
+  void Apply(const ConfigReplica& replica,
+             const std::vector<std::string>& changed_keys);
 
   const std::shared_ptr<const Inventory>& inventory() const {
     return m_inventory;
@@ -36,8 +32,10 @@
   Revision table_revision() const { return m_table_revision; }
 
  private:
-  void ApplyTable(const ConfigItem& item);
-  void ApplyRecordItem(Inventory& inventory, const ConfigItem& item);
+  void ApplyTable(const ConfigReplica& replica);
+  static void ApplyKey(const ConfigReplica& replica,
+                       const std::string& key,
+                       Inventory& inventory);
 
   std::shared_ptr<const Inventory> m_inventory;
   std::shared_ptr<const PartitionTable> m_table;
--- a/node/process_node.cc
+++ b/node/process_node.cc
@@ -72,9 +72,15 @@
     return;
   }
   const MonoTime now = BootClock::now();
+  const auto changed_keys = m_replica.Apply(changes);
+  if (!changed_keys) {
+    LogEvent(LogLevel::kError, "config", "changes_rejected",
+             {{"revision", changes.m_revision},
+              {"reason", changed_keys.error().m_message}});
+    return;
+  }
   const Revision table_before = m_view.table_revision();
-  m_replica.Apply(changes.m_items);
-  m_view.Apply(changes.m_items);
+  m_view.Apply(m_replica, changed_keys.value());
   m_applied = changes.m_revision;
   if (m_view.table_revision() != table_before) {
     m_membership.SetMembers(now, m_view.table_revision(),
@@ -89,7 +95,7 @@
 }
 
 ConfigChanges ProcessNode::ChangesSince(Revision since) const {
-  return {m_applied, m_replica.ChangesSince(since)};
+  return m_replica.ChangesSince(since);
 }
 
 void ProcessNode::Wake() {
--- a/node/process_node.h
+++ b/node/process_node.h
@@ -9,7 +9,6 @@
 #include "membership/membership.h"
 #include "node/config_view.h"
 #include "node/datagram_socket.h"
-#include "node/key_replica.h"
 #include "node/loop_timer.h"
 #include "rpc/rpc.h"
 
@@ -56,7 +55,7 @@
       PeerHandler& handler);
 
   // Applies changes up to their revision and makes them current here. Changes
-  // not newer than what is applied are ignored.
+  // that are not newer than what is applied, or do not follow it, are ignored.
   void ApplyChanges(const ConfigChanges& changes);
 
   // Returns all keys that changed after `since`.
@@ -92,7 +91,7 @@
   NodeRole& m_role;
   Membership m_membership;
   ConfigView m_view;
-  KeyReplica m_replica;
+  ConfigReplica m_replica;
   Revision m_applied = 0;
   MonoTime m_fetch_deadline;
   PeerClient m_peers;
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -132,7 +132,7 @@
   records @1 :List(StartRecord);
 }
 
-struct ConfigItem {
+struct ConfigEntry {
   key @0 :Text;
   value @1 :Data;
   modRevision @2 :UInt64;
@@ -140,7 +140,8 @@
 
 struct ConfigChanges {
   revision @0 :UInt64;
-  items @1 :List(ConfigItem);
+  entries @1 :List(ConfigEntry);
+  since @2 :UInt64;
 }
 
 struct LastStart {
--- a/rpc/peer.capnp.c++
+++ b/rpc/peer.capnp.c++
@@ -1668,14 +1668,14 @@
   2, 2, i_df63c8635d1ba666, nullptr, nullptr, { &s_df63c8635d1ba666, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<64> b_fc39ddc03dfb6d1a = {
+static const ::capnp::_::AlignedData<64> b_ebbef0213bdcff9f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     26, 109, 251,  61, 192, 221,  57, 252,
+    159, 255, 220,  59,  33, 240, 190, 235,
      15,   0,   0,   0,   1,   0,   1,   0,
      23,  77, 233, 184, 240, 198, 161, 210,
       2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 210,   0,   0,   0,
+     21,   0,   0,   0, 218,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      29,   0,   0,   0, 175,   0,   0,   0,
@@ -1683,8 +1683,8 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 112,  99,  47, 112, 101, 101, 114,
      46,  99,  97, 112, 110, 112,  58,  67,
-    111, 110, 102, 105, 103,  73, 116, 101,
-    109,   0,   0,   0,   0,   0,   0,   0,
+    111, 110, 102, 105, 103,  69, 110, 116,
+    114, 121,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1734,26 +1734,26 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_fc39ddc03dfb6d1a = b_fc39ddc03dfb6d1a.words;
+::capnp::word const* const bp_ebbef0213bdcff9f = b_ebbef0213bdcff9f.words;
 #if !CAPNP_LITE
-static const uint16_t m_fc39ddc03dfb6d1a[] = {0, 2, 1};
-static const uint16_t i_fc39ddc03dfb6d1a[] = {0, 1, 2};
-const ::capnp::_::RawSchema s_fc39ddc03dfb6d1a = {
-  0xfc39ddc03dfb6d1a, b_fc39ddc03dfb6d1a.words, 64, nullptr, m_fc39ddc03dfb6d1a,
-  0, 3, i_fc39ddc03dfb6d1a, nullptr, nullptr, { &s_fc39ddc03dfb6d1a, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_ebbef0213bdcff9f[] = {0, 2, 1};
+static const uint16_t i_ebbef0213bdcff9f[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_ebbef0213bdcff9f = {
+  0xebbef0213bdcff9f, b_ebbef0213bdcff9f.words, 64, nullptr, m_ebbef0213bdcff9f,
+  0, 3, i_ebbef0213bdcff9f, nullptr, nullptr, { &s_ebbef0213bdcff9f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<53> b_ed9079b9b8587dad = {
+static const ::capnp::_::AlignedData<68> b_ed9079b9b8587dad = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     173, 125,  88, 184, 185, 121, 144, 237,
-     15,   0,   0,   0,   1,   0,   1,   0,
+     15,   0,   0,   0,   1,   0,   2,   0,
      23,  77, 233, 184, 240, 198, 161, 210,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 234,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 112,  99,  47, 112, 101, 101, 114,
@@ -1761,21 +1761,28 @@
     111, 110, 102, 105, 103,  67, 104,  97,
     110, 103, 101, 115,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  74,   0,   0,   0,
+     69,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,  50,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     72,   0,   0,   0,   2,   0,   1,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+    100,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
     114, 101, 118, 105, 115, 105, 111, 110,
       0,   0,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
@@ -1785,29 +1792,37 @@
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105, 116, 101, 109, 115,   0,   0,   0,
+    101, 110, 116, 114, 105, 101, 115,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-     26, 109, 251,  61, 192, 221,  57, 252,
+    159, 255, 220,  59,  33, 240, 190, 235,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 105, 110,  99, 101,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_ed9079b9b8587dad = b_ed9079b9b8587dad.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_ed9079b9b8587dad[] = {
-  &s_fc39ddc03dfb6d1a,
+  &s_ebbef0213bdcff9f,
 };
-static const uint16_t m_ed9079b9b8587dad[] = {1, 0};
-static const uint16_t i_ed9079b9b8587dad[] = {0, 1};
+static const uint16_t m_ed9079b9b8587dad[] = {1, 0, 2};
+static const uint16_t i_ed9079b9b8587dad[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_ed9079b9b8587dad = {
-  0xed9079b9b8587dad, b_ed9079b9b8587dad.words, 53, d_ed9079b9b8587dad, m_ed9079b9b8587dad,
-  1, 2, i_ed9079b9b8587dad, nullptr, nullptr, { &s_ed9079b9b8587dad, nullptr, nullptr, 0, 0, nullptr }
+  0xed9079b9b8587dad, b_ed9079b9b8587dad.words, 68, d_ed9079b9b8587dad, m_ed9079b9b8587dad,
+  1, 3, i_ed9079b9b8587dad, nullptr, nullptr, { &s_ed9079b9b8587dad, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<48> b_bd972e90e61ab266 = {
@@ -3555,12 +3570,12 @@
 constexpr ::capnp::_::RawSchema const* AdoptCommand::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// ConfigItem
-constexpr uint16_t ConfigItem::_capnpPrivate::dataWordSize;
-constexpr uint16_t ConfigItem::_capnpPrivate::pointerCount;
+// ConfigEntry
+constexpr uint16_t ConfigEntry::_capnpPrivate::dataWordSize;
+constexpr uint16_t ConfigEntry::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind ConfigItem::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* ConfigItem::_capnpPrivate::schema;
+constexpr ::capnp::Kind ConfigEntry::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ConfigEntry::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // ConfigChanges
--- a/rpc/peer.capnp.h
+++ b/rpc/peer.capnp.h
@@ -39,7 +39,7 @@
 CAPNP_DECLARE_SCHEMA(888e68575a440ff2);
 CAPNP_DECLARE_SCHEMA(e3d59a5ab81f9c99);
 CAPNP_DECLARE_SCHEMA(df63c8635d1ba666);
-CAPNP_DECLARE_SCHEMA(fc39ddc03dfb6d1a);
+CAPNP_DECLARE_SCHEMA(ebbef0213bdcff9f);
 CAPNP_DECLARE_SCHEMA(ed9079b9b8587dad);
 CAPNP_DECLARE_SCHEMA(bd972e90e61ab266);
 CAPNP_DECLARE_SCHEMA(ffd11d5e9d9b484e);
@@ -389,15 +389,15 @@
   };
 };
 
-struct ConfigItem {
-  ConfigItem() = delete;
+struct ConfigEntry {
+  ConfigEntry() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc39ddc03dfb6d1a, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ebbef0213bdcff9f, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -412,7 +412,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed9079b9b8587dad, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ed9079b9b8587dad, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2797,9 +2797,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigItem::Reader {
+class ConfigEntry::Reader {
 public:
-  typedef ConfigItem Reads;
+  typedef ConfigEntry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2834,9 +2834,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigItem::Builder {
+class ConfigEntry::Builder {
 public:
-  typedef ConfigItem Builds;
+  typedef ConfigEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2877,9 +2877,9 @@
 };
 
 #if !CAPNP_LITE
-class ConfigItem::Pipeline {
+class ConfigEntry::Pipeline {
 public:
-  typedef ConfigItem Pipelines;
+  typedef ConfigEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2912,8 +2912,10 @@
 
   inline  ::uint64_t getRevision() const;
 
-  inline bool hasItems() const;
-  inline  ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline  ::uint64_t getSince() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2946,12 +2948,15 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline bool hasItems();
-  inline  ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>::Builder getItems();
-  inline void setItems( ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
-  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>> disownItems();
+  inline bool hasEntries();
+  inline  ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6979,84 +6984,84 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ConfigItem::Reader::hasKey() const {
+inline bool ConfigEntry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigItem::Builder::hasKey() {
+inline bool ConfigEntry::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigItem::Reader::getKey() const {
+inline  ::capnp::Text::Reader ConfigEntry::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigItem::Builder::getKey() {
+inline  ::capnp::Text::Builder ConfigEntry::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigItem::Builder::setKey( ::capnp::Text::Reader value) {
+inline void ConfigEntry::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfigItem::Builder::initKey(unsigned int size) {
+inline  ::capnp::Text::Builder ConfigEntry::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfigItem::Builder::adoptKey(
+inline void ConfigEntry::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigItem::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Text> ConfigEntry::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConfigItem::Reader::hasValue() const {
+inline bool ConfigEntry::Reader::hasValue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigItem::Builder::hasValue() {
+inline bool ConfigEntry::Builder::hasValue() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader ConfigItem::Reader::getValue() const {
+inline  ::capnp::Data::Reader ConfigEntry::Reader::getValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder ConfigItem::Builder::getValue() {
+inline  ::capnp::Data::Builder ConfigEntry::Builder::getValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfigItem::Builder::setValue( ::capnp::Data::Reader value) {
+inline void ConfigEntry::Builder::setValue( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder ConfigItem::Builder::initValue(unsigned int size) {
+inline  ::capnp::Data::Builder ConfigEntry::Builder::initValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ConfigItem::Builder::adoptValue(
+inline void ConfigEntry::Builder::adoptValue(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> ConfigItem::Builder::disownValue() {
+inline ::capnp::Orphan< ::capnp::Data> ConfigEntry::Builder::disownValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigItem::Reader::getModRevision() const {
+inline  ::uint64_t ConfigEntry::Reader::getModRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigItem::Builder::getModRevision() {
+inline  ::uint64_t ConfigEntry::Builder::getModRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigItem::Builder::setModRevision( ::uint64_t value) {
+inline void ConfigEntry::Builder::setModRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
@@ -7075,40 +7080,54 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigChanges::Reader::hasItems() const {
+inline bool ConfigChanges::Reader::hasEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigChanges::Builder::hasItems() {
+inline bool ConfigChanges::Builder::hasEntries() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>::Reader ConfigChanges::Reader::getItems() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader ConfigChanges::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>::Builder ConfigChanges::Builder::getItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder ConfigChanges::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigChanges::Builder::setItems( ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ConfigChanges::Builder::setEntries( ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>::Builder ConfigChanges::Builder::initItems(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder ConfigChanges::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfigChanges::Builder::adoptItems(
-    ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ConfigChanges::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>> ConfigChanges::Builder::disownItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>> ConfigChanges::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ConfigChanges::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigChanges::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ConfigChanges::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LastStart::Reader::hasSubject() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/rpc/peer_messages.h
+++ b/rpc/peer_messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "config/config.h"
 #include "core/core.h"
 #include "dispatch/dispatch.h"
 
@@ -15,21 +16,6 @@
 // take it.
 using SubmitReply = std::variant<JobAnswer, NotRunReason>;
 
-// One key of the configuration as the store holds it.
-struct ConfigItem {
-  std::string m_key;
-  std::string m_value;
-  Revision m_mod_revision = 0;
-
-  bool operator==(const ConfigItem&) const = default;
-};
-
-// All keys that changed after the revision that was asked for.
-struct ConfigChanges {
-  Revision m_revision = 0;
-  std::vector<ConfigItem> m_items;
-};
-
 // When a task last started for a subject such as "client:NAME", "target:NAME"
 // or "zone:NAME"; the epoch when none has.
 struct LastStart {
--- a/rpc/wire.cc
+++ b/rpc/wire.cc
@@ -372,23 +372,25 @@
 
 ConfigChanges Read(wire::ConfigChanges::Reader in) {
   ConfigChanges changes;
+  changes.m_since = in.getSince();
   changes.m_revision = in.getRevision();
-  changes.m_items.reserve(in.getItems().size());
-  for (const auto item : in.getItems()) {
-    changes.m_items.push_back({ReadText(item.getKey()),
-                               ReadBytes(item.getValue()),
-                               item.getModRevision()});
+  changes.m_entries.reserve(in.getEntries().size());
+  for (const auto entry : in.getEntries()) {
+    changes.m_entries.push_back({ReadText(entry.getKey()),
+                                 ReadBytes(entry.getValue()),
+                                 entry.getModRevision()});
   }
   return changes;
 }
 
 void Write(const ConfigChanges& changes, wire::ConfigChanges::Builder out) {
+  out.setSince(changes.m_since);
   out.setRevision(changes.m_revision);
-  auto items = out.initItems(changes.m_items.size());
-  for (size_t i = 0; i < changes.m_items.size(); ++i) {
-    items[i].setKey(changes.m_items[i].m_key);
-    items[i].setValue(ToData(changes.m_items[i].m_value));
-    items[i].setModRevision(changes.m_items[i].m_mod_revision);
+  auto entries = out.initEntries(changes.m_entries.size());
+  for (size_t i = 0; i < changes.m_entries.size(); ++i) {
+    entries[i].setKey(changes.m_entries[i].m_key);
+    entries[i].setValue(ToData(changes.m_entries[i].m_value));
+    entries[i].setModRevision(changes.m_entries[i].m_mod_revision);
   }
 }
 
--- a/tests/config/edit_model_test.cc
+++ b/tests/config/edit_model_test.cc
@@ -187,8 +187,9 @@
     for (const KeyValue& kv : m_store.history()) {
       writes += IsConfigKey(kv.m_key) && kv.m_value == value ? 1 : 0;
     }
-    bool applied = OutcomeOf(edit) != nullptr;
-    RC_ASSERT(!applied || OutcomeOf(edit)->m_version == 1);
+    const KeyValue* outcome = OutcomeOf(edit);
+    bool applied = outcome != nullptr;
+    RC_ASSERT((applied ? outcome->m_version : 1) == 1u);
     RC_ASSERT(writes == (applied ? m_edits[edit].m_changes.size() : 0));
     std::string audit = AuditKey(m_edits[edit].m_time, m_edits[edit].m_id);
     RC_ASSERT(m_store.keys().contains(audit) == applied);
