Take partitions over without a second start

Add the stateful test of owners and starters under random faults, and what it found: keys of losses between a partition's move and the new owner's first table count as unknown; a task at an agent that left cleanly is looked up at the agents that hold its records; first owners and moves within one rack keep earlier keys answerable; a partition just taken over is not moved again.

--- a/dispatch/job_runner.cc
+++ b/dispatch/job_runner.cc
@@ -184,7 +184,7 @@
 
 bool JobRunner::OnStartReply(MonoTime now,
                              const ProcessId& from,
-                             const StartReply& reply) {
+                             StartReply reply) {
   OnLoad(now, from, reply.m_load);
   const uint32_t index = reply.m_task.m_index;
   Job* job = m_jobs.Find(reply.m_task.m_key);
@@ -196,8 +196,8 @@
       *task.m_agent != from) {
     return true;
   }
-  if (const auto* done = std::get_if<TaskDone>(&reply.m_outcome)) {
-    OnTaskDone(now, *job, index, *done);
+  if (auto* done = std::get_if<TaskDone>(&reply.m_outcome)) {
+    OnTaskDone(now, *job, index, std::move(*done));
   } else if (const auto* refused =
                  std::get_if<TaskNotStarted>(&reply.m_outcome)) {
     if (refused->m_reason == NotRunReason::kStaleEpoch) {
@@ -222,7 +222,7 @@
 void JobRunner::OnTaskDone(MonoTime now,
                            Job& job,
                            uint32_t index,
-                           const TaskDone& done) {
+                           TaskDone done) {
   JobTask& task = job.m_tasks[index];
   const bool ok = done.m_answer.ok();
   if (const auto target = m_targets.IndexOf(*task.m_agent)) {
@@ -230,7 +230,7 @@
   }
   CountBack(job);
   task.m_state = TaskState::kDone;
-  task.m_answer = done.m_answer;
+  task.m_answer = std::move(done.m_answer);
   m_jobs.CountAnswer(task.m_answer);
   m_waiting.CountDone(job);
   if (!ok) {
@@ -431,9 +431,6 @@
       m_placer.OnNotStarted(now, *target);
     }
   }
-  if (!job.m_end) {
-    m_actions.emplace_back(JobDropped{key});
-  }
   m_jobs.Remove(key);
 }
 
--- a/dispatch/job_runner.h
+++ b/dispatch/job_runner.h
@@ -61,7 +61,7 @@
   // Returns false when the agent knows a newer owner of the job's partition.
   bool OnStartReply(MonoTime now,
                     const ProcessId& from,
-                    const StartReply& reply);
+                    StartReply reply);
   void OnReplyLost(MonoTime now, const ProcessId& from, const TaskRef& task);
   void OnAdoptDone(MonoTime now, uint64_t id, bool adopted);
   void OnLoad(MonoTime now, const ProcessId& from, const LoadReport& load);
@@ -99,7 +99,7 @@
 
   // Ends the attempt that is out.
   void CountBack(Job& job);
-  void OnTaskDone(MonoTime now, Job& job, uint32_t index, const TaskDone& done);
+  void OnTaskDone(MonoTime now, Job& job, uint32_t index, TaskDone done);
   void OnTaskNotStarted(MonoTime now,
                         Job& job,
                         uint32_t index,
--- a/dispatch/job_table.cc
+++ b/dispatch/job_table.cc
@@ -1,5 +1,6 @@
 #include "dispatch/job_table.h"
 
+#include <algorithm>
 #include <functional>
 #include <type_traits>
 
@@ -39,6 +40,14 @@
 
 }  // namespace
 
+bool Job::IsOutAt(const std::set<ProcessId>& agents) const {
+  return std::any_of(m_tasks.begin(), m_tasks.end(), [&](const JobTask& task) {
+    return (task.m_state == TaskState::kSent ||
+            task.m_state == TaskState::kSettling) &&
+           agents.contains(*task.m_agent);
+  });
+}
+
 uint64_t Fingerprint(const Submission& submission) {
   uint64_t hash = submission.m_tasks.size();
   Mix(hash, submission.m_client);
--- a/dispatch/job_table.h
+++ b/dispatch/job_table.h
@@ -83,6 +83,8 @@
   uint32_t remaining() const {
     return static_cast<uint32_t>(m_tasks.size()) - m_done;
   }
+  // True when a task is out at one of `agents`.
+  bool IsOutAt(const std::set<ProcessId>& agents) const;
   // True when a task of it has run or may have.
   bool started() const { return m_done > 0 || m_unknown > 0; }
 };
--- a/dispatch/known_records.cc
+++ b/dispatch/known_records.cc
@@ -45,6 +45,19 @@
   return taken;
 }
 
+void KnownRecords::FindRunningAt(const std::set<ProcessId>& agents,
+                                 std::set<PartitionId>& partitions) const {
+  for (const auto& [partition, keys] : m_partitions) {
+    for (const auto& [key, records] : keys) {
+      for (const auto& [task, record] : records) {
+        if (!record.m_ended && agents.contains(record.m_agent)) {
+          partitions.insert(partition);
+        }
+      }
+    }
+  }
+}
+
 void KnownRecords::Append(PartitionId partition,
                           std::vector<StartRecord>& records) const {
   const auto keys = m_partitions.find(partition);
--- a/dispatch/known_records.h
+++ b/dispatch/known_records.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_KNOWN_RECORDS_H_
 #define DISPATCH_KNOWN_RECORDS_H_
 
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -20,6 +21,10 @@
   std::vector<StartRecord> Take(PartitionId partition,
                                 const SubmissionKey& key);
 
+  // Adds the partitions with a task that still runs at one of `agents`.
+  void FindRunningAt(const std::set<ProcessId>& agents,
+                     std::set<PartitionId>& partitions) const;
+
   void Append(PartitionId partition, std::vector<StartRecord>& records) const;
   void AppendAll(std::vector<StartRecord>& records) const;
 
--- a/dispatch/owner.cc
+++ b/dispatch/owner.cc
@@ -14,18 +14,6 @@
 // Refused jobs may be kept up to this multiple of the limit of all jobs.
 constexpr size_t kRefusedJobsFactor = 2;
 
-WallTime LatestChange(const PartitionTable& table) {
-  WallTime latest;
-  for (const Partition& partition : table.m_partitions) {
-    latest = std::max(latest, partition.m_owner_since);
-    latest = std::max(latest, partition.m_unknown_before);
-  }
-  for (const DepartedMember& departed : table.m_departed) {
-    latest = std::max(latest, departed.m_departed_at);
-  }
-  return latest;
-}
-
 }  // namespace
 
 Owner::Owner(OwnerConfig config, ProcessId self)
@@ -47,12 +35,13 @@
     return;
   }
   m_revision = revision;
-  m_table = std::move(table);
-  m_log.OnTable(now, revision, LatestChange(*m_table));
+  const auto before = std::exchange(m_table, std::move(table));
+  m_log.OnTable(now, revision, m_table->LatestChange());
   const std::vector<PartitionId> gained = CompareOwned(now);
-  m_runner.SetTargets(now, m_table, m_inventory);
   m_takeovers.SetTable(now, m_table);
+  RecheckLeft(now, before.get());
   m_takeovers.Begin(now, m_table, gained);
+  m_runner.SetTargets(now, m_table, m_inventory);
   FinishTakeovers(now, wall_now);
 }
 
@@ -105,6 +94,9 @@
     }
   });
   for (const SubmissionKey& key : keys) {
+    if (!m_jobs.Find(key)->m_end) {
+      m_actions.emplace_back(JobDropped{key});
+    }
     m_runner.Drop(now, key);
   }
   std::erase_if(m_held, [&](const auto& item) {
@@ -124,6 +116,74 @@
   }
 }
 
+void Owner::RecheckLeft(MonoTime now, const PartitionTable* before) {
+  if (before == nullptr) {
+    return;
+  }
+  std::set<ProcessId> left;
+  for (const Member& member : before->m_members) {
+    if (m_table->Find(member.m_id) == nullptr &&
+        m_table->LeftCleanlyAt(member.m_id)) {
+      left.insert(member.m_id);
+    }
+  }
+  if (left.empty()) {
+    return;
+  }
+  std::set<PartitionId> affected;
+  m_known.FindRunningAt(left, affected);
+  m_jobs.ForEachActive([&](Job& job) {
+    if (!job.m_end && job.IsOutAt(left)) {
+      affected.insert(job.m_partition);
+    }
+  });
+  std::map<PartitionId, WallTime> rechecked;
+  for (const PartitionId id : affected) {
+    const auto owned = m_owned.find(id);
+    if (owned == m_owned.end() || owned->second.m_phase != Phase::kServing) {
+      continue;
+    }
+    owned->second.m_phase = Phase::kTakingOver;
+    HoldJobs(now, id);
+    rechecked[id] = owned->second.m_unknown_before;
+  }
+  m_takeovers.Recheck(now, rechecked);
+}
+
+void Owner::HoldJobs(MonoTime now, PartitionId partition) {
+  std::vector<Job*> jobs;
+  m_jobs.ForEachActive([&](Job& job) {
+    if (job.m_partition == partition && !job.m_end && !job.m_refusing) {
+      jobs.push_back(&job);
+    }
+  });
+  for (Job* job : jobs) {
+    std::vector<StartRecord> records;
+    AppendRecords(*job, records);
+    for (StartRecord& record : records) {
+      m_known.Add(partition, std::move(record));
+    }
+    Held held;
+    held.m_partition = partition;
+    held.m_cancelled =
+        job->m_stop && job->m_stop->m_failure == JobFailure::kCancelled;
+    Submission& submission = held.m_submission;
+    submission.m_key = job->m_key;
+    submission.m_first_sent = job->m_first_sent;
+    submission.m_client = job->m_client;
+    submission.m_tasks = std::move(job->m_specs);
+    submission.m_deadline = job->m_deadline;
+    m_runner.Drop(now, job->m_key);
+    m_held[submission.m_key] = std::move(held);
+  }
+}
+
+bool Owner::NeverStartedAt(const ProcessId& agent) const {
+  const auto left_at = m_table->LeftCleanlyAt(agent);
+  // A member lost meanwhile may have had the records that it handed over.
+  return left_at && m_table->LatestLoss() + kTakeoverTime < *left_at;
+}
+
 void Owner::SetInventory(MonoTime now,
                          std::shared_ptr<const Inventory> inventory) {
   m_inventory = std::move(inventory);
@@ -287,7 +347,8 @@
           "an earlier owner refused the job"};
       continue;
     }
-    if (index < job.m_tasks.size()) {
+    const bool unstarted = !record.m_ended && NeverStartedAt(record.m_agent);
+    if (index < job.m_tasks.size() && !unstarted) {
       started = true;
       m_runner.Resume(job, std::move(record));
     }
@@ -342,8 +403,9 @@
 void Owner::OnStartReply(MonoTime now,
                          const ProcessId& from,
                          StartReply reply) {
-  if (!m_runner.OnStartReply(now, from, reply)) {
-    Lose(now, {PartitionOf(reply.m_task.m_key)});
+  const SubmissionKey key = reply.m_task.m_key;
+  if (!m_runner.OnStartReply(now, from, std::move(reply))) {
+    Lose(now, {PartitionOf(key)});
   }
 }
 
@@ -362,7 +424,8 @@
     return;
   }
   for (StartRecord& record : reply.m_records) {
-    m_known.Add(PartitionOf(record.m_task.m_key), std::move(record));
+    const PartitionId partition = PartitionOf(record.m_task.m_key);
+    m_known.Add(partition, std::move(record));
   }
   FinishTakeovers(now, wall_now);
 }
--- a/dispatch/owner.h
+++ b/dispatch/owner.h
@@ -145,6 +145,12 @@
   // Gives up partitions whose table entry moved on, and returns those gained.
   std::vector<PartitionId> CompareOwned(MonoTime now);
   void Lose(MonoTime now, const std::set<PartitionId>& partitions);
+  // Holds the jobs with tasks at agents that left cleanly since `before`, and
+  // asks all agents for the records that these handed over.
+  void RecheckLeft(MonoTime now, const PartitionTable* before);
+  void HoldJobs(MonoTime now, PartitionId partition);
+  // True when a task without a record that was sent there did not start.
+  bool NeverStartedAt(const ProcessId& agent) const;
   void FinishTakeovers(MonoTime now, WallTime wall_now);
   void SubmitHeld(MonoTime now, WallTime wall_now, PartitionId partition);
 
--- a/dispatch/partition_table.cc
+++ b/dispatch/partition_table.cc
@@ -8,9 +8,6 @@
 
 namespace {
 
-// The longest time that a takeover or a handover takes without an outage.
-constexpr Milliseconds kTakeoverTime = std::chrono::seconds(30);
-
 // Builds the table that follows another one.
 class TablePlan {
  public:
@@ -18,7 +15,8 @@
       : m_before(before), m_after(before), m_change(change) {}
 
   PartitionTable Make(WallTime now, Milliseconds retention) {
-    m_now = std::max(now, LatestTime());
+    // The table's times never go back, whichever clock its proposer has.
+    m_now = std::max(now, m_before.LatestChange());
     m_one_rack_before = Racks(m_before.m_members).size() <= 1;
     PruneDeparted(retention);
     RemoveMembers();
@@ -31,19 +29,6 @@
   }
 
  private:
-  // The table's times never go back, whichever clock its proposer has.
-  WallTime LatestTime() const {
-    WallTime latest;
-    for (const Partition& partition : m_before.m_partitions) {
-      latest = std::max(latest, partition.m_owner_since);
-      latest = std::max(latest, partition.m_unknown_before);
-    }
-    for (const DepartedMember& departed : m_before.m_departed) {
-      latest = std::max(latest, departed.m_departed_at);
-    }
-    return latest;
-  }
-
   static std::set<std::string> Racks(const std::vector<Member>& members) {
     std::set<std::string> racks;
     for (const Member& member : members) {
@@ -192,13 +177,27 @@
       auto least = by_load.extract(by_load.begin());
       Partition& partition = m_after.m_partitions[id];
       partition.m_owner = least.value().second;
-      partition.m_owner_since = m_now;
+      partition.m_owner_since = SinceOf(partition);
+      partition.m_moved_at = m_now;
       ++partition.m_epoch;
       m_load[*partition.m_owner] = ++least.value().first;
       by_load.insert(std::move(least));
     }
   }
 
+  // Returns since when no task of the partition, which has its new owner now,
+  // was placed in that owner's rack.
+  WallTime SinceOf(const Partition& partition) const {
+    // A first owner has no keys from before its time.
+    if (partition.m_epoch == 0) {
+      return WallTime();
+    }
+    const Member* owner = m_after.Find(*partition.m_owner);
+    return owner->m_rack == partition.m_previous_rack
+               ? partition.m_previous_since
+               : m_now;
+  }
+
   // Moves partitions from the owners that have more than an even share. Their
   // owners live on and keep their copies, so nothing becomes unknown.
   void Rebalance() {
@@ -225,7 +224,7 @@
   // A partition stays where it is while its new owner may still collect.
   bool IsTakeoverRecent(const Partition& partition) const {
     return !m_after.m_departed.empty() &&
-           partition.m_owner_since + kTakeoverTime > m_now;
+           partition.m_moved_at + kTakeoverTime > m_now;
   }
 
   void Move(Partition& partition, const ProcessId& to) {
@@ -233,6 +232,7 @@
     partition.m_previous_rack = m_after.Find(*partition.m_owner)->m_rack;
     partition.m_previous_since = partition.m_owner_since;
     partition.m_moved_alive = true;
+    partition.m_moved_at = m_now;
     partition.m_owner = to;
     ++partition.m_epoch;
     ++m_load[to];
@@ -263,6 +263,38 @@
   return nullptr;
 }
 
+std::optional<WallTime> PartitionTable::LeftCleanlyAt(
+    const ProcessId& id) const {
+  for (const DepartedMember& departed : m_departed) {
+    if (departed.m_id == id && departed.m_clean) {
+      return departed.m_departed_at;
+    }
+  }
+  return std::nullopt;
+}
+
+WallTime PartitionTable::LatestChange() const {
+  WallTime latest;
+  for (const Partition& partition : m_partitions) {
+    latest = std::max(latest, partition.m_moved_at);
+    latest = std::max(latest, partition.m_owner_since);
+  }
+  for (const DepartedMember& departed : m_departed) {
+    latest = std::max(latest, departed.m_departed_at);
+  }
+  return latest;
+}
+
+WallTime PartitionTable::LatestLoss() const {
+  WallTime latest;
+  for (const DepartedMember& departed : m_departed) {
+    if (!departed.m_clean) {
+      latest = std::max(latest, departed.m_departed_at);
+    }
+  }
+  return latest;
+}
+
 WallTime UnknownBefore(const std::vector<DepartedMember>& departed,
                        const std::string& owner_rack,
                        WallTime owner_since) {
--- a/dispatch/partition_table.h
+++ b/dispatch/partition_table.h
@@ -14,13 +14,19 @@
 
 inline constexpr uint32_t kDefaultPartitionCount = 8192;
 
+// The longest time that a takeover or a handover takes without an outage.
+inline constexpr std::chrono::seconds kTakeoverTime{30};
+
 // One partition of the submissions.
 struct Partition {
   // Nothing while no agent can own it.
   std::optional<ProcessId> m_owner;
   Epoch m_epoch = 0;
+  // When the owner changed last.
+  WallTime m_moved_at;
   // All tasks of keys first sent since then were placed outside the owner's
-  // rack, or a live earlier owner has a copy of their records.
+  // rack, or a live earlier owner has a copy of their records. The earliest
+  // time when this holds for all keys.
   WallTime m_owner_since;
   // A key first sent before this time, and of which no record exists, may have
   // run.
@@ -57,6 +63,18 @@
   // Returns the member with this name and incarnation, or nothing.
   const Member* Find(const ProcessId& id) const;
 
+  // Returns when this agent left after it had handed its records over, or
+  // nothing for any other one.
+  std::optional<WallTime> LeftCleanlyAt(const ProcessId& id) const;
+
+  // Returns the proposer's time of the latest change that moved a partition or
+  // removed an agent.
+  WallTime LatestChange() const;
+
+  // Returns the latest departure without a handover; the epoch when none is
+  // remembered.
+  WallTime LatestLoss() const;
+
   bool operator==(const PartitionTable&) const = default;
 };
 
--- a/dispatch/table_codec.cc
+++ b/dispatch/table_codec.cc
@@ -112,7 +112,7 @@
   Require(json.at("partitions").size() <= kMaxPartitions,
           "there are too many partitions");
   for (const Json& item : json.at("partitions")) {
-    Require(item.is_array() && item.size() == 7, "a partition needs 7 fields");
+    Require(item.is_array() && item.size() == 8, "a partition needs 8 fields");
     Partition partition;
     if (item[0].get<int64_t>() >= 0) {
       const Member& owner = At(table.m_members, item[0]);
@@ -128,6 +128,7 @@
     partition.m_previous_rack = At(racks, item[4]);
     partition.m_previous_since = At(times, item[5]);
     partition.m_moved_alive = item[6].get<int>() != 0;
+    partition.m_moved_at = At(times, item[7]);
     table.m_partitions.push_back(std::move(partition));
   }
 }
@@ -181,7 +182,8 @@
     partitions.push_back(Json::array(
         {owner, item.m_epoch, time(item.m_owner_since),
          time(item.m_unknown_before), racks.Add(item.m_previous_rack),
-         time(item.m_previous_since), item.m_moved_alive ? 1 : 0}));
+         time(item.m_previous_since), item.m_moved_alive ? 1 : 0,
+         time(item.m_moved_at)}));
   }
   json["times"] = times.values();
   json["racks"] = racks.values();
--- a/dispatch/takeover.cc
+++ b/dispatch/takeover.cc
@@ -11,21 +11,13 @@
 // An agent that refused knows a newer table, which arrives here soon.
 constexpr Milliseconds kRefusedDelay{1000};
 
-// Returns the latest unclean departure, whichever rack it was in.
-WallTime LatestLoss(const PartitionTable& table) {
-  WallTime latest;
-  for (const DepartedMember& departed : table.m_departed) {
-    if (!departed.m_clean) {
-      latest = std::max(latest, departed.m_departed_at);
-    }
-  }
-  return latest;
-}
-
-bool IsCleanlyDeparted(const PartitionTable& table, const ProcessId& id) {
-  return std::any_of(table.m_departed.begin(), table.m_departed.end(),
-                     [&](const DepartedMember& departed) {
-                       return departed.m_id == id && departed.m_clean;
+// True when an agent of `before` has left cleanly by `after`.
+bool HasCleanLeaver(const PartitionTable& before, const PartitionTable& after) {
+  return std::any_of(before.m_members.begin(), before.m_members.end(),
+                     [&](const Member& member) {
+                       return member.m_role == MemberRole::kAgent &&
+                              after.Find(member.m_id) == nullptr &&
+                              after.LeftCleanlyAt(member.m_id);
                      });
 }
 
@@ -46,6 +38,8 @@
     gain.m_unknown_before = partition.m_unknown_before;
     round.m_gains[id] = gain;
   }
+  // Agents may have been lost after the move and before this table.
+  CountLostSinceMove(round);
   AwaitAllAgents(now, round);
   m_rounds[m_next_round++] = std::move(round);
 }
@@ -59,46 +53,62 @@
   }
 }
 
+void Takeovers::Recheck(MonoTime now,
+                        const std::map<PartitionId, WallTime>& partitions) {
+  if (partitions.empty()) {
+    return;
+  }
+  Round round;
+  for (const auto& [id, unknown_before] : partitions) {
+    Gain gain;
+    gain.m_epoch = m_table->m_partitions[id].m_epoch;
+    gain.m_history = unknown_before;
+    gain.m_rechecked = true;
+    round.m_gains[id] = gain;
+  }
+  AwaitAllAgents(now, round);
+  m_rounds[m_next_round++] = std::move(round);
+}
+
 void Takeovers::SetTable(MonoTime now,
                          std::shared_ptr<const PartitionTable> table) {
+  const bool restart = m_table != nullptr && HasCleanLeaver(*m_table, *table);
   m_table = std::move(table);
   std::map<uint64_t, Round> rounds;
   for (auto& [id, round] : std::exchange(m_rounds, {})) {
-    const bool restarted = RemoveGoneAgents(now, round);
-    // Replies to the commands of the old round must not count.
-    rounds[restarted ? m_next_round++ : id] = std::move(round);
+    RemoveGoneAgents(round);
+    // The records of the one that left may be at agents that replied before
+    // they had them. Replies to commands of the old round must not count.
+    if (restart) {
+      AwaitAllAgents(now, round);
+    }
+    rounds[restart ? m_next_round++ : id] = std::move(round);
   }
   m_rounds = std::move(rounds);
 }
 
-bool Takeovers::RemoveGoneAgents(MonoTime now, Round& round) const {
-  bool left_cleanly = false;
+void Takeovers::RemoveGoneAgents(Round& round) const {
   bool lost = false;
   std::erase_if(round.m_awaited, [&](const auto& item) {
-    if (m_table->Find(item.first) != nullptr) {
-      return false;
-    }
-    const bool clean = IsCleanlyDeparted(*m_table, item.first);
-    left_cleanly = left_cleanly || clean;
-    lost = lost || !clean;
-    return true;
+    const bool gone = m_table->Find(item.first) == nullptr;
+    lost = lost || (gone && !m_table->LeftCleanlyAt(item.first));
+    return gone;
   });
   if (lost) {
-    OnAgentLost(round);
-  }
-  // Its records may have gone to agents that replied before they had them.
-  if (left_cleanly) {
-    AwaitAllAgents(now, round);
+    CountLostSinceMove(round);
   }
-  return left_cleanly;
 }
 
-void Takeovers::OnAgentLost(Round& round) const {
+void Takeovers::CountLostSinceMove(Round& round) const {
   for (auto& [id, gain] : round.m_gains) {
     const Partition& partition = m_table->m_partitions[id];
+    std::vector<DepartedMember> lost = m_table->m_departed;
+    std::erase_if(lost, [&](const DepartedMember& departed) {
+      return departed.m_departed_at < partition.m_moved_at;
+    });
     gain.m_unknown_before =
         std::max(gain.m_unknown_before,
-                 UnknownBefore(m_table->m_departed, partition.m_previous_rack,
+                 UnknownBefore(lost, partition.m_previous_rack,
                                partition.m_previous_since));
   }
 }
@@ -132,6 +142,7 @@
   for (const PartitionHistory& history : reply.m_histories) {
     const auto gain = round.m_gains.find(history.m_partition);
     if (gain != round.m_gains.end() &&
+        !gain->second.m_rechecked &&
         history.m_epoch + 1 == gain->second.m_epoch) {
       gain->second.m_history = history.m_unknown_before;
     }
@@ -183,17 +194,16 @@
 std::optional<WallTime> Takeovers::UnknownBeforeOf(PartitionId partition,
                                                    const Gain& gain,
                                                    const ChangeLog& log) const {
-  const Partition& entry = m_table->m_partitions[partition];
-  if (!entry.m_moved_alive) {
-    return log.InForce(gain.m_unknown_before);
-  }
   // An owner that lives has copies of what any other member lost.
   if (gain.m_history) {
     return gain.m_history;
   }
   // The owner before may not have finished its own takeover, and then no one
   // knows whether it had the records of the members that are gone.
-  return log.InForce(std::max(gain.m_unknown_before, LatestLoss(*m_table)));
+  const bool incomplete = m_table->m_partitions[partition].m_moved_alive;
+  return log.InForce(incomplete ? std::max(gain.m_unknown_before,
+                                           m_table->LatestLoss())
+                                : gain.m_unknown_before);
 }
 
 std::vector<Takeovers::Served> Takeovers::TakeCompleted(const ChangeLog& log) {
--- a/dispatch/takeover.h
+++ b/dispatch/takeover.h
@@ -25,6 +25,11 @@
              std::shared_ptr<const PartitionTable> table,
              const std::vector<PartitionId>& partitions);
 
+  // Starts a round for partitions that this process serves, because an agent
+  // left cleanly whose records are elsewhere now. Each has its unknown_before.
+  void Recheck(MonoTime now,
+               const std::map<PartitionId, WallTime>& partitions);
+
   // Takes a newer table, in which this process still owns the partitions.
   void SetTable(MonoTime now, std::shared_ptr<const PartitionTable> table);
 
@@ -55,8 +60,9 @@
     Epoch m_epoch = 0;
     // Proposal time of the latest change that makes older keys unknown.
     WallTime m_unknown_before;
-    // What the owner before told, when it was alive.
+    // What the owner before told, when it was alive, or what this one knew.
     std::optional<WallTime> m_history;
+    bool m_rechecked = false;
   };
   struct Round {
     std::map<PartitionId, Gain> m_gains;
@@ -66,9 +72,10 @@
   };
 
   void AwaitAllAgents(MonoTime now, Round& round) const;
-  // Returns true when the round starts again.
-  bool RemoveGoneAgents(MonoTime now, Round& round) const;
-  void OnAgentLost(Round& round) const;
+  void RemoveGoneAgents(Round& round) const;
+  // Agents lost after a partition moved and before they told their records
+  // make keys unknown like those lost before.
+  void CountLostSinceMove(Round& round) const;
   std::optional<WallTime> UnknownBeforeOf(PartitionId partition,
                                           const Gain& gain,
                                           const ChangeLog& log) const;
--- /dev/null
+++ b/tests/dispatch/at_most_once_test.cc
@@ -0,0 +1,116 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <map>
+
+#include "tests/dispatch/world.h"
+
+namespace comfreyshift {
+namespace {
+
+constexpr int kCases = 1000;
+
+// One random step: what happens, on which of the things there are, and how long
+// the world runs after it.
+struct RandomStep {
+  uint32_t m_kind = 0;
+  uint32_t m_pick = 0;
+  uint32_t m_milliseconds = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const RandomStep& step) {
+  return out << "{" << step.m_kind << ", " << step.m_pick << ", "
+             << step.m_milliseconds << "}";
+}
+
+// Short waits are the most frequent: faults shall overlap.
+rc::Gen<RandomStep> StepGen() {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange(0U, 24U), rc::gen::inRange(0U, 60U),
+                     rc::gen::inRange(0U, 10U), rc::gen::inRange(0U, 900U)),
+      [](const std::tuple<uint32_t, uint32_t, uint32_t, uint32_t>& values) {
+        const auto [kind, pick, length, wait] = values;
+        return RandomStep{kind, pick, length == 0 ? wait * 8 : wait};
+      });
+}
+
+void Apply(World& world, const RandomStep& step) {
+  using Operation = void (*)(World&, uint32_t);
+  static constexpr Operation kOperations[] = {
+      [](World& world, uint32_t pick) { world.Kill(pick); },
+      [](World& world, uint32_t pick) { world.KillRack(pick); },
+      [](World& world, uint32_t pick) { world.Cut(pick); },
+      [](World& world, uint32_t pick) { world.Cut(pick); },
+      [](World& world, uint32_t) { world.HealCuts(); },
+      [](World& world, uint32_t pick) { world.Pause(pick); },
+      [](World& world, uint32_t) { world.Resume(); },
+      [](World& world, uint32_t pick) { world.DeclareDead(pick); },
+      [](World& world, uint32_t pick) { world.DeclareDead(pick); },
+      [](World& world, uint32_t) { world.Rejoin(); },
+      [](World& world, uint32_t) { world.Rejoin(); },
+      [](World& world, uint32_t pick) { world.Leave(pick); },
+      [](World& world, uint32_t pick) { world.EditInventory(pick); },
+      [](World& world, uint32_t pick) { world.EditInventory(pick); },
+      [](World& world, uint32_t pick) { world.CancelJob(pick); },
+      [](World& world, uint32_t pick) { world.Resubmit(pick); },
+      [](World& world, uint32_t pick) { world.Resubmit(pick); },
+  };
+  if (step.m_kind < std::size(kOperations)) {
+    kOperations[step.m_kind](world, step.m_pick);
+  } else {
+    world.Submit(step.m_pick);
+  }
+  world.Advance(Milliseconds(step.m_milliseconds));
+}
+
+// Guards all guarantees of the design page that the dispatch library keeps, in
+// random sequences of faults; World lists them as checks.
+TEST(AtMostOnceTest, GuaranteesHoldUnderRandomFaults) {
+  rc::detail::TestParams params = rc::detail::configuration().testParams;
+  const char* environment = std::getenv("RC_PARAMS");
+  const bool chosen = environment != nullptr &&
+                      std::string(environment).find("max_success") !=
+                          std::string::npos;
+  if (!chosen) {
+    params.maxSuccess = kCases;
+  }
+  std::map<std::string, int> answers;
+  size_t starts = 0;
+  const std::vector<std::vector<std::string>> layouts = {
+      {"r0", "r0", "r1", "r1", "r2"}, {"r0", "r1", "r2"}, {"r0", "r1", "r1"},
+      {"r0", "r0"}};
+  const auto property = [&] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    const auto& racks = layouts[*rc::gen::inRange<size_t>(0, layouts.size())];
+    const auto steps = *rc::gen::container<std::vector<RandomStep>>(StepGen());
+    World world(seed, racks);
+    world.Advance(Milliseconds(600));
+    for (const RandomStep& step : steps) {
+      Apply(world, step);
+    }
+    world.Finish();
+    for (const auto& [name, count] : world.answers()) {
+      answers[name] += count;
+    }
+    starts += world.starts();
+    std::string text;
+    for (const std::string& problem : world.problems()) {
+      text += problem + "\n";
+    }
+    RC_ASSERT(text == "");
+  };
+  const auto result =
+      rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
+  std::cout << "starts: " << starts;
+  for (const auto& [name, count] : answers) {
+    std::cout << ", " << name << ": " << count;
+  }
+  std::cout << std::endl;
+  std::ostringstream message;
+  rc::detail::printResultMessage(result, message);
+  EXPECT_TRUE(result.is<rc::detail::SuccessResult>()) << message.str();
+}
+
+}  // namespace
+}  // namespace comfreyshift
--- /dev/null
+++ b/tests/dispatch/world_checks.cc
@@ -0,0 +1,361 @@
+#include <algorithm>
+#include <utility>
+
+#include "tests/dispatch/world.h"
+
+namespace comfreyshift {
+
+namespace {
+
+constexpr Milliseconds kFreshness = std::chrono::seconds(5);
+constexpr Milliseconds kResubmitInterval{400};
+constexpr Milliseconds kDeadline = std::chrono::seconds(20);
+constexpr Milliseconds kFinishTime = std::chrono::seconds(70);
+constexpr WallTime kWall(Milliseconds(1'796'378'400'000));
+
+}  // namespace
+
+void World::Submit(uint32_t pick) {
+  Job job;
+  Submission& submission = job.m_submission;
+  // The caller's clock is within the allowed error of all others.
+  submission.m_first_sent =
+      kWall + std::chrono::duration_cast<Milliseconds>(m_now - m_began) +
+      Milliseconds(Random(4800)) - Milliseconds(2400);
+  submission.m_key =
+      SubmissionKey::Make(submission.m_first_sent, m_random(), m_random());
+  submission.m_client = "c" + std::to_string(pick % 2);
+  submission.m_tasks.resize(1 + pick % 5);
+  for (TaskSpec& task : submission.m_tasks) {
+    task.m_request = "r";
+  }
+  const SubmissionKey key = submission.m_key;
+  m_keys.push_back(key);
+  m_jobs[key] = std::move(job);
+  Resubmit(static_cast<uint32_t>(m_keys.size() - 1));
+}
+
+void World::Resubmit(uint32_t pick) {
+  if (m_keys.empty()) {
+    return;
+  }
+  // A random process, with the table that it has, stands for any entry.
+  const SubmissionKey key = m_keys[pick % m_keys.size()];
+  const auto entry = std::next(m_processes.begin(),
+                               static_cast<int>(Random(m_processes.size())));
+  const PartitionTable& table =
+      m_configs[entry->second.m_revision].m_table;
+  const Partition& partition =
+      table.m_partitions[key.Partition(
+          static_cast<uint32_t>(table.m_partitions.size()))];
+  if (partition.m_owner) {
+    SendSubmission(key, *partition.m_owner);
+  }
+}
+
+void World::SendSubmission(SubmissionKey key, const ProcessId& to) {
+  const int copies = m_faults && Chance(15) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    At(m_now + Delay(), [=, this] {
+      RunAt(to, [=, this](Process& process) {
+        Job& job = m_jobs.at(key);
+        Submission submission = job.m_submission;
+        submission.m_deadline = m_now + kDeadline;
+        const SubmitResult result = process.m_owner->Submit(
+            m_now, WallOf(process), std::move(submission));
+        if (const auto* answered = std::get_if<SubmitAnswered>(&result)) {
+          CheckAnswer(key, answered->m_answer);
+          job.m_answered = job.m_answered || process.m_side == 0;
+        } else if (std::holds_alternative<SubmitAccepted>(result)) {
+          job.m_attached.insert(to);
+        }
+      });
+    });
+  }
+}
+
+// Callers whose owner is gone, cut off or has dropped the job submit again.
+void World::CallersResubmit() {
+  At(m_now + kResubmitInterval, [this] { CallersResubmit(); });
+  for (auto& [key, job] : m_jobs) {
+    const auto reachable = [this](const ProcessId& id) {
+      const Process* process = Find(id);
+      return process != nullptr && process->m_side == 0;
+    };
+    if (job.m_answered || std::any_of(job.m_attached.begin(),
+                                      job.m_attached.end(), reachable)) {
+      continue;
+    }
+    const auto& partitions = current().m_table.m_partitions;
+    const Partition& partition = partitions[key.Partition(
+        static_cast<uint32_t>(partitions.size()))];
+    if (partition.m_owner && reachable(*partition.m_owner)) {
+      SendSubmission(key, *partition.m_owner);
+    }
+  }
+}
+
+void World::CancelJob(uint32_t pick) {
+  if (m_keys.empty()) {
+    return;
+  }
+  const SubmissionKey key = m_keys[pick % m_keys.size()];
+  for (const ProcessId& id : m_jobs.at(key).m_attached) {
+    At(m_now + Delay(), [=, this] {
+      RunAt(id, [=, this](Process& process) {
+        process.m_owner->Cancel(m_now, key);
+      });
+    });
+  }
+}
+
+void World::Kill(uint32_t pick) {
+  if (Process* process = PickListed(pick)) {
+    Stop(*process, false);
+  }
+}
+
+void World::KillRack(uint32_t pick) {
+  const Process* first = PickListed(pick);
+  for (auto& [id, process] : m_processes) {
+    if (first != nullptr && process.m_member.m_rack == first->m_member.m_rack) {
+      Stop(process, false);
+    }
+  }
+}
+
+void World::Cut(uint32_t pick) {
+  if (Process* process = PickListed(pick)) {
+    process->m_side = 1;
+  }
+}
+
+void World::HealCuts() {
+  for (auto& [id, process] : m_processes) {
+    if (std::exchange(process.m_side, 0) == 0) {
+      continue;
+    }
+    // The callers' connections to it broke.
+    for (auto& [key, job] : m_jobs) {
+      job.m_attached.erase(id);
+    }
+  }
+}
+
+void World::Pause(uint32_t pick) {
+  if (Process* process = PickListed(pick)) {
+    process->m_paused = true;
+  }
+}
+
+void World::Resume() {
+  for (auto& [id, process] : m_processes) {
+    process.m_paused = false;
+  }
+}
+
+void World::DeclareDead(uint32_t pick) {
+  // Dead members go first; without one, a member is suspected falsely.
+  TableChange change;
+  for (const Member& member : current().m_table.m_members) {
+    if (Find(member.m_id) == nullptr) {
+      change.m_dead.push_back(member.m_id);
+    }
+  }
+  const Process* process = PickListed(pick);
+  if (change.m_dead.empty() && process != nullptr && !process->m_leaving) {
+    change.m_dead.push_back(process->m_member.m_id);
+  }
+  if (!change.m_dead.empty()) {
+    Change(change);
+  }
+}
+
+void World::Rejoin() {
+  TableChange change;
+  for (const Member& member : std::exchange(m_waiting_to_join, {})) {
+    change.m_joining.push_back(member);
+    const ProcessId old{member.m_id.m_name, member.m_id.m_incarnation - 1};
+    if (current().m_table.Find(old) != nullptr) {
+      change.m_dead.push_back(old);
+    }
+  }
+  if (change.m_joining.empty()) {
+    return;
+  }
+  Change(change);
+  for (const Member& member : change.m_joining) {
+    StartProcess(member);
+  }
+}
+
+void World::Leave(uint32_t pick) {
+  Process* process = PickListed(pick);
+  if (process == nullptr || process->m_leaving || process->m_side != 0) {
+    return;
+  }
+  process->m_leaving = true;
+  process->m_owner->StartDraining(m_now);
+  process->m_starter->StartDraining(m_now);
+  TryLeave(process->m_member.m_id);
+}
+
+void World::TryLeave(const ProcessId& id) {
+  Process* process = Find(id);
+  if (process == nullptr || current().m_table.Find(id) == nullptr) {
+    return;
+  }
+  const bool last = current().m_table.m_members.size() == 1;
+  if (process->m_paused || process->m_side != 0 || last ||
+      !process->m_owner->drained() || process->m_starter->running() > 0 ||
+      process->m_revision + 1 != m_configs.size()) {
+    At(m_now + Milliseconds(100), [=, this] { TryLeave(id); });
+    return;
+  }
+  std::vector<StartRecord> records = process->m_owner->Records();
+  for (StartRecord& record : process->m_starter->Records()) {
+    records.push_back(std::move(record));
+  }
+  bool kept = true;
+  for (const SendAdopt& adopt :
+       PlanHandover(current().m_table, id, std::move(records))) {
+    Process* holder = Find(adopt.m_to);
+    kept = kept && holder != nullptr && !holder->m_paused &&
+           holder->m_side == 0 &&
+           holder->m_starter->OnAdopt(WallOf(*holder), adopt.m_command);
+  }
+  if (!kept) {
+    At(m_now + Milliseconds(100), [=, this] { TryLeave(id); });
+    return;
+  }
+  m_left_cleanly = true;
+  TableChange change;
+  change.m_leaving_cleanly.push_back(id);
+  Change(change);
+}
+
+void World::EditInventory(uint32_t pick) {
+  Inventory inventory = current().m_inventory;
+  const uint32_t number = pick / 3;
+  if (pick % 3 == 0) {
+    auto zone = std::next(inventory.m_zones.begin(),
+                          number % static_cast<int>(inventory.m_zones.size()));
+    zone->second.m_open = !zone->second.m_open;
+  } else if (pick % 3 == 1) {
+    auto target =
+        std::next(inventory.m_targets.begin(),
+                  number % static_cast<int>(inventory.m_targets.size()));
+    const bool active = target->second.m_lifecycle == Lifecycle::kActive;
+    target->second.m_lifecycle =
+        active ? Lifecycle::kLeaving : Lifecycle::kActive;
+  } else {
+    Client& client = inventory.m_clients["c" + std::to_string(number % 2)];
+    const bool active = client.m_lifecycle == Lifecycle::kActive;
+    client.m_lifecycle = active ? Lifecycle::kRetired : Lifecycle::kActive;
+  }
+  AddConfig(current().m_table, std::move(inventory));
+}
+
+void World::CheckStart(const Process& process, const RunTask& run) {
+  const std::string where = process.m_member.m_target + " of " +
+                            process.m_member.m_id.m_name;
+  const auto [found, first] = m_starts.try_emplace(run.m_task, where);
+  const std::string task = run.m_task.m_key.ToString() + " task " +
+                           std::to_string(run.m_task.m_index);
+  if (!first) {
+    Problem(task + " started at " + found->second + " and again at " + where);
+  }
+  if (m_jobs.at(run.m_task.m_key).m_not_run) {
+    Problem(task + " started after its caller was told \"not run\"");
+  }
+  // Allowed by the configuration in force, or by a newer one.
+  for (auto config = m_configs.rbegin(); config != m_configs.rend(); ++config) {
+    if (!config->m_inventory.CheckStart(run.m_client,
+                                        process.m_member.m_target)) {
+      return;
+    }
+    if (config->m_confirmed_at + kFreshness < m_now) {
+      break;
+    }
+  }
+  Problem(task + " started at " + where +
+          " although it is closed for it longer than F");
+}
+
+void World::CheckAnswer(const SubmissionKey& key, const JobAnswer& answer) {
+  Job& job = m_jobs.at(key);
+  const auto first = m_starts.lower_bound(TaskRef{key, 0});
+  const bool started = first != m_starts.end() && first->first.m_key == key;
+  if (const auto* complete = std::get_if<JobComplete>(&answer)) {
+    ++m_answer_counts["complete"];
+    if (complete->m_answers.size() != job.m_submission.m_tasks.size()) {
+      Problem(key.ToString() + " has a partial answer");
+    }
+    for (uint32_t i = 0; i < complete->m_answers.size(); ++i) {
+      const std::string wanted = key.ToString() + "#" + std::to_string(i);
+      if (complete->m_answers[i].m_body != wanted ||
+          !complete->m_answers[i].ok()) {
+        Problem(wanted + " has the answer of another task");
+      }
+    }
+  } else if (const auto* failed = std::get_if<JobFailed>(&answer)) {
+    ++m_answer_counts[std::string(ToString(failed->m_failure))];
+    if (failed->m_failure == JobFailure::kUnknownMayHaveRun) {
+      job.m_unknown = true;
+    }
+  } else {
+    ++m_answer_counts["not_run"];
+    job.m_not_run = true;
+    if (started) {
+      Problem(key.ToString() + " was answered \"not run\" after a start");
+    }
+  }
+}
+
+// After losses in one rack only, with agents in another, a job may end unknown when a task of it was
+// out at a lost process, or when its target broke the connection.
+void World::CheckUnknown(const Job& job) {
+  const bool excused = !job.m_unknown || job.m_injected_loss ||
+                       m_lost_racks.size() > 1 || m_had_one_rack ||
+                       (m_left_cleanly && !m_lost_racks.empty());
+  if (excused) {
+    return;
+  }
+  const bool was_out = std::any_of(
+      m_calls.begin(), m_calls.end(), [&](const std::shared_ptr<Call>& call) {
+        return call->m_key == job.m_submission.m_key && !call->m_replied &&
+               m_lost.contains(call->m_to);
+      });
+  if (!was_out) {
+    Problem(job.m_submission.m_key.ToString() +
+            " ended unknown after the loss of one rack only");
+  }
+}
+
+void World::Finish() {
+  m_faults = false;
+  HealCuts();
+  Resume();
+  Inventory inventory = current().m_inventory;
+  for (auto& [name, zone] : inventory.m_zones) {
+    zone.m_open = true;
+  }
+  for (auto& [name, target] : inventory.m_targets) {
+    target.m_lifecycle = Lifecycle::kActive;
+  }
+  for (auto& [name, client] : inventory.m_clients) {
+    client.m_lifecycle = Lifecycle::kActive;
+  }
+  AddConfig(current().m_table, std::move(inventory));
+  Advance(std::chrono::seconds(1));
+  Rejoin();
+  Advance(kFinishTime);
+  for (const auto& [key, job] : m_jobs) {
+    if (!job.m_answered) {
+      Problem(key.ToString() + " was never answered");
+    }
+    CheckUnknown(job);
+  }
+}
+
+}  // namespace comfreyshift
