--- a/placement/target_health.cc
+++ b/placement/target_health.cc
@@ -7,8 +7,8 @@
 
 constexpr float kAnswerWeight = 1.0F / 4;
 
-// Five failures in a row reach this share.
-constexpr float kEjectAbove = 0.75F;
+// Three failures in a row reach this share.
+constexpr float kEjectAbove = 0.55F;
 
 constexpr Microseconds kFirstEjection = std::chrono::seconds(5);
 constexpr Microseconds kLongestEjection = std::chrono::seconds(60);
