--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -3,7 +3,7 @@
 //
 // usage: placement_bench [--seeds N] [--seconds N] [--scenario NAME]
 //                        [--deployment NAME] [--policy NAME]
-//                        [--bound no]
+//                        [--bound no] [--part placement|admission|cost]
 
 #include <algorithm>
 #include <array>
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "bench/placement_bench_admission.h"
 #include "bench/placement_bench_central.h"
 #include "bench/placement_bench_policies.h"
 #include "bench/placement_bench_sim.h"
@@ -35,6 +36,8 @@
   std::string m_deployment;
   std::string m_policy;
   bool m_bound = true;
+  // What to run: "placement", "admission", "cost", or all when empty.
+  std::string m_part;
 };
 
 const std::vector<Scenario>& Scenarios() {
@@ -173,6 +176,19 @@
   explicit Bench(Options options) : m_options(std::move(options)) {}
 
   void Run() {
+    if (Selected(m_options.m_part, "cost")) {
+      RunCosts(kFirstSeed);
+    }
+    if (Selected(m_options.m_part, "admission")) {
+      RunAdmission(kFirstSeed);
+    }
+    if (Selected(m_options.m_part, "placement")) {
+      RunPlacement();
+    }
+  }
+
+ private:
+  void RunPlacement() {
     for (const Deployment& deployment : Deployments()) {
       for (const Scenario& scenario : Scenarios()) {
         if (Selected(m_options.m_deployment, deployment.m_name) &&
@@ -183,7 +199,6 @@
     }
   }
 
- private:
   static bool Selected(const std::string& option, const std::string& name) {
     return option.empty() || option == name;
   }
@@ -285,6 +300,8 @@
       options.m_deployment = value;
     } else if (name == "--policy") {
       options.m_policy = value;
+    } else if (name == "--part") {
+      options.m_part = value;
     } else if (name == "--bound") {
       options.m_bound = value != "no";
     } else {
@@ -302,7 +319,7 @@
   if (!options) {
     std::cerr << "usage: placement_bench [--seeds N] [--seconds N] "
                  "[--scenario NAME] [--deployment NAME] [--policy NAME] "
-                 "[--bound no]\n";
+                 "[--bound no] [--part placement|admission|cost]\n";
     return 2;
   }
   comfreyshift::bench::Bench(*options).Run();
--- a/placement/placement.h
+++ b/placement/placement.h
@@ -4,7 +4,9 @@
 // Public header of the placement library: which target gets a task, and which
 // tasks are admitted at all.
 
+#include "placement/admission.h"
 #include "placement/placer.h"
+#include "placement/retry_budget.h"
 #include "placement/start_queue.h"
 
 #endif  // PLACEMENT_PLACEMENT_H_
