--- /dev/null
+++ b/tests/placement/placer_test.cc
@@ -0,0 +1,304 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+#include "placement/placement.h"
+
+namespace comfreyshift {
+namespace {
+
+constexpr MonoTime kNow{};
+constexpr uint32_t kSlots = 8;
+
+std::vector<PlacementTarget> MakeTargets(uint32_t count) {
+  std::vector<PlacementTarget> targets(count);
+  for (uint32_t i = 0; i < count; ++i) {
+    targets[i].m_name = "target-" + std::to_string(i);
+    targets[i].m_agent = {"agent-" + std::to_string(i), 1};
+    targets[i].m_slots = kSlots;
+    targets[i].m_link_delay = Milliseconds(1);
+  }
+  return targets;
+}
+
+Placer MakePlacer(uint32_t count) {
+  Placer placer(1);
+  placer.SetTargets(kNow, MakeTargets(count));
+  return placer;
+}
+
+PlacementRequest ManyTasks() {
+  PlacementRequest request;
+  request.m_tasks_left = 1000;
+  return request;
+}
+
+LoadReport Load(uint32_t running, uint32_t queued) {
+  LoadReport load;
+  load.m_running = running;
+  load.m_queued = queued;
+  load.m_slots = kSlots;
+  return load;
+}
+
+void Finish(Placer& placer, MonoTime now, TargetIndex target, bool ok) {
+  placer.OnSent(now, target);
+  placer.OnDone(now, target, ok ? Milliseconds(300) : Milliseconds(5), ok);
+}
+
+uint32_t Ejected(const Placer& placer, MonoTime now, uint32_t count) {
+  uint32_t ejected = 0;
+  for (TargetIndex i = 0; i < count; ++i) {
+    ejected += placer.ejected(now, i) ? 1 : 0;
+  }
+  return ejected;
+}
+
+// Guards against a start in a closed zone or on the owner's own rack, against
+// outstanding counts that wrap below 0 and make a target look full for ever,
+// and against ejecting so many targets that the rest is overloaded.
+TEST(PlacerTest, AnyEventsKeepRulesCountsAndEjectionCap) {
+  rc::check([] {
+    const auto count = *rc::gen::inRange<uint32_t>(1, 100);
+    Placer placer = MakePlacer(count);
+    std::vector<uint32_t> outstanding(count);
+    std::vector<bool> allowed(count);
+    for (uint32_t i = 0; i < count; ++i) {
+      allowed[i] = *rc::gen::inRange(0, 3) > 0;
+    }
+    MonoTime now = kNow;
+    for (int step = 0; step < 200; ++step) {
+      now += Milliseconds(*rc::gen::inRange(0, 500));
+      const auto target = *rc::gen::inRange<uint32_t>(0, count);
+      const auto event = *rc::gen::inRange(0, 6);
+      PlacementRequest request;
+      request.m_allowed = &allowed;
+      request.m_tasks_left = *rc::gen::inRange(1, 441);
+      if (event < 3) {
+        const auto chosen = placer.Choose(now, request);
+        if (chosen) {
+          RC_ASSERT(allowed[*chosen]);
+          placer.OnSent(now, *chosen);
+          ++outstanding[*chosen];
+        }
+      } else if (event == 3) {
+        placer.OnDone(now, target, Milliseconds(100),
+                      *rc::gen::inRange(0, 2) > 0);
+        outstanding[target] -= outstanding[target] > 0 ? 1 : 0;
+      } else if (event == 4) {
+        placer.OnNotStarted(now, target);
+        outstanding[target] -= outstanding[target] > 0 ? 1 : 0;
+      } else {
+        placer.OnLoad(now, target,
+                      Load(*rc::gen::inRange(0, 9), *rc::gen::inRange(0, 9)));
+      }
+      RC_ASSERT(placer.outstanding(target) == outstanding[target]);
+      RC_ASSERT(3 * Ejected(placer, now, count) <= count);
+    }
+  });
+}
+
+// Guards against a sample of many targets that misses the few a client may use.
+TEST(PlacerTest, FindsTheOnlyAllowedTargetOfMany) {
+  Placer placer = MakePlacer(2400);
+  std::vector<bool> allowed(2400, false);
+  allowed[1777] = true;
+  PlacementRequest request;
+  request.m_allowed = &allowed;
+  EXPECT_EQ(placer.Choose(kNow, request), TargetIndex{1777});
+  allowed[1777] = false;
+  EXPECT_EQ(placer.Choose(kNow, request), std::nullopt);
+}
+
+// Guards against a target that fails everything fast and so attracts work, and
+// against its return without a probe.
+TEST(PlacerTest, FailingTargetIsEjectedAndProbedBeforeItReturns) {
+  Placer placer = MakePlacer(4);
+  for (TargetIndex i = 0; i < 4; ++i) {
+    Finish(placer, kNow, i, true);
+  }
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_FALSE(placer.ejected(kNow, 0)) << "after " << i << " failures";
+    Finish(placer, kNow, 0, false);
+  }
+  EXPECT_TRUE(placer.ejected(kNow, 0));
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = placer.Choose(kNow, ManyTasks());
+    ASSERT_TRUE(chosen.has_value());
+    EXPECT_NE(*chosen, 0U);
+    Finish(placer, kNow, *chosen, true);
+  }
+  std::vector<bool> allowed = {true, false, false, false};
+  PlacementRequest request = ManyTasks();
+  request.m_allowed = &allowed;
+  const MonoTime later = kNow + std::chrono::seconds(6);
+  ASSERT_EQ(placer.Choose(later, request), TargetIndex{0});
+  placer.OnSent(later, 0);
+  EXPECT_EQ(placer.Choose(later, request), std::nullopt)
+      << "a second task was sent before the probe came back";
+  placer.OnDone(later, 0, Milliseconds(300), true);
+  placer.OnSent(later, 0);
+  EXPECT_TRUE(placer.Choose(later, request).has_value());
+}
+
+// Guards against a probe that fails and still lets work through, and against
+// probes at a constant rate.
+TEST(PlacerTest, FailedProbeEjectsForLonger) {
+  Placer placer = MakePlacer(4);
+  for (int i = 0; i < 3; ++i) {
+    Finish(placer, kNow, 0, false);
+  }
+  const MonoTime probe = kNow + std::chrono::seconds(6);
+  // Without good answers of others, all targets would seem to fail.
+  for (int i = 0; i < 64; ++i) {
+    Finish(placer, probe, 1, true);
+  }
+  Finish(placer, probe, 0, false);
+  EXPECT_TRUE(placer.ejected(probe + std::chrono::seconds(9), 0));
+  EXPECT_FALSE(placer.ejected(probe + std::chrono::seconds(11), 0));
+}
+
+// Guards against a bad job, which fails everywhere, taking all targets out.
+TEST(PlacerTest, FailuresEverywhereEjectAtMostAThird) {
+  Placer placer = MakePlacer(11);
+  for (int round = 0; round < 20; ++round) {
+    for (TargetIndex i = 0; i < 11; ++i) {
+      Finish(placer, kNow, i, false);
+    }
+  }
+  EXPECT_LE(Ejected(placer, kNow, 11), 3U);
+  EXPECT_TRUE(placer.Choose(kNow, ManyTasks()).has_value());
+}
+
+// Guards against fast failures that make a target look fast.
+TEST(PlacerTest, FailuresDoNotCountAsSpeed) {
+  Placer placer = MakePlacer(2);
+  for (int i = 0; i < 50; ++i) {
+    Finish(placer, kNow, 0, true);
+  }
+  const float before = placer.ExpectedRun(Milliseconds(0));
+  Finish(placer, kNow, 0, false);
+  EXPECT_EQ(placer.ExpectedRun(Milliseconds(0)), before);
+}
+
+// Guards against a load report that is older than the last starts: it made a
+// full target look empty, and a whole job went there.
+TEST(PlacerTest, StartsInFlightStayCountedAfterALoadReport) {
+  Placer placer = MakePlacer(1);
+  placer.OnLoad(kNow, 0, Load(kSlots, 0));
+  uint32_t sent = 0;
+  while (sent < 100 && placer.Choose(kNow, ManyTasks())) {
+    placer.OnSent(kNow, 0);
+    ++sent;
+    placer.OnLoad(kNow, 0, Load(kSlots, 0));
+  }
+  EXPECT_EQ(sent, 2U);
+}
+
+// Guards against binding a whole job to busy targets at once, where its tasks
+// wait although other slots get free.
+TEST(PlacerTest, TasksWaitAtTheOwnerWhileTheTargetIsFull) {
+  Placer placer = MakePlacer(1);
+  uint32_t sent = 0;
+  while (sent < 100 && placer.Choose(kNow, ManyTasks())) {
+    placer.OnSent(kNow, 0);
+    ++sent;
+  }
+  // The queued-ahead limit counts all sent tasks until a reply tells which of
+  // them run.
+  EXPECT_EQ(sent, kSlots);
+  LoadReport load = Load(kSlots, 0);
+  load.m_queued_of_owner = 0;
+  placer.OnLoad(kNow + Milliseconds(10), 0, load);
+  EXPECT_TRUE(placer.Choose(kNow + Milliseconds(10), ManyTasks()));
+}
+
+// Guards against a slow target that ends a job late.
+TEST(PlacerTest, LastTasksAvoidASlowTarget) {
+  Placer placer = MakePlacer(2);
+  for (int i = 0; i < 200; ++i) {
+    placer.OnSent(kNow, 0);
+    placer.OnDone(kNow, 0, Milliseconds(100), true);
+    placer.OnSent(kNow, 1);
+    placer.OnDone(kNow, 1, Milliseconds(400), true);
+  }
+  placer.OnLoad(kNow, 0, Load(kSlots, 60));
+  placer.OnLoad(kNow, 1, Load(0, 0));
+  EXPECT_NE(placer.Choose(kNow, PlacementRequest()), TargetIndex{1});
+  EXPECT_EQ(placer.Choose(kNow, ManyTasks()), TargetIndex{1});
+}
+
+// Guards against a loop of starts at a target that refuses, such as one in a
+// zone whose closing this owner has not learned yet.
+TEST(PlacerTest, RefusedStartsPauseTheTarget) {
+  Placer placer = MakePlacer(1);
+  MonoTime now = kNow;
+  uint32_t starts = 0;
+  for (; now < kNow + std::chrono::seconds(2); now += Milliseconds(3)) {
+    if (placer.Choose(now, ManyTasks())) {
+      placer.OnSent(now, 0);
+      placer.OnNotStarted(now, 0);
+      ++starts;
+    }
+  }
+  EXPECT_LE(starts, 6U);
+}
+
+// Guards against losing counts when the member list changes: the owner would
+// send a full load on top of what is running.
+TEST(PlacerTest, CountsFollowTheAgentWhenTargetsChange) {
+  Placer placer = MakePlacer(3);
+  placer.OnSent(kNow, 2);
+  std::vector<PlacementTarget> targets = MakeTargets(3);
+  std::swap(targets[0], targets[2]);
+  targets[1].m_agent.m_incarnation = 2;
+  placer.SetTargets(kNow, targets);
+  EXPECT_EQ(placer.outstanding(0), 1U);
+  EXPECT_EQ(placer.outstanding(2), 0U);
+}
+
+// Guards against declared run times that mislead: they count only as far as
+// they told the true ones.
+TEST(RunModelTest, UsesDeclarationsOnlyWhenTheyAreInformative) {
+  RunModel informed;
+  RunModel misled;
+  RunFactor first;
+  RunFactor second;
+  for (int i = 0; i < 2000; ++i) {
+    const Milliseconds run(100 << (i % 4));
+    informed.Learn(first, run, 3 * run);
+    misled.Learn(second, run, Milliseconds(100 << ((i / 4) % 4)));
+  }
+  EXPECT_GT(informed.slope(), 0.8F);
+  EXPECT_GT(informed.ExpectedRun(Milliseconds(2400)),
+            4 * informed.ExpectedRun(Milliseconds(300)));
+  EXPECT_LT(misled.slope(), 0.1F);
+}
+
+// Guards against an agent's queue that loses, repeats or reorders tasks.
+TEST(StartQueueTest, PopsByDueTimeThenArrival) {
+  rc::check([] {
+    StartQueue queue;
+    std::map<std::pair<int, StartId>, bool> model;
+    const auto dues =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
+    for (StartId id = 0; id < dues.size(); ++id) {
+      RC_ASSERT(queue.Push(id, kNow + Milliseconds(dues[id])));
+      RC_ASSERT(!queue.Push(id, kNow));
+      model[{dues[id], id}] = true;
+    }
+    for (StartId id = 0; id < dues.size(); id += 3) {
+      RC_ASSERT(queue.Remove(id));
+      RC_ASSERT(!queue.Remove(id));
+      model.erase({dues[id], id});
+    }
+    for (const auto& [key, queued] : model) {
+      RC_ASSERT(queue.Pop() == key.second);
+    }
+    RC_ASSERT(!queue.Pop());
+  });
+}
+
+}  // namespace
+}  // namespace comfreyshift
