--- a/tools/format.sh
+++ b/tools/format.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.h' '*.cc' | grep -v '\.capnp\.' | xargs -I{} sh -c '[ -e {} ] && echo {}' || true)
+mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.h' '*.cc' | grep -v '\.capnp\.' | xargs ls -d 2>/dev/null)
 if [ "${1:-}" = "--check" ]; then
   clang-format --dry-run --Werror "${files[@]}"
 else
