Add the operator commands and the load command

Cause: operators edit and watch the system from a command line that scripts can rely on, and every measurement of the whole path needs one open-loop load. Ruled out: repeating a lost edit under a new edit id, which could apply it twice; taking a later refusal for proof that a lost edit was not applied; GLib's millisecond timers for the load, which would count up to 1 ms as latency (timerfd instead); std::exponential_distribution, which differs between standard libraries. Before: no commands.

--- /dev/null
+++ b/cmake/cli.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(cli core settings inventory http nlohmann_json::nlohmann_json)
+comfreyshift_tests(cli cli)
