Merge the command line and the HTTP interface; add submit, cancel and new-key

Cause: the interim commands did not speak docs/api.md. Ruled out: types named alike in cli, dispatch and placement (one namespace, and the linker merges their members). Before: an interim submit. Conclusion: refusals now say whether they cover the submission or only this sending.

--- a/cli/submit.cc
+++ b/cli/submit.cc
@@ -1,15 +1,11 @@
-#include "cli/submit.h"
-
-#include <cstdio>
-#include <cxxopts.hpp>
-#include <fstream>
-#include <iostream>
+#include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
-#include <random>
-#include <string>
 
-#include "core/core.h"
-#include "http/http.h"
+#include "cli/caller_answer.h"
+#include "cli/command.h"
+#include "cli/command_line.h"
+#include "cli/connection.h"
 
 namespace comfreyshift {
 
@@ -17,180 +13,152 @@
 
 using Json = nlohmann::json;
 
-// Exit codes, as docs/api.md lists them.
-enum ExitCode {
-  kExitDone = 0,
-  kExitFailed = 1,
-  kExitUsage = 2,
-  kExitNotRun = 3,
-  kExitMayHaveRun = 4,
-  kExitUnavailable = 6,
-};
+constexpr const char* kDefaultEntry = "http://127.0.0.1:8080";
 
 // The answer may take a little longer than the job's own time-out.
 constexpr Milliseconds kAnswerGrace{2000};
-constexpr int kAttempts = 3;
-
-struct SubmitOptions {
-  std::string m_server;
-  std::string m_token;
-  std::string m_key;
-  std::string m_request;
-  std::string m_payload;
-  uint32_t m_tasks = 1;
-  Milliseconds m_timeout{30'000};
-  bool m_json = false;
-  bool m_quiet = false;
-};
 
-SubmissionKey NewKey() {
-  std::random_device device;
-  const auto word = [&device]() {
-    return (uint64_t{device()} << 32) | device();
-  };
-  const uint64_t high = word();
-  return SubmissionKey::Make(WallNow(), high, word());
+// Sendings of one submission whose answer was lost on the way.
+constexpr int kSendings = 3;
+
+void AddSubmitOptions(CommandLine& line) {
+  line.AddConnectionOptions(kDefaultEntry);
+  line.AddOptions()("key", "Submission key, a UUIDv7; a new one by default",
+                    cxxopts::value<std::string>()->default_value(""));
+  line.AddOptions()("request", "Name of the request",
+                    cxxopts::value<std::string>());
+  line.AddOptions()("payload", "Payload of each task",
+                    cxxopts::value<std::string>()->default_value(""));
+  line.AddOptions()("tasks", "Number of tasks",
+                    cxxopts::value<uint32_t>()->default_value("1"));
+  line.AddOptions()("quiet", "Print nothing when the job is complete");
 }
 
-std::string ReadToken(const std::string& path) {
-  std::ifstream file(path);
-  std::string token;
-  std::getline(file, token);
-  return token;
-}
-
-cxxopts::Options MakeOptions() {
-  cxxopts::Options options("comfreyshift submit",
-                           "Submits a job and waits for its whole answer.");
-  options.add_options()("server", "base URL of an entry for callers",
-                        cxxopts::value<std::string>())(
-      "token-file", "file with the client's token",
-      cxxopts::value<std::string>())(
-      "key", "submission key, a UUIDv7; a new one by default",
-      cxxopts::value<std::string>()->default_value(""))(
-      "request", "kind of request", cxxopts::value<std::string>())(
-      "payload", "text for each task",
-      cxxopts::value<std::string>()->default_value(""))(
-      "tasks", "number of tasks",
-      cxxopts::value<uint32_t>()->default_value("1"))(
-      "timeout-ms", "time for the whole job",
-      cxxopts::value<uint32_t>()->default_value("30000"))(
-      "json", "print the answer as JSON")("quiet", "print nothing on success")(
-      "help", "show this");
-  return options;
-}
-
-std::string JobBody(const SubmitOptions& options) {
+std::string JobBody(const CommandLine& line) {
+  const auto& values = line.values();
   Json tasks = Json::array();
-  for (uint32_t i = 0; i < options.m_tasks; ++i) {
-    tasks.push_back(
-        {{"request", options.m_request}, {"payload", options.m_payload}});
+  for (uint32_t i = 0; i < values["tasks"].as<uint32_t>(); ++i) {
+    tasks.push_back({{"request", values["request"].as<std::string>()},
+                     {"payload", values["payload"].as<std::string>()}});
   }
-  return Json{{"tasks", std::move(tasks)},
-              {"timeout_ms", options.m_timeout.count()}}
-      .dump();
+  return DumpJson({{"tasks", std::move(tasks)},
+                   {"timeout_ms", values["timeout-ms"].as<uint32_t>()}});
 }
 
-// Sends the job, and sends it again under its key when the connection breaks.
-HttpCallResult SendJob(HttpClient& client, const SubmitOptions& options) {
+// Sends the job, and sends it again under its key while the connection breaks
+// before the answer.
+HttpCallResult SendJob(Connection& connection,
+                       const CommandLine& line,
+                       const std::string& key) {
   HttpCall call;
   call.m_path = "/v1/jobs";
-  call.m_headers = {{"Authorization", "Bearer " + options.m_token},
-                    {"Idempotency-Key", options.m_key}};
-  call.m_body = JobBody(options);
-  call.m_deadline = BootClock::now() + options.m_timeout + kAnswerGrace;
-  for (int attempt = 1;; ++attempt) {
-    HttpCallResult result = client.SendAndWait(call);
-    if (result || attempt == kAttempts ||
-        result.error().m_failure != HttpCallFailure::kConnection) {
+  call.m_headers = connection.Headers();
+  call.m_headers["Idempotency-Key"] = key;
+  call.m_body = JobBody(line);
+  call.m_deadline = BootClock::now() +
+                    Milliseconds(line.values()["timeout-ms"].as<uint32_t>()) +
+                    kAnswerGrace;
+  for (int sending = 1;; ++sending) {
+    HttpCallResult result = connection.client().SendAndWait(call);
+    const bool is_lost =
+        !result && result.error().m_failure == HttpCallFailure::kConnection;
+    if (!is_lost || sending == kSendings) {
       return result;
     }
   }
 }
 
-int ReportError(const HttpCallError& error, const SubmitOptions& options) {
-  std::cerr << options.m_key << ": no answer: " << error.m_detail << '\n';
-  return error.m_state == HttpCallState::kNotSent ? kExitUnavailable
-                                                  : kExitMayHaveRun;
+void PrintAnswer(const CommandLine& line,
+                 const std::string& key,
+                 const CallerAnswer& answer,
+                 const Terminal& terminal) {
+  if (answer.m_outcome == JobOutcome::kComplete) {
+    if (line.values().count("quiet") == 0) {
+      terminal.m_out << key << ": complete, " << answer.m_answers.size()
+                     << " answers\n";
+    }
+    return;
+  }
+  terminal.m_error << key << ": " << ToString(answer.m_outcome) << ", "
+                   << answer.m_reason << ": " << answer.m_detail << '\n';
 }
 
-int ReportAnswer(const HttpResponse& response, const SubmitOptions& options) {
-  const Json body = Json::parse(response.m_body, nullptr, false);
-  const std::string state =
-      body.is_object() ? body.value("state", std::string()) : std::string();
-  if (options.m_json) {
-    std::cout << response.m_body << '\n';
+ExitCode RunSubmit(const std::vector<std::string>& arguments,
+                   const Terminal& terminal) {
+  CommandLine line("submit", "Submits a job and waits for its whole answer",
+                   {});
+  AddSubmitOptions(line);
+  if (const auto exit = line.Parse(arguments, terminal)) {
+    return *exit;
   }
-  if (state == "complete") {
-    if (!options.m_quiet && !options.m_json) {
-      std::cout << options.m_key << ": complete, " << body.at("answers").size()
-                << " answers\n";
-    }
-    return kExitDone;
+  if (line.values().count("request") == 0) {
+    terminal.m_error << "submit: --request is needed\n";
+    return ExitCode::kUsage;
   }
-  if (!options.m_json) {
-    std::cerr << options.m_key << ": " << response.m_body << '\n';
+  auto connection = Connection::Make(line);
+  if (!connection) {
+    return PrintError(connection.error(), line.wants_json(), terminal);
   }
-  if (state == "failed") {
-    return body.value("failure", std::string()) == "unknown_may_have_run"
-               ? kExitMayHaveRun
-               : kExitFailed;
+  std::string key = line.values()["key"].as<std::string>();
+  if (key.empty()) {
+    key = MakeKey().ToString();
   }
-  if (state == "not_run") {
-    return kExitNotRun;
+  const HttpCallResult result = SendJob(connection.value(), line, key);
+  const CallerAnswer answer = ReadCallerAnswer(result);
+  if (line.wants_json() && result) {
+    terminal.m_out << result.value().m_body << '\n';
+  } else {
+    PrintAnswer(line, key, answer, terminal);
   }
-  return state == "rejected" || response.m_status == 503 ? kExitUnavailable
-                                                         : kExitFailed;
+  return ExitOf(answer.m_outcome);
 }
 
-}  // namespace
-
-int RunSubmit(int argc, char** argv) {
-  cxxopts::Options parser = MakeOptions();
-  SubmitOptions options;
-  try {
-    const auto arguments = parser.parse(argc, argv);
-    if (arguments.count("help") > 0) {
-      std::cout << parser.help();
-      return kExitDone;
-    }
-    for (const char* needed : {"server", "token-file", "request"}) {
-      if (arguments.count(needed) == 0) {
-        std::cerr << "--" << needed << " is needed\n";
-        return kExitUsage;
-      }
-    }
-    options.m_server = arguments["server"].as<std::string>();
-    options.m_token = ReadToken(arguments["token-file"].as<std::string>());
-    options.m_key = arguments["key"].as<std::string>();
-    options.m_request = arguments["request"].as<std::string>();
-    options.m_payload = arguments["payload"].as<std::string>();
-    options.m_tasks = arguments["tasks"].as<uint32_t>();
-    options.m_timeout = Milliseconds(arguments["timeout-ms"].as<uint32_t>());
-    options.m_json = arguments.count("json") > 0;
-    options.m_quiet = arguments.count("quiet") > 0;
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << '\n';
-    return kExitUsage;
+ExitCode RunCancel(const std::vector<std::string>& arguments,
+                   const Terminal& terminal) {
+  CommandLine line("cancel", "Cancels the tasks of a job that have not started",
+                   {"KEY"});
+  line.AddConnectionOptions(kDefaultEntry);
+  if (const auto exit = line.Parse(arguments, terminal)) {
+    return *exit;
   }
-  if (options.m_key.empty()) {
-    options.m_key = NewKey().ToString();
+  auto connection = Connection::Make(line);
+  if (!connection) {
+    return PrintError(connection.error(), line.wants_json(), terminal);
   }
-  HttpClientOptions client_options;
-  client_options.m_base_url = options.m_server;
-  const auto client = HttpClient::Make(client_options);
-  if (!client) {
-    std::cerr << "--server: " << client.error().m_detail << '\n';
-    return kExitUsage;
+  HttpCall call;
+  call.m_path = "/v1/jobs/" + line.positionals().front() + "/cancel";
+  call.m_headers = connection.value().Headers();
+  call.m_deadline = BootClock::now() + kAnswerGrace;
+  const HttpCallResult result = connection.value().client().SendAndWait(call);
+  if (!result) {
+    terminal.m_error << "cancel: " << result.error().m_detail << '\n';
+    return ExitCode::kUnavailable;
   }
-  const HttpCallResult result = SendJob(*client.value(), options);
-  return result ? ReportAnswer(result.value(), options)
-                : ReportError(result.error(), options);
+  terminal.m_out << result.value().m_body << '\n';
+  return result.value().m_status == 200 ? ExitCode::kDone : ExitCode::kFailed;
 }
 
-int RunNewKey(int /*argc*/, char** /*argv*/) {
-  std::cout << NewKey().ToString() << '\n';
-  return kExitDone;
+ExitCode RunNewKey(const std::vector<std::string>& arguments,
+                   const Terminal& terminal) {
+  CommandLine line("new-key", "Prints a submission key for the present time",
+                   {});
+  if (const auto exit = line.Parse(arguments, terminal)) {
+    return *exit;
+  }
+  terminal.m_out << MakeKey().ToString() << '\n';
+  return ExitCode::kDone;
+}
+
+constexpr std::array kCallerCommands = {
+    Command{"submit", "submit a job and wait for its answer", &RunSubmit},
+    Command{"cancel", "cancel a job", &RunCancel},
+    Command{"new-key", "print a new submission key", &RunNewKey},
+};
+
+}  // namespace
+
+std::span<const Command> CallerCommands() {
+  return kCallerCommands;
 }
 
 }  // namespace comfreyshift
--- a/dispatch/takeover.cc
+++ b/dispatch/takeover.cc
@@ -106,10 +106,9 @@
     std::erase_if(lost, [&](const DepartedMember& departed) {
       return departed.m_departed_at < partition.m_moved_at;
     });
-    gain.m_unknown_before =
-        std::max(gain.m_unknown_before,
-                 UnknownBefore(lost, partition.m_previous_rack,
-                               partition.m_previous_since));
+    gain.m_unknown_before = std::max(
+        gain.m_unknown_before, UnknownBefore(lost, partition.m_previous_rack,
+                                             partition.m_previous_since));
   }
 }
 
@@ -141,8 +140,7 @@
   round.m_awaited.erase(awaited);
   for (const PartitionHistory& history : reply.m_histories) {
     const auto gain = round.m_gains.find(history.m_partition);
-    if (gain != round.m_gains.end() &&
-        !gain->second.m_rechecked &&
+    if (gain != round.m_gains.end() && !gain->second.m_rechecked &&
         history.m_epoch + 1 == gain->second.m_epoch) {
       gain->second.m_history = history.m_unknown_before;
     }
@@ -201,9 +199,9 @@
   // The owner before may not have finished its own takeover, and then no one
   // knows whether it had the records of the members that are gone.
   const bool incomplete = m_table->m_partitions[partition].m_moved_alive;
-  return log.InForce(incomplete ? std::max(gain.m_unknown_before,
-                                           m_table->LatestLoss())
-                                : gain.m_unknown_before);
+  return log.InForce(
+      incomplete ? std::max(gain.m_unknown_before, m_table->LatestLoss())
+                 : gain.m_unknown_before);
 }
 
 std::vector<Takeovers::Served> Takeovers::TakeCompleted(const ChangeLog& log) {
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -14,8 +14,8 @@
 
 constexpr std::string_view kJsonType = "application/json";
 
-// A submission that cannot be taken because of its own form: no attempt of it
-// can ever have been accepted.
+// Refuses this sending because of its form. An earlier one with the same key
+// may have had another.
 void ReplyNotRun(HttpRequest& request,
                  int status,
                  std::string_view reason,
--- a/entry/job_json.cc
+++ b/entry/job_json.cc
@@ -58,6 +58,7 @@
 
 HttpAnswer ToHttp(const JobNotRun& not_run) {
   const Json body = {{"state", "not_run"},
+                     {"scope", "submission"},
                      {"reason", ToString(not_run.m_reason)},
                      {"detail", not_run.m_detail}};
   return {StatusOf(not_run.m_reason),
@@ -69,7 +70,8 @@
 }
 
 HttpAnswer ToHttp(const AttemptRejected& rejected) {
-  const Json body = {{"state", "rejected"},
+  const Json body = {{"state", "not_run"},
+                     {"scope", "sending"},
                      {"reason", ToString(rejected.m_reason)},
                      {"detail", rejected.m_detail}};
   return {StatusOf(rejected.m_reason), body.dump()};
--- a/main/main.cc
+++ b/main/main.cc
@@ -1,48 +1,34 @@
-#include <cstdio>
-#include <string_view>
+#include <unistd.h>
+
+#include <iostream>
+#include <string>
+#include <vector>
 
 #include "cli/cli.h"
 #include "main/roles.h"
 
+namespace comfreyshift {
 namespace {
 
-struct Command {
-  std::string_view m_name;
-  int (*m_run)(int argc, char** argv);
-  std::string_view m_help;
-};
-
-constexpr Command kCommands[] = {
-    {"entry", &comfreyshift::RunEntry, "serve callers and operators"},
-    {"agent", &comfreyshift::RunAgent, "start tasks on a target"},
-    {"submit", &comfreyshift::RunSubmit,
-     "submit a job and wait for its answer"},
-    {"inventory", &comfreyshift::RunInventory, "apply an inventory file"},
-    {"new-key", &comfreyshift::RunNewKey, "print a new submission key"},
-};
-
-int Usage(int status) {
-  std::FILE* out = status == 0 ? stdout : stderr;
-  std::fputs("usage: comfreyshift COMMAND [OPTIONS]\n\ncommands:\n", out);
-  for (const Command& command : kCommands) {
-    std::fprintf(out, "  %-12s %s\n", command.m_name.data(),
-                 command.m_help.data());
+std::vector<Command> AllCommands() {
+  std::vector<Command> commands = {
+      {"entry", "serve callers and operators", &RunEntry},
+      {"agent", "start tasks on a target", &RunAgent},
+  };
+  for (const auto& group :
+       {CallerCommands(), LoadCommands(), OperatorCommands()}) {
+    commands.insert(commands.end(), group.begin(), group.end());
   }
-  std::fputs("\n`comfreyshift COMMAND --help` describes a command.\n", out);
-  return status;
+  return commands;
 }
 
 }  // namespace
+}  // namespace comfreyshift
 
 int main(int argc, char** argv) {
-  const std::string_view name = argc > 1 ? argv[1] : "";
-  if (name == "--help" || name == "help") {
-    return Usage(0);
-  }
-  for (const Command& command : kCommands) {
-    if (command.m_name == name) {
-      return command.m_run(argc - 1, argv + 1);
-    }
-  }
-  return Usage(2);
+  const comfreyshift::Terminal terminal{std::cout, std::cerr,
+                                        isatty(STDERR_FILENO) == 1};
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return static_cast<int>(comfreyshift::RunCommand(comfreyshift::AllCommands(),
+                                                   arguments, terminal));
 }
--- a/main/roles.cc
+++ b/main/roles.cc
@@ -2,15 +2,13 @@
 
 #include <glib-unix.h>
 
-#include <cstdio>
-#include <cxxopts.hpp>
 #include <fstream>
-#include <iostream>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
 #include <utility>
+#include <variant>
 
 #include "agent/agent.h"
 #include "entry/entry.h"
@@ -23,9 +21,6 @@
 
 namespace {
 
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-
 // Reads a secret from the first line of a file.
 std::string ReadSecret(const std::filesystem::path& path) {
   std::ifstream file(path);
@@ -35,39 +30,33 @@
 }
 
 // Returns the settings named on the command line, or an exit code.
-std::variant<Settings, int> LoadSettings(int argc, char** argv, Role role) {
+std::variant<Settings, ExitCode> LoadSettings(
+    const std::vector<std::string>& arguments,
+    Role role,
+    const Terminal& terminal) {
   const std::string name(ToString(role));
-  cxxopts::Options options("comfreyshift " + name,
-                           "Runs the " + name + " role until SIGTERM.");
-  options.add_options()("config", "settings file",
-                        cxxopts::value<std::string>())("help", "show this");
-  try {
-    const auto arguments = options.parse(argc, argv);
-    if (arguments.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (arguments.count("config") == 0) {
-      std::cerr << "--config FILE is needed\n";
-      return kExitUsage;
-    }
-    auto settings = ReadSettings(arguments["config"].as<std::string>());
-    if (!settings) {
-      std::cerr << settings.error().ToString() << '\n';
-      return kExitUsage;
-    }
-    if (settings.value().m_process.m_role != role) {
-      std::cerr << arguments["config"].as<std::string>()
-                << ": section [process], key role: found \""
-                << ToString(settings.value().m_process.m_role)
-                << "\", accepted: \"" << name << "\" for this command\n";
-      return kExitUsage;
-    }
-    return std::move(settings.value());
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << '\n';
-    return kExitUsage;
+  if (arguments == std::vector<std::string>{"--help"}) {
+    terminal.m_out << "usage: comfreyshift " << name << " --config FILE\n\n"
+                   << "Runs the " << name << " role until SIGTERM.\n";
+    return ExitCode::kDone;
+  }
+  if (arguments.size() != 2 || arguments[0] != "--config") {
+    terminal.m_error << name << ": --config FILE is needed\n";
+    return ExitCode::kUsage;
+  }
+  auto settings = ReadSettings(arguments[1]);
+  if (!settings) {
+    terminal.m_error << settings.error().ToString() << '\n';
+    return ExitCode::kUsage;
+  }
+  const std::string_view found = ToString(settings.value().m_process.m_role);
+  if (found != name) {
+    terminal.m_error << arguments[1]
+                     << ": section [process], key role: found \"" << found
+                     << "\", accepted: \"" << name << "\"\n";
+    return ExitCode::kUsage;
   }
+  return std::move(settings.value());
 }
 
 uint64_t NewSeed() {
@@ -168,7 +157,7 @@
   return true;
 }
 
-int ServeAgent(const Settings& settings) {
+ExitCode ServeAgent(const Settings& settings) {
   RpcRuntime runtime;
   AgentConfig config;
   config.m_node = ToNodeConfig(settings);
@@ -185,14 +174,14 @@
   auto agent = AgentProcess::Start(std::move(config), runtime);
   if (!agent) {
     StartFailed(agent.error());
-    return kExitFailed;
+    return ExitCode::kFailed;
   }
   HttpServer operators(settings.m_limits.m_max_body_bytes);
   AddHealthRoutes(
       operators, [&agent]() { return agent.value()->ready(BootClock::now()); },
       [&agent]() { return agent.value()->RenderMetrics(); });
   if (!Listen(operators, settings.m_listen.m_operator_http, settings.m_tls)) {
-    return kExitFailed;
+    return ExitCode::kFailed;
   }
   LogEvent(LogLevel::kInfo, "main", "started");
   StopSignal stop([&](std::function<void()> stopped) {
@@ -201,10 +190,10 @@
   });
   stop.Run();
   LogEvent(LogLevel::kInfo, "main", "stopped");
-  return 0;
+  return ExitCode::kDone;
 }
 
-int ServeEntry(const Settings& settings) {
+ExitCode ServeEntry(const Settings& settings) {
   RpcRuntime runtime;
   EntryConfig config;
   config.m_node = ToNodeConfig(settings);
@@ -216,7 +205,7 @@
       runtime);
   if (!entry) {
     StartFailed(entry.error());
-    return kExitFailed;
+    return ExitCode::kFailed;
   }
   CallerApi caller_api({settings.m_limits.m_retention}, *entry.value());
   OperatorApi operator_api(ReadSecret(settings.m_operators.m_token_file),
@@ -230,20 +219,22 @@
       [&entry]() { return entry.value()->RenderMetrics(); });
   if (!Listen(callers, *settings.m_listen.m_http, settings.m_tls) ||
       !Listen(operators, settings.m_listen.m_operator_http, settings.m_tls)) {
-    return kExitFailed;
+    return ExitCode::kFailed;
   }
   LogEvent(LogLevel::kInfo, "main", "started");
   StopSignal stop(
       [&](std::function<void()> stopped) { callers.Stop(std::move(stopped)); });
   stop.Run();
   LogEvent(LogLevel::kInfo, "main", "stopped");
-  return 0;
+  return ExitCode::kDone;
 }
 
-int RunRole(int argc, char** argv, Role role) {
-  auto loaded = LoadSettings(argc, argv, role);
-  if (const int* status = std::get_if<int>(&loaded)) {
-    return *status;
+ExitCode RunRole(const std::vector<std::string>& arguments,
+                 Role role,
+                 const Terminal& terminal) {
+  auto loaded = LoadSettings(arguments, role, terminal);
+  if (const auto* exit = std::get_if<ExitCode>(&loaded)) {
+    return *exit;
   }
   const Settings& settings = std::get<Settings>(loaded);
   InitLogging(settings.m_process.m_name, settings.m_process.m_log_level);
@@ -252,12 +243,14 @@
 
 }  // namespace
 
-int RunEntry(int argc, char** argv) {
-  return RunRole(argc, argv, Role::kEntry);
+ExitCode RunEntry(const std::vector<std::string>& arguments,
+                  const Terminal& terminal) {
+  return RunRole(arguments, Role::kEntry, terminal);
 }
 
-int RunAgent(int argc, char** argv) {
-  return RunRole(argc, argv, Role::kAgent);
+ExitCode RunAgent(const std::vector<std::string>& arguments,
+                  const Terminal& terminal) {
+  return RunRole(arguments, Role::kAgent, terminal);
 }
 
 }  // namespace comfreyshift
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -52,7 +52,7 @@
   tasks=$((tasks + size))
 done
 
-: #status
+operator 1 status
 stop_fleet
 read -r starts twice < <(count_starts)
 if [ "$starts" -ne "$tasks" ] || [ "$twice" -ne 0 ]; then
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -142,14 +142,14 @@
 operator() {
   local i=$1
   shift
-  "$BUILD/comfreyshift" "$@" --server "http://127.0.0.1:$(entry_operator_port "$i")" --token-file "$WORK/operator.token"
+  "$BUILD/comfreyshift" "$@" --entry "http://127.0.0.1:$(entry_operator_port "$i")" --token-file "$WORK/operator.token"
 }
 
 # Runs a caller's command against an entry.
 caller() {
   local i=$1
   shift
-  "$BUILD/comfreyshift" "$@" --server "http://127.0.0.1:$(entry_http_port "$i")" --token-file "$WORK/client.token"
+  "$BUILD/comfreyshift" "$@" --entry "http://127.0.0.1:$(entry_http_port "$i")" --token-file "$WORK/client.token"
 }
 
 # Waits until a command succeeds, for at most the given number of seconds.
