Keep connections to the HTTP server alive

Cause: libsoup 3.2 closes a connection after each answer when its server has no listener of its own, and connections came from a GSocketService. Ruled out: soup_server_disconnect() for the stop, because it breaks the requests in progress too; a second, unused listener, because it would be one more open address. A stop replaces the listening descriptor by one that never becomes ready. Conclusion: requests on kept-alive connections reach the server.

--- a/http/request.cc
+++ b/http/request.cc
@@ -8,8 +8,6 @@
 #include <set>
 #include <utility>
 
-#include "http/message_socket.h"
-
 namespace comfreyshift {
 
 namespace {
@@ -181,7 +179,7 @@
 }
 
 void HttpRequest::StartWatch() {
-  GSocket* socket = SocketOf(m_message);
+  GSocket* socket = soup_server_message_get_socket(m_message);
   if (socket != nullptr) {
     m_watch = std::make_unique<Watch>(socket, this);
   }
@@ -205,7 +203,7 @@
 // Lets libsoup find the broken connection. A client that closed only its own
 // side gets no answer either, because any answer would be wrong.
 void HttpRequest::DropConnection() {
-  GSocket* socket = SocketOf(m_message);
+  GSocket* socket = soup_server_message_get_socket(m_message);
   if (socket != nullptr) {
     g_socket_shutdown(socket, TRUE, TRUE, nullptr);
   }
--- a/http/server.cc
+++ b/http/server.cc
@@ -1,15 +1,14 @@
 #include "http/server.h"
 
+#include <fcntl.h>
 #include <libsoup/soup.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include <map>
 #include <utility>
 #include <vector>
 
-#include "http/message_socket.h"
-
 namespace comfreyshift {
 
 namespace {
@@ -69,16 +68,55 @@
   return taken;
 }
 
+// Returns null and sets `error` when the address cannot be listened on.
+GSocket* MakeListeningSocket(GSocketAddress* address, GError** error) {
+  GSocket* socket =
+      g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_TCP, error);
+  if (socket == nullptr) {
+    return nullptr;
+  }
+  g_socket_set_listen_backlog(socket, kBacklog);
+  if (!g_socket_bind(socket, address, /*allow_reuse=*/TRUE, error) ||
+      !g_socket_listen(socket, error)) {
+    g_object_unref(socket);
+    return nullptr;
+  }
+  return socket;
+}
+
+uint16_t PortOf(GSocket* socket) {
+  GSocketAddress* local = g_socket_get_local_address(socket, nullptr);
+  if (local == nullptr) {
+    return 0;
+  }
+  const uint16_t port =
+      g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(local));
+  g_object_unref(local);
+  return port;
+}
+
+// Closes the listening sockets and nothing else. soup_server_disconnect() would
+// break the connections of requests in progress too, and a server without
+// listeners keeps no connection alive. Each descriptor is therefore replaced by
+// one that never becomes ready.
+void CloseListeners(SoupServer* server) {
+  GSList* listeners = soup_server_get_listeners(server);
+  for (GSList* item = listeners; item != nullptr; item = item->next) {
+    const int descriptor = g_socket_get_fd(G_SOCKET(item->data));
+    const int never_ready = eventfd(0, EFD_CLOEXEC);
+    dup3(never_ready, descriptor, O_CLOEXEC);
+    close(never_ready);
+  }
+  g_slist_free(listeners);
+}
+
 }  // namespace
 
 struct HttpServer::Impl {
   explicit Impl(uint64_t max_body_bytes)
       : m_server(soup_server_new("server-header", "comfreyshift", nullptr)),
-        m_service(g_socket_service_new()),
         m_max_body_bytes(max_body_bytes) {
-    g_socket_listener_set_backlog(G_SOCKET_LISTENER(m_service), kBacklog);
-    g_signal_connect(m_service, "incoming", G_CALLBACK(&Impl::OnIncoming),
-                     this);
     soup_server_add_early_handler(m_server, nullptr, &Impl::OnHeaders, this,
                                   nullptr);
     soup_server_add_handler(m_server, nullptr, &Impl::OnRequest, this, nullptr);
@@ -92,53 +130,12 @@
       g_signal_handlers_disconnect_by_data(message, this);
       request->Close();
     }
-    CloseListener();
-    g_object_unref(m_service);
-    g_clear_object(&m_certificate);
     soup_server_disconnect(m_server);
     g_object_unref(m_server);
   }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  // The listener is not libsoup's own, because soup_server_disconnect() breaks
-  // the connections of requests in progress too.
-  static gboolean OnIncoming(GSocketService*,
-                             GSocketConnection* connection,
-                             GObject*,
-                             Impl* self) {
-    GSocket* socket = g_socket_connection_get_socket(connection);
-    // Answers are written at once instead of waiting for more to send.
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-    GSocketAddress* local = g_socket_get_local_address(socket, nullptr);
-    GSocketAddress* remote = g_socket_get_remote_address(socket, nullptr);
-    GIOStream* stream = self->Wrap(connection);
-    if (stream != nullptr && local != nullptr && remote != nullptr) {
-      AttachSocket(remote, socket);
-      soup_server_accept_iostream(self->m_server, stream, local, remote,
-                                  nullptr);
-    }
-    g_clear_object(&stream);
-    g_clear_object(&local);
-    g_clear_object(&remote);
-    return TRUE;
-  }
-
-  // Returns the stream to serve on a connection, which the caller unrefs.
-  GIOStream* Wrap(GSocketConnection* connection) const {
-    if (m_certificate == nullptr) {
-      return G_IO_STREAM(g_object_ref(connection));
-    }
-    return g_tls_server_connection_new(G_IO_STREAM(connection), m_certificate,
-                                       nullptr);
-  }
-
-  void CloseListener() {
-    g_signal_handlers_disconnect_by_data(m_service, this);
-    g_socket_service_stop(m_service);
-    g_socket_listener_close(G_SOCKET_LISTENER(m_service));
-  }
-
   // Called by libsoup when the headers of a request are read.
   static void OnHeaders(SoupServer*,
                         SoupServerMessage* message,
@@ -172,7 +169,7 @@
     }
     const uint64_t cut_off =
         self->m_max_body_bytes * kCutOffFactor + kCutOffBytes;
-    GSocket* socket = SocketOf(message);
+    GSocket* socket = soup_server_message_get_socket(message);
     if (request.m_received_bytes > cut_off && socket != nullptr) {
       g_socket_shutdown(socket, TRUE, TRUE, nullptr);
     }
@@ -289,8 +286,6 @@
   }
 
   SoupServer* m_server;
-  GSocketService* m_service;
-  GTlsCertificate* m_certificate = nullptr;
   uint64_t m_max_body_bytes;
   std::vector<Route> m_routes;
   std::map<SoupServerMessage*, std::shared_ptr<HttpRequest>> m_pending;
@@ -313,30 +308,35 @@
   if (loaded == nullptr) {
     return TakeError(HttpErrorCode::kTls, error);
   }
-  g_clear_object(&m_impl->m_certificate);
-  m_impl->m_certificate = loaded;
+  soup_server_set_tls_certificate(m_impl->m_server, loaded);
+  g_object_unref(loaded);
   return outcome::success();
 }
 
 Result<Address, HttpError> HttpServer::Listen(const Address& address) {
-  GError* error = nullptr;
-  GSocketAddress* socket_address = g_inet_socket_address_new_from_string(
+  GSocketAddress* wanted = g_inet_socket_address_new_from_string(
       address.m_host.c_str(), address.m_port);
-  if (socket_address == nullptr) {
+  if (wanted == nullptr) {
     return HttpError{HttpErrorCode::kListen,
                      address.m_host + " is not an IP number"};
   }
-  GSocketAddress* effective = nullptr;
-  const bool is_listening = g_socket_listener_add_address(
-      G_SOCKET_LISTENER(m_impl->m_service), socket_address,
-      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, &effective, &error);
-  g_object_unref(socket_address);
+  GError* error = nullptr;
+  GSocket* socket = MakeListeningSocket(wanted, &error);
+  g_object_unref(wanted);
+  if (socket == nullptr) {
+    return TakeError(HttpErrorCode::kListen, error);
+  }
+  const auto options = static_cast<SoupServerListenOptions>(
+      soup_server_get_tls_certificate(m_impl->m_server) != nullptr
+          ? SOUP_SERVER_LISTEN_HTTPS
+          : 0);
+  const uint16_t port = PortOf(socket);
+  const bool is_listening =
+      soup_server_listen_socket(m_impl->m_server, socket, options, &error);
+  g_object_unref(socket);
   if (!is_listening) {
     return TakeError(HttpErrorCode::kListen, error);
   }
-  const guint16 port =
-      g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(effective));
-  g_object_unref(effective);
   return Address{address.m_host, port};
 }
 
@@ -349,7 +349,7 @@
 }
 
 void HttpServer::Stop(std::function<void()> done) {
-  m_impl->CloseListener();
+  CloseListeners(m_impl->m_server);
   m_impl->m_is_stopping = true;
   m_impl->m_done = std::move(done);
   for (auto& [message, request] : m_impl->m_pending) {
