--- a/cli/connection.h
+++ b/cli/connection.h
@@ -50,6 +50,7 @@
                                      HttpHeaders headers = {});
 
   HttpClient& client() { return *m_client; }
+  const std::shared_ptr<HttpClient>& shared_client() const { return m_client; }
 
   // Returns the headers with the token.
   HttpHeaders Headers() const;
--- a/cli/load.cc
+++ b/cli/load.cc
@@ -82,10 +82,10 @@
 // One run of a load. Calls in progress share it.
 class LoadRun : public std::enable_shared_from_this<LoadRun> {
  public:
-  LoadRun(HttpClient& client,
+  LoadRun(const std::vector<std::shared_ptr<HttpClient>>& entries,
           const LoadOptions& options,
           const Terminal& terminal)
-      : m_client(client),
+      : m_entries(entries),
         m_options(options),
         m_body(JobBody(options)),
         m_schedule(options.m_gaps, options.m_rate, options.m_length),
@@ -122,22 +122,107 @@
     }
   }
 
+  // One job with its key. Its sendings share it.
+  struct Job {
+    std::string m_key;
+    MonoTime m_scheduled;
+    WallTime m_first_sent;
+    uint32_t m_sendings = 0;
+    // Sendings without an answer, and whether one answer was counted.
+    uint32_t m_open = 0;
+    bool m_counted = false;
+  };
+
   void SendJob(MonoTime scheduled) {
-    HttpCall call;
-    call.m_path = "/v1/jobs";
-    call.m_headers = m_options.m_headers;
+    auto job = std::make_shared<Job>();
     const uint64_t high = m_random();
-    call.m_headers["Idempotency-Key"] =
-        SubmissionKey::Make(WallNow(), high, m_random()).ToString();
-    call.m_body = m_body;
-    call.m_deadline = scheduled + m_options.m_timeout + kAnswerGrace;
+    job->m_scheduled = scheduled;
+    job->m_first_sent = WallNow();
+    job->m_key =
+        SubmissionKey::Make(job->m_first_sent, high, m_random()).ToString();
     ++m_report.m_jobs;
     ++m_in_progress;
     m_report.m_send_delay.Record(BootClock::now() - scheduled);
-    m_client.Send(std::move(call), [self = shared_from_this(),
-                                    scheduled](const HttpCallResult& result) {
-      self->Count(ReadCallerAnswer(result), scheduled);
-    });
+    std::bernoulli_distribution twice(m_options.m_duplicate_share);
+    const int sendings = twice(m_random) ? 2 : 1;
+    for (int i = 0; i < sendings; ++i) {
+      Send(job);
+    }
+  }
+
+  void Send(const std::shared_ptr<Job>& job) {
+    HttpCall call;
+    call.m_path = "/v1/jobs";
+    call.m_headers = m_options.m_headers;
+    call.m_headers["Idempotency-Key"] = job->m_key;
+    call.m_body = m_body;
+    call.m_deadline = BootClock::now() + m_options.m_timeout + kAnswerGrace;
+    ++job->m_sendings;
+    ++job->m_open;
+    m_next_entry = (m_next_entry + 1) % m_entries.size();
+    m_entries[m_next_entry]->Send(
+        std::move(call),
+        [self = shared_from_this(), job](const HttpCallResult& result) {
+          self->OnAnswer(job, result);
+        });
+  }
+
+  void OnAnswer(const std::shared_ptr<Job>& job, const HttpCallResult& result) {
+    --job->m_open;
+    const CallerAnswer answer = ReadCallerAnswer(result);
+    WriteHistory(*job, answer, result);
+    // Only these leave it open whether the job ran or will run.
+    const bool is_open =
+        !result || (answer.m_outcome == JobOutcome::kNotRun &&
+                    !answer.m_covers_submission);
+    if (is_open && job->m_sendings <= m_options.m_resubmissions) {
+      ResendLater(job);
+      return;
+    }
+    if (is_open && job->m_open > 0) {
+      return;
+    }
+    if (!std::exchange(job->m_counted, true)) {
+      Count(answer, job->m_scheduled);
+    }
+  }
+
+  // Waits a little, so that an entry that is gone is not asked in a busy loop.
+  void ResendLater(const std::shared_ptr<Job>& job) {
+    struct Resend {
+      std::shared_ptr<LoadRun> m_run;
+      std::shared_ptr<Job> m_job;
+    };
+    constexpr guint kPauseMs = 100;
+    ++job->m_open;
+    g_timeout_add(
+        kPauseMs,
+        [](gpointer data) -> gboolean {
+          const std::unique_ptr<Resend> resend(static_cast<Resend*>(data));
+          --resend->m_job->m_open;
+          resend->m_run->Send(resend->m_job);
+          return G_SOURCE_REMOVE;
+        },
+        new Resend{shared_from_this(), job});
+  }
+
+  void WriteHistory(const Job& job,
+                    const CallerAnswer& answer,
+                    const HttpCallResult& result) {
+    if (m_options.m_history == nullptr) {
+      return;
+    }
+    const Json line = {
+        {"key", job.m_key},
+        {"tasks", m_options.m_tasks_per_job},
+        {"answered", result.has_value()},
+        {"outcome", ToString(answer.m_outcome)},
+        {"reason", answer.m_reason},
+        {"covers_submission", answer.m_covers_submission},
+        {"answers", answer.m_answers.size()},
+        {"first_sent_ms", job.m_first_sent.time_since_epoch().count()},
+        {"answered_ms", WallNow().time_since_epoch().count()}};
+    *m_options.m_history << line.dump() << '\n';
   }
 
   void Count(const CallerAnswer& answer, MonoTime scheduled) {
@@ -163,7 +248,8 @@
     }
   }
 
-  HttpClient& m_client;
+  const std::vector<std::shared_ptr<HttpClient>>& m_entries;
+  size_t m_next_entry = 0;
   const LoadOptions& m_options;
   std::string m_body;
   LoadSchedule m_schedule;
@@ -217,10 +303,10 @@
 
 }  // namespace
 
-LoadResult RunLoad(HttpClient& client,
+LoadResult RunLoad(const std::vector<std::shared_ptr<HttpClient>>& entries,
                    const LoadOptions& options,
                    const Terminal& terminal) {
-  return std::make_shared<LoadRun>(client, options, terminal)->Run();
+  return std::make_shared<LoadRun>(entries, options, terminal)->Run();
 }
 
 std::string LoadResultToText(const LoadOptions& options,
--- a/cli/load.h
+++ b/cli/load.h
@@ -3,7 +3,10 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <ostream>
 #include <string>
+#include <vector>
 
 #include "cli/caller_answer.h"
 #include "cli/load_schedule.h"
@@ -27,6 +30,14 @@
   // Timeout that each job asks for.
   Milliseconds m_timeout{10'000};
   HttpHeaders m_headers;
+  // How often a job is sent again under its key, to the next entry, while its
+  // answer is lost or only this sending was refused.
+  uint32_t m_resubmissions = 0;
+  // Share of jobs, from 0 to 1, that are sent twice at the same time, to two
+  // entries where there are two.
+  double m_duplicate_share = 0;
+  // Gets one JSON object a line for each answer; may be null.
+  std::ostream* m_history = nullptr;
 };
 
 struct LoadResult {
@@ -46,8 +57,9 @@
 };
 
 // Runs an open-loop load against POST /v1/jobs on the thread-default main
-// context until every job has an answer or is lost.
-LoadResult RunLoad(HttpClient& client,
+// context until every job has an answer or is lost. Jobs go to the entries in
+// turn; `entries` must not be empty.
+LoadResult RunLoad(const std::vector<std::shared_ptr<HttpClient>>& entries,
                    const LoadOptions& options,
                    const Terminal& terminal);
 
--- a/cli/load_command.cc
+++ b/cli/load_command.cc
@@ -1,5 +1,7 @@
 #include <array>
 #include <cmath>
+#include <fstream>
+#include <sstream>
 
 #include "cli/command.h"
 #include "cli/command_line.h"
@@ -30,6 +32,14 @@
       cxxopts::value<std::string>()->default_value(R"({"run_ms": 5})"));
   line.AddOptions()("declared-run-ms", "Run time to declare; 0 if unknown",
                     cxxopts::value<uint32_t>()->default_value("0"));
+  line.AddOptions()("more-entries", "URLs of further entries, by commas",
+                    cxxopts::value<std::string>()->default_value(""));
+  line.AddOptions()("resubmit", "Sendings after a lost answer, at most",
+                    cxxopts::value<uint32_t>()->default_value("0"));
+  line.AddOptions()("duplicates", "Share of jobs sent twice at the same time",
+                    cxxopts::value<double>()->default_value("0"));
+  line.AddOptions()("history", "File that gets each answer as a JSON line",
+                    cxxopts::value<std::string>()->default_value(""));
   line.AddOptions()("connections", "Connections to the entry",
                     cxxopts::value<uint32_t>()->default_value("256"));
 }
@@ -46,6 +56,11 @@
   options.m_declared_run =
       Milliseconds(values["declared-run-ms"].as<uint32_t>());
   options.m_timeout = Milliseconds(values["timeout-ms"].as<uint32_t>());
+  options.m_resubmissions = values["resubmit"].as<uint32_t>();
+  options.m_duplicate_share = values["duplicates"].as<double>();
+  if (!(options.m_duplicate_share >= 0 && options.m_duplicate_share <= 1)) {
+    return "--duplicates takes a number from 0 to 1";
+  }
   if (schedule == "poisson") {
     options.m_gaps = PoissonGaps{values["seed"].as<uint64_t>()};
   } else if (schedule != "constant") {
@@ -67,6 +82,15 @@
   return "";
 }
 
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> parts;
+  std::stringstream stream(text);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
 ExitCode RunLoadCommand(const std::vector<std::string>& arguments,
                         const Terminal& terminal) {
   CommandLine line(
@@ -88,8 +112,28 @@
     return PrintError(connection.error(), line.wants_json(), terminal);
   }
   options.m_headers = connection.value().Headers();
-  const LoadResult report =
-      RunLoad(connection.value().client(), options, terminal);
+  std::vector<std::shared_ptr<HttpClient>> entries = {
+      connection.value().shared_client()};
+  for (const std::string& url :
+       SplitList(line.values()["more-entries"].as<std::string>())) {
+    HttpClientOptions client_options;
+    client_options.m_base_url = url;
+    client_options.m_connections = line.values()["connections"].as<uint32_t>();
+    auto client = HttpClient::Make(client_options);
+    if (!client) {
+      terminal.m_error << "load: --more-entries: " << client.error().m_detail
+                       << "\n";
+      return ExitCode::kUsage;
+    }
+    entries.push_back(std::move(client.value()));
+  }
+  std::ofstream history;
+  const std::string history_path = line.values()["history"].as<std::string>();
+  if (!history_path.empty()) {
+    history.open(history_path);
+    options.m_history = &history;
+  }
+  const LoadResult report = RunLoad(entries, options, terminal);
   terminal.m_out << (line.wants_json() ? LoadResultToJson(options, report)
                                        : LoadResultToText(options, report));
   // Refusals are a result of a load, not a fault of the command.
--- a/tests/cli/load_test.cc
+++ b/tests/cli/load_test.cc
@@ -146,7 +146,7 @@
   }
 
   LoadResult Run() {
-    return RunLoad(*m_client, m_options, Terminal{m_out, m_out});
+    return RunLoad({m_client}, m_options, Terminal{m_out, m_out});
   }
 
   HttpServer m_server{1 << 20};
