--- a/placement/run_model.cc
+++ b/placement/run_model.cc
@@ -10,6 +10,12 @@
 constexpr float kLeastTargetWeight = 1.0F / 64;
 constexpr float kLeastModelWeight = 1.0F / 512;
 
+// After this many runs in a row that are off by twice or more to the same side,
+// the target's speed changed, and a run weighs more.
+constexpr float kFarOffLog = 0.7F;
+constexpr int32_t kFarOffRuns = 6;
+constexpr float kChangedWeight = 1.0F / 4;
+
 // Declared runs before the line is used.
 constexpr uint32_t kLeastDeclaredRuns = 64;
 
@@ -20,6 +26,19 @@
   return std::max(least, 1.0F / static_cast<float>(runs));
 }
 
+float TargetWeight(RunFactor& factor, float residual) {
+  if (residual > kFarOffLog) {
+    factor.m_far_off = std::max(factor.m_far_off, 0) + 1;
+  } else if (residual < -kFarOffLog) {
+    factor.m_far_off = std::min(factor.m_far_off, 0) - 1;
+  } else {
+    factor.m_far_off = 0;
+  }
+  const bool changed = std::abs(factor.m_far_off) >= kFarOffRuns;
+  return changed ? kChangedWeight
+                 : Weight(factor.m_runs + 1, kLeastTargetWeight);
+}
+
 float LogMicroseconds(Microseconds time) {
   return std::log(static_cast<float>(std::max<int64_t>(time.count(), 1)));
 }
@@ -45,7 +64,7 @@
   const float residual = log_run - LogOf(declared) - factor.m_log;
   ++m_runs;
   ++factor.m_runs;
-  factor.m_log += Weight(factor.m_runs + 1, kLeastTargetWeight) * residual;
+  factor.m_log += TargetWeight(factor, residual) * residual;
   factor.m_factor = std::exp(factor.m_log);
   const float weight = Weight(m_runs, kLeastModelWeight);
   const float normal = log_run - factor.m_log;
--- a/placement/run_model.h
+++ b/placement/run_model.h
@@ -13,6 +13,8 @@
   float m_log = 0;
   float m_factor = 1;
   uint32_t m_runs = 0;
+  // Runs in a row that were far off: above 0 too long, below 0 too short.
+  int32_t m_far_off = 0;
 };
 
 // Learns run times: a factor for each target, and a line from the logarithm of
