Let an operator's forced table end the wait for lost witnesses

When more than half of a table's witnesses are lost at once, they never confirm the next table, and no later revision would ever be confirmed. DropWitnessSetsBefore gives up on them.

--- a/membership/freshness.cc
+++ b/membership/freshness.cc
@@ -70,6 +70,14 @@
   UpdateFacts();
 }
 
+void Freshness::DropSetsBefore(Revision table_revision) {
+  std::erase_if(m_sets, [&](const Set& set) {
+    return set.m_table_revision < table_revision;
+  });
+  UpdateFacts();
+  UpdateFrozen();
+}
+
 void Freshness::UpdateFacts() {
   std::vector<Fact> facts;
   for (const Set& set : m_sets) {
--- a/membership/freshness.h
+++ b/membership/freshness.h
@@ -35,6 +35,10 @@
                 std::vector<ProcessId> witnesses,
                 const std::vector<WitnessSet>& previous);
 
+  // Forgets the witness sets of tables before `table_revision`, unconfirmed as
+  // they are.
+  void DropSetsBefore(Revision table_revision);
+
   // Ignores a revision that is not higher than the applied one.
   void Apply(Revision revision);
 
--- a/membership/membership.cc
+++ b/membership/membership.cc
@@ -53,6 +53,11 @@
              previous);
 }
 
+void Membership::DropWitnessSetsBefore(MonoTime now, Revision table_revision) {
+  m_freshness.DropSetsBefore(table_revision);
+  CollectEvents(now);
+}
+
 void Membership::SetSeeds(std::vector<Address> seeds) {
   m_prober.SetSeeds(std::move(seeds));
 }
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -117,6 +117,12 @@
                   std::vector<Member> members,
                   const std::vector<WitnessSet>& previous = {});
 
+  // Stops waiting for the witnesses of tables before `table_revision`. For a
+  // table that an operator forced after the loss of more than half of the
+  // witnesses: processes that are cut off with those may continue under an
+  // older revision, so F after it nothing is certain about them.
+  void DropWitnessSetsBefore(MonoTime now, Revision table_revision);
+
   // Addresses of entries, for a process that the table does not list yet.
   void SetSeeds(std::vector<Address> seeds);
 
--- a/tests/membership/freshness_test.cc
+++ b/tests/membership/freshness_test.cc
@@ -91,6 +91,9 @@
   show("b");
   EXPECT_EQ(observer.ConfirmedRevision(), 0U);
   EXPECT_EQ(observer.UnretiredSets().size(), 2U);
+  Freshness forced = observer;
+  forced.DropSetsBefore(3);
+  EXPECT_EQ(forced.ConfirmedRevision(), 3U);
   show("c");
   EXPECT_EQ(observer.ConfirmedRevision(), 3U);
   EXPECT_EQ(observer.UnretiredSets().size(), 1U);
