Suspect a member only after a ping that had indirect probes

Cause: pings to a suspect get no indirect probes, but their failure still counted. A suspect that had refuted in the meantime was suspected again for one lost datagram, which at 5% loss keeps suspicions alive.

--- a/membership/prober.cc
+++ b/membership/prober.cc
@@ -63,7 +63,7 @@
     if (row.m_state == MemberState::kDead && m_random.Below(kDeadTurns) != 0) {
       continue;
     }
-    SendPing(now, table.MemberOf(row).m_datagram_address, row.m_key, {});
+    SendPing(now, table, row, {});
     return;
   }
 }
@@ -76,18 +76,26 @@
   }
   const MemberRow* row = table.Find(wanted[m_round % wanted.size()]);
   if (row != nullptr) {
-    SendPing(now, table.MemberOf(*row).m_datagram_address, row->m_key, {});
+    SendPing(now, table, *row, {});
   }
 }
 
 void Prober::SendPing(MonoTime now,
-                      const Address& to,
-                      ProcessKey target,
+                      const MemberTable& table,
+                      const MemberRow& target,
                       std::optional<RelayOrder> relay) {
-  const uint64_t nonce = m_next_nonce++;
-  m_probes.push_back({nonce, target, now, now + m_config.m_ack_timeout, false,
-                      std::move(relay)});
-  m_outgoing.push_back({to, target, nonce, Ping{}});
+  Probe probe;
+  probe.m_nonce = m_next_nonce++;
+  probe.m_target = target.m_key;
+  probe.m_sent_at = now;
+  probe.m_deadline = now + m_config.m_ack_timeout;
+  // A suspect that has just refuted must not be suspected again because of a
+  // ping that had no indirect probes.
+  probe.m_judges = target.m_state == MemberState::kAlive && !relay.has_value();
+  probe.m_relay = std::move(relay);
+  m_outgoing.push_back({table.MemberOf(target).m_datagram_address, target.m_key,
+                        probe.m_nonce, Ping{}});
+  m_probes.push_back(std::move(probe));
 }
 
 void Prober::SendJoin(MonoTime now, const MemberTable& table) {
@@ -96,8 +104,11 @@
     return;
   }
   const uint64_t nonce = m_next_nonce++;
-  m_probes.push_back(
-      {nonce, 0, now, now + m_config.m_ack_timeout, false, std::nullopt});
+  Probe probe;
+  probe.m_nonce = nonce;
+  probe.m_sent_at = now;
+  probe.m_deadline = now + m_config.m_ack_timeout;
+  m_probes.push_back(std::move(probe));
   m_outgoing.push_back(
       {addresses[m_random.Below(addresses.size())], 0, nonce, Join{m_self}});
 }
@@ -118,8 +129,7 @@
                    RelayOrder order) {
   const MemberRow* row = table.Find(target);
   if (row != nullptr) {
-    SendPing(now, table.MemberOf(*row).m_datagram_address, target,
-             std::move(order));
+    SendPing(now, table, *row, std::move(order));
   }
 }
 
@@ -127,13 +137,12 @@
   std::vector<Probe> kept;
   for (Probe& probe : m_probes) {
     const bool due = probe.m_deadline <= now;
-    const bool judges = probe.m_target != 0 && !probe.m_relay.has_value();
-    if (due && judges && !probe.m_indirect) {
+    if (due && probe.m_judges && !probe.m_indirect) {
       probe.m_indirect = true;
       probe.m_deadline = now + m_config.m_indirect_timeout;
       AskOthers(probe, table);
     } else if (due) {
-      if (judges) {
+      if (probe.m_judges) {
         table.Suspect(now, probe.m_target);
       }
       continue;
@@ -145,10 +154,6 @@
 
 void Prober::AskOthers(const Probe& probe, MemberTable& table) {
   const std::vector<MemberRow>& rows = table.rows();
-  const MemberRow* target = table.Find(probe.m_target);
-  if (target == nullptr || target->m_state != MemberState::kAlive) {
-    return;
-  }
   std::vector<ProcessKey> asked;
   // Bounded, because most members may be dead.
   const uint32_t most_draws = 8 * m_config.m_indirect_probes;
--- a/membership/prober.h
+++ b/membership/prober.h
@@ -37,6 +37,9 @@
   ProcessKey m_target = 0;
   MonoTime m_sent_at;
   MonoTime m_deadline;
+  // Its failure makes the target suspected. Not set for pings to members that
+  // are suspected or dead already, for joins and on behalf of others.
+  bool m_judges = false;
   bool m_indirect = false;
   std::optional<RelayOrder> m_relay;
 };
@@ -82,8 +85,8 @@
 
  private:
   void SendPing(MonoTime now,
-                const Address& to,
-                ProcessKey target,
+                const MemberTable& table,
+                const MemberRow& target,
                 std::optional<RelayOrder> relay);
   void PingNext(MonoTime now, MemberTable& table);
   void PingWanted(MonoTime now,
