Ping a suspect once more before declaring it dead

Cause: at 5% loss so many updates are under way that a refutation reaches some processes too late. Each holder of a suspicion now pings the suspect itself in the last three periods, at most one ping a period beside the round robin.

--- a/membership/member_table.cc
+++ b/membership/member_table.cc
@@ -12,6 +12,9 @@
 // Each process sends an update this many times for each doubling of the number
 // of members.
 constexpr double kSendsFactor = 3.0;
+// A suspect is pinged in the last periods before it is declared dead, because
+// its refutation may have been lost or crowded out on the way here.
+constexpr int kLastPings = 3;
 
 double Doublings(size_t members) {
   return std::log2(static_cast<double>(members) + 2.0);
@@ -197,10 +200,11 @@
   return std::exchange(m_changes, {});
 }
 
-std::vector<ProcessKey> MemberTable::OwnSuspects() const {
+std::vector<ProcessKey> MemberTable::SuspectsToPing(MonoTime now) const {
+  const MonoTime soon = now + kLastPings * m_config.m_ping_period;
   std::vector<ProcessKey> result;
   for (const Suspicion& suspicion : m_suspicions) {
-    if (suspicion.m_own) {
+    if (suspicion.m_own || suspicion.m_deadline <= soon) {
       result.push_back(suspicion.m_key);
     }
   }
--- a/membership/member_table.h
+++ b/membership/member_table.h
@@ -70,8 +70,9 @@
 
   std::vector<LivenessChange> TakeChanges();
 
-  // Members that this process suspected by its own probes.
-  std::vector<ProcessKey> OwnSuspects() const;
+  // Suspects that this process should ping: those it suspected by its own
+  // probes, and those it is about to declare dead.
+  std::vector<ProcessKey> SuspectsToPing(MonoTime now) const;
 
   const std::vector<MemberRow>& rows() const { return m_rows; }
   bool lists_self() const { return m_lists_self; }
--- a/membership/membership.cc
+++ b/membership/membership.cc
@@ -210,7 +210,7 @@
 
 void Membership::Tick(MonoTime now) {
   NoticePause(now);
-  m_prober.Tick(now, m_table, WantedPings());
+  m_prober.Tick(now, m_table, WantedPings(now));
   m_table.ExpireSuspicions(now);
   CollectEvents(now);
   Flush();
@@ -229,8 +229,8 @@
   m_table.Postpone(pause);
 }
 
-std::vector<ProcessKey> Membership::WantedPings() const {
-  std::vector<ProcessKey> wanted = m_table.OwnSuspects();
+std::vector<ProcessKey> Membership::WantedPings(MonoTime now) const {
+  std::vector<ProcessKey> wanted = m_table.SuspectsToPing(now);
   // Entries wait for confirmations on behalf of operators and takeovers.
   if (m_self.m_role == MemberRole::kEntry &&
       ConfirmedRevision() < m_freshness.applied()) {
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -216,7 +216,7 @@
   void NoticePause(MonoTime now);
   void CollectEvents(MonoTime now);
   void Flush();
-  std::vector<ProcessKey> WantedPings() const;
+  std::vector<ProcessKey> WantedPings(MonoTime now) const;
   ProcessId IdOf(ProcessKey key) const;
 
   MembershipConfig m_config;
