--- a/tests/membership/fake_network.h
+++ b/tests/membership/fake_network.h
@@ -24,8 +24,8 @@
   uint64_t m_duplicates = 0;
 };
 
-// Several Membership instances, a store and a network that delays, reorders,
-// duplicates, loses and cuts. Clocks differ in offset and by up to 500 ppm in
+// Several Membership instances and a network that delays, reorders, duplicates,
+// loses and cuts. Clocks differ in offset and by up to 500 ppm in
 // rate. Process i has address 10.0.0.1:(1 + i); the first ones are entries.
 class FakeNetwork {
  public:
@@ -36,38 +36,23 @@
     Microseconds m_clock_offset{0};
     double m_clock_rate = 1;
     MonoTime m_paused_until;
-    MonoTime m_next_read_at;
     // Processes on different sides of a cut do not reach each other.
     int m_side = 0;
     // Reaches the store and, to fetch revisions, its peers.
     bool m_fetches = true;
   };
 
-  // A revision of the configuration as the store holds it.
-  struct Written {
-    MonoTime m_at;
-    Revision m_table_revision = 0;
-    MemberList m_members;
-    std::vector<WitnessSet> m_previous;
-    MonoTime m_confirmed_at = MonoTime::max();
-  };
-
   explicit FakeNetwork(const FakeNetworkOptions& options)
       : m_options(options),
         m_random(options.m_seed),
         m_processes(options.m_entries + options.m_agents) {
-    std::vector<Member> members;
     for (size_t i = 0; i < m_processes.size(); ++i) {
       Start(i);
-      members.push_back(m_processes[i].m_member);
-    }
-    m_written.push_back(
-        {m_now, 1, std::make_shared<std::vector<Member>>(members), {}});
-    for (size_t i = 0; i < m_processes.size(); ++i) {
-      Apply(i, 1);
     }
   }
 
+  virtual ~FakeNetwork() = default;
+
   // Starts process `i` as a new incarnation that knows only the entries.
   void Start(size_t i) {
     Process& process = m_processes[i];
@@ -103,28 +88,6 @@
     return m_processes[i].m_membership->HasWitnessMajority(LocalAt(i, m_now));
   }
 
-  // Process `i` writes a revision with `members`, or the last table's when
-  // null. Returns false when the rules for a write do not allow it.
-  bool Write(size_t i, const std::vector<Member>* members) {
-    Process& process = m_processes[i];
-    if (!m_store_up || !process.m_fetches || process.m_paused_until > m_now ||
-        process.m_membership->applied_revision() != m_written.size() ||
-        !HasWitnessMajority(i)) {
-      return false;
-    }
-    Written written = m_written.back();
-    written.m_at = m_now;
-    written.m_confirmed_at = MonoTime::max();
-    if (members != nullptr) {
-      written.m_table_revision = m_written.size() + 1;
-      written.m_members = std::make_shared<std::vector<Member>>(*members);
-      written.m_previous = process.m_membership->UnretiredSets();
-    }
-    m_written.push_back(std::move(written));
-    Apply(i, m_written.size());
-    return true;
-  }
-
   // Handles all that happens up to `end`, calling `check` after each step.
   void RunUntil(MonoTime end, const std::function<void()>& check) {
     while (true) {
@@ -142,22 +105,34 @@
   }
 
   std::vector<Process>& processes() { return m_processes; }
-  std::vector<Written>& written() { return m_written; }
   MonoTime now() const { return m_now; }
 
-  bool m_store_up = true;
   FakeNetworkOptions m_options;
-  std::function<void(size_t, const MembershipEvent&)> m_on_event;
 
- private:
-  void Apply(size_t i, Revision revision) {
-    Membership& membership = *m_processes[i].m_membership;
-    const Written& written = m_written[revision - 1];
-    membership.SetMembers(LocalAt(i, m_now), written.m_table_revision,
-                          written.m_members, written.m_previous);
-    membership.SetAppliedRevision(LocalAt(i, m_now), revision);
+ protected:
+  virtual void OnEvent(size_t i, const MembershipEvent& event) = 0;
+
+  // Runs `action` on process `i` at `at`, or when it wakes from a pause.
+  void Later(MonoTime at, size_t i, std::function<void()> action) {
+    m_queue.emplace(at, [this, i, action = std::move(action)]() mutable {
+      const Process& process = m_processes[i];
+      if (process.m_paused_until > m_now) {
+        // The process sees its own time-outs before what arrived meanwhile.
+        Later(process.m_paused_until + Microseconds(1), i, std::move(action));
+      } else if (process.m_up) {
+        action();
+        Drain(i);
+      }
+    });
+  }
+
+  Microseconds Delay() {
+    const Microseconds most = m_options.m_max_delay;
+    return Microseconds(1 +
+                        m_random.Below(static_cast<uint64_t>(most.count())));
   }
 
+ private:
   MonoTime WakeTime(size_t i) const {
     const Process& process = m_processes[i];
     if (!process.m_up) {
@@ -166,11 +141,8 @@
     const MonoTime local =
         process.m_membership->NextDeadline() - process.m_clock_offset;
     const auto elapsed = static_cast<double>(local.time_since_epoch().count());
-    MonoTime at(
+    const MonoTime at(
         Microseconds(1 + static_cast<int64_t>(elapsed / process.m_clock_rate)));
-    if (i < m_options.m_entries) {
-      at = std::min(at, process.m_next_read_at);
-    }
     return std::max(at, process.m_paused_until);
   }
 
@@ -182,65 +154,16 @@
     }
     for (size_t i = 0; i < m_processes.size(); ++i) {
       if (WakeTime(i) <= m_now) {
-        ReadStore(i);
         m_processes[i].m_membership->Tick(LocalAt(i, m_now));
         Drain(i);
       }
     }
   }
 
-  // Runs `action` on process `i` at `at`, or when it wakes from a pause.
-  void Later(MonoTime at, size_t i, std::function<void()> action) {
-    m_queue.emplace(at, [this, i, action = std::move(action)]() mutable {
-      const Process& process = m_processes[i];
-      if (process.m_paused_until > m_now) {
-        // The process sees its own time-outs before what arrived meanwhile.
-        Later(process.m_paused_until + Microseconds(1), i, std::move(action));
-      } else if (process.m_up) {
-        action();
-        Drain(i);
-      }
-    });
-  }
-
-  void ReadStore(size_t i) {
-    Process& process = m_processes[i];
-    if (i >= m_options.m_entries || process.m_next_read_at > m_now) {
-      return;
-    }
-    process.m_next_read_at = m_now + std::chrono::seconds(1);
-    if (!m_store_up || !process.m_fetches) {
-      return;
-    }
-    Later(m_now + Delay(), i,
-          [this, i, head = m_written.size(), sent = LocalAt(i, m_now),
-           reader = process.m_membership.get()] {
-            if (m_processes[i].m_membership.get() == reader) {
-              reader->OnStoreRead(head, sent);
-              Apply(i, std::max(head, reader->applied_revision()));
-            }
-          });
-  }
-
   void Drain(size_t i) {
     Membership& membership = *m_processes[i].m_membership;
     for (const MembershipEvent& event : membership.TakeEvents()) {
-      if (const auto* newer = std::get_if<NewerRevisionSeen>(&event)) {
-        // Stands for the fetch over RPC.
-        Later(m_now + Delay(), i, [this, i, r = newer->m_revision] {
-          if (m_processes[i].m_fetches) {
-            Apply(i, r);
-          }
-        });
-      } else if (const auto* news = std::get_if<RevisionConfirmed>(&event)) {
-        for (Revision r = 0; r < news->m_revision; ++r) {
-          m_written[r].m_confirmed_at =
-              std::min(m_written[r].m_confirmed_at, m_now);
-        }
-      }
-      if (m_on_event) {
-        m_on_event(i, event);
-      }
+      OnEvent(i, event);
     }
     for (const OutboundDatagram& datagram : membership.TakeDatagrams()) {
       Transmit(i, datagram);
@@ -262,17 +185,10 @@
     });
   }
 
-  Microseconds Delay() {
-    const Microseconds most = m_options.m_max_delay;
-    return Microseconds(1 +
-                        m_random.Below(static_cast<uint64_t>(most.count())));
-  }
-
   RandomBits m_random;
   MonoTime m_now{std::chrono::seconds(10)};
   uint64_t m_incarnation = 0;
   std::vector<Process> m_processes;
-  std::vector<Written> m_written;
   std::multimap<MonoTime, std::function<void()>> m_queue;
 };
 
--- a/tests/membership/liveness_test.cc
+++ b/tests/membership/liveness_test.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/membership/fake_network.h"
+#include "tests/membership/fake_fleet.h"
 
 namespace comfreyshift {
 namespace {
@@ -21,10 +21,10 @@
   return options;
 }
 
-size_t CountMayStart(FakeNetwork& network, int side) {
+size_t CountMayStart(FakeFleet& network, int side) {
   size_t count = 0;
   for (size_t i = 0; i < network.processes().size(); ++i) {
-    const FakeNetwork::Process& process = network.processes()[i];
+    const FakeFleet::Process& process = network.processes()[i];
     if (process.m_side == side &&
         process.m_membership->MayStart(network.LocalAt(i, network.now()))) {
       ++count;
@@ -39,7 +39,7 @@
 TEST(LivenessTest, NoReachableMemberIsDeclaredDead) {
   EXPECT_TRUE(rc::check("no false death", [] {
     const auto seed = *rc::gen::arbitrary<uint64_t>();
-    FakeNetwork network(Options(seed, 3 + seed % 10));
+    FakeFleet network(Options(seed, 3 + seed % 10));
     const size_t paused = seed / 16 % network.processes().size();
     const ProcessId paused_id = network.processes()[paused].m_member.m_id;
     network.m_on_event = [&](size_t, const MembershipEvent& event) {
@@ -56,7 +56,7 @@
 
 // A paused process must hold no proof on waking, before any datagram arrives.
 TEST(LivenessTest, APausedProcessHoldsNoProofOnWaking) {
-  FakeNetwork network(Options(3, 7));
+  FakeFleet network(Options(3, 7));
   network.RunUntil(network.now() + 5 * kSecond, [] {});
   EXPECT_EQ(CountMayStart(network, 0), 9U);
   network.processes()[4].m_paused_until = network.now() + 6 * kSecond;
@@ -74,7 +74,7 @@
 TEST(LivenessTest, ADeadMemberIsDeclaredDeadByAllWithinTheBound) {
   EXPECT_TRUE(rc::check("detection", [] {
     const auto seed = *rc::gen::arbitrary<uint64_t>();
-    FakeNetwork network(Options(seed, 3 + seed % 10));
+    FakeFleet network(Options(seed, 3 + seed % 10));
     const size_t count = network.processes().size();
     const size_t victim = seed / 16 % count;
     const ProcessId victim_id = network.processes()[victim].m_member.m_id;
@@ -100,7 +100,7 @@
 // A member that is cut off for less than a suspicion refutes it, and one that
 // was declared dead comes back when the cut heals.
 TEST(LivenessTest, ACutMemberRefutesItsSuspicionAndDeath) {
-  FakeNetwork network(Options(9, 7));
+  FakeFleet network(Options(9, 7));
   const ProcessId cut = network.processes()[4].m_member.m_id;
   size_t alive = 0;
   size_t dead = 0;
@@ -128,7 +128,7 @@
   network.processes()[4].m_side = 0;
   network.RunUntil(network.now() + 30 * kSecond, [] {});
   EXPECT_GE(alive, alive_before + 8);
-  for (const FakeNetwork::Process& process : network.processes()) {
+  for (const FakeFleet::Process& process : network.processes()) {
     EXPECT_EQ(process.m_membership->LiveMembers().size(), 8U);
   }
 }
@@ -136,9 +136,9 @@
 // A suspicion that runs out while its holder is paused must not end in a death:
 // the holder could not hear the refutation.
 TEST(LivenessTest, ASuspicionDoesNotRunOutDuringAPause) {
-  FakeNetwork network(Options(13, 7));
-  FakeNetwork::Process& holder = network.processes()[5];
-  FakeNetwork::Process& suspect = network.processes()[4];
+  FakeFleet network(Options(13, 7));
+  FakeFleet::Process& holder = network.processes()[5];
+  FakeFleet::Process& suspect = network.processes()[4];
   bool suspected = false;
   network.m_on_event = [&](size_t i, const MembershipEvent& event) {
     if (i == 5 && !suspected &&
@@ -161,7 +161,7 @@
 TEST(LivenessTest, LossCausesFewSuspicions) {
   FakeNetworkOptions options = Options(11, 7);
   options.m_loss = 10;
-  FakeNetwork network(options);
+  FakeFleet network(options);
   size_t suspected = 0;
   network.m_on_event = [&](size_t, const MembershipEvent& event) {
     suspected += std::holds_alternative<MemberSuspected>(event) ? 1 : 0;
@@ -174,7 +174,7 @@
 // Section 5: in a store outage the side with more than half of the witnesses
 // continues beyond F and the other one stops.
 TEST(LivenessTest, OnlyTheMajorityContinuesInAStoreOutage) {
-  FakeNetwork network(Options(5, 7));
+  FakeFleet network(Options(5, 7));
   network.RunUntil(network.now() + 3 * kSecond, [] {});
   network.m_store_up = false;
   network.RunUntil(network.now() + 20 * kSecond, [] {});
@@ -192,7 +192,7 @@
 // A restarted process must not start work before the table lists its new
 // incarnation, and an entry must hear that it asks.
 TEST(LivenessTest, ARestartedProcessWaitsForTheTable) {
-  FakeNetwork network(Options(7, 5));
+  FakeFleet network(Options(7, 5));
   network.RunUntil(network.now() + 3 * kSecond, [] {});
   std::vector<Member> members = *network.written().back().m_members;
   bool listed = false;
--- a/tests/membership/soundness_test.cc
+++ b/tests/membership/soundness_test.cc
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "tests/membership/fake_network.h"
+#include "tests/membership/fake_fleet.h"
 
 namespace comfreyshift {
 namespace {
@@ -25,7 +25,7 @@
 // Fails when a process holds a proof of a revision beyond the time when it is
 // out of force, even if that time is still to come: the process could be paused
 // until then.
-void CheckNoStaleStart(FakeNetwork& network, Seen& seen) {
+void CheckNoStaleStart(FakeFleet& network, Seen& seen) {
   for (size_t i = 0; i < network.processes().size(); ++i) {
     const Membership& membership = *network.processes()[i].m_membership;
     const MonoTime local = network.LocalAt(i, network.now());
@@ -37,7 +37,7 @@
     if (applied >= network.written().size()) {
       continue;
     }
-    const FakeNetwork::Written& next = network.written()[applied];
+    const FakeFleet::Written& next = network.written()[applied];
     const MonoTime store_end = network.LocalAt(i, next.m_at + kLifetime);
     if (membership.StoreProofUntil() > store_end) {
       RC_FAIL("process " + std::to_string(i) + " holds a store proof of " +
@@ -55,7 +55,7 @@
 }
 
 // Returns the running processes that `mask` selects, and all entries.
-std::vector<Member> Subset(FakeNetwork& network, uint32_t mask) {
+std::vector<Member> Subset(FakeFleet& network, uint32_t mask) {
   std::vector<Member> members;
   for (size_t i = 0; i < network.processes().size(); ++i) {
     if (i < network.m_options.m_entries || (mask >> i & 1U) != 0) {
@@ -65,9 +65,9 @@
   return members;
 }
 
-void Perform(FakeNetwork& network, const Operation& operation) {
+void Perform(FakeFleet& network, const Operation& operation) {
   const uint32_t argument = operation.second;
-  std::vector<FakeNetwork::Process>& processes = network.processes();
+  std::vector<FakeFleet::Process>& processes = network.processes();
   const size_t i = argument % processes.size();
   switch (operation.first % 9) {
     case 0:
@@ -88,7 +88,7 @@
       }
       break;
     case 4:
-      for (FakeNetwork::Process& process : processes) {
+      for (FakeFleet::Process& process : processes) {
         process.m_side = 0;
       }
       break;
@@ -119,7 +119,7 @@
     options.m_seed = *rc::gen::arbitrary<uint64_t>();
     options.m_agents = 3 + options.m_seed % 6;
     options.m_duplicates = 5;
-    FakeNetwork network(options);
+    FakeFleet network(options);
     const auto check = [&] { CheckNoStaleStart(network, seen); };
     network.RunUntil(network.now() + std::chrono::seconds(3), check);
     for (const Operation& operation : operations) {
@@ -128,7 +128,7 @@
       network.RunUntil(network.now() + wait, check);
     }
     network.RunUntil(network.now() + std::chrono::seconds(12), check);
-    for (const FakeNetwork::Written& written : network.written()) {
+    for (const FakeFleet::Written& written : network.written()) {
       seen.m_confirmed_writes +=
           written.m_confirmed_at == MonoTime::max() ? 0 : 1;
     }
