--- a/membership/membership.cc
+++ b/membership/membership.cc
@@ -53,6 +53,11 @@
              previous);
 }
 
+void Membership::DropWitnessSetsBefore(MonoTime now, Revision table_revision) {
+  m_freshness.DropSetsBefore(table_revision);
+  CollectEvents(now);
+}
+
 void Membership::SetSeeds(std::vector<Address> seeds) {
   m_prober.SetSeeds(std::move(seeds));
 }
@@ -205,7 +210,7 @@
 
 void Membership::Tick(MonoTime now) {
   NoticePause(now);
-  m_prober.Tick(now, m_table, WantedPings());
+  m_prober.Tick(now, m_table, WantedPings(now));
   m_table.ExpireSuspicions(now);
   CollectEvents(now);
   Flush();
@@ -224,8 +229,8 @@
   m_table.Postpone(pause);
 }
 
-std::vector<ProcessKey> Membership::WantedPings() const {
-  std::vector<ProcessKey> wanted = m_table.OwnSuspects();
+std::vector<ProcessKey> Membership::WantedPings(MonoTime now) const {
+  std::vector<ProcessKey> wanted = m_table.SuspectsToPing(now);
   // Entries wait for confirmations on behalf of operators and takeovers.
   if (m_self.m_role == MemberRole::kEntry &&
       ConfirmedRevision() < m_freshness.applied()) {
