Count a start command that was never sent as not started

Cause: after an agent was killed, 28 of 558 jobs ended unknown. Owners kept sending tasks to it until it left the table, and a refused connection was settled like a lost reply; settling ends unknown when the member leaves. Ruled out: the takeover (jobs of the killed owner were complete) and the clock error allowance of unknown_before. Such a target also counts as failing, so that it is left alone. Conclusion: what is left is inherent: the outcome of a task that ran on the lost worker.

--- a/agent/agent_process.cc
+++ b/agent/agent_process.cc
@@ -135,6 +135,19 @@
   m_node->Wake();
 }
 
+// A start command that never left this process has certainly started nothing.
+Result<StartReply, RpcError> AgentProcess::ResolveNotSent(
+    const StartCommand& command,
+    Result<StartReply, RpcError> result) {
+  if (result || result.error().m_failure != RpcFailure::kNotSent) {
+    return result;
+  }
+  m_counters.Add("start_commands_not_sent_total");
+  return StartReply{command.m_task, command.m_attempt,
+                    TaskNotStarted{NotRunReason::kTargetUnreachable},
+                    LoadReport{}};
+}
+
 void AgentProcess::Do(MonoTime now, SendStart action) {
   const Member* member = m_node->view().table()->Find(action.m_to);
   const TaskRef task = action.m_command.m_task;
@@ -148,8 +161,10 @@
   m_counters.Add("start_commands_total");
   m_node->peers().Start(
       ToPeer(*member), action.m_command,
-      [this, to = action.m_to, task](Result<StartReply, RpcError> result) {
-        OnStartResult(to, task, std::move(result));
+      [this, to = action.m_to,
+       command = action.m_command](Result<StartReply, RpcError> result) {
+        OnStartResult(to, command.m_task,
+                      ResolveNotSent(command, std::move(result)));
       });
 }
 
--- a/agent/agent_process.h
+++ b/agent/agent_process.h
@@ -83,6 +83,9 @@
   void OnStartResult(const ProcessId& from,
                      const TaskRef& task,
                      Result<StartReply, RpcError> result);
+  Result<StartReply, RpcError> ResolveNotSent(
+      const StartCommand& command,
+      Result<StartReply, RpcError> result);
   ReplyToken KeepReply(Reply<StartReply> reply);
   void NoteStart(const RunTask& task);
   void CheckDrained(MonoTime now);
--- a/dispatch/job_runner.cc
+++ b/dispatch/job_runner.cc
@@ -245,7 +245,13 @@
                                  NotRunReason reason) {
   JobTask& task = job.m_tasks[index];
   if (const auto target = m_targets.IndexOf(*task.m_agent)) {
-    m_placer.OnNotStarted(now, *target);
+    if (reason == NotRunReason::kTargetUnreachable) {
+      // A target that cannot be reached looks idle; it counts as failing, so
+      // that it is left alone until a probe succeeds.
+      m_placer.OnDone(now, *target, Microseconds(0), false);
+    } else {
+      m_placer.OnNotStarted(now, *target);
+    }
   }
   CountBack(job);
   if (job.m_stop || job.m_end) {
--- a/tests/processes/failures.sh
+++ b/tests/processes/failures.sh
@@ -38,9 +38,20 @@
 
 scenario_kill_agent() {
   sleep 3
+  KILLED_AT=$(now_ms)
   stop_process agent-2 KILL
 }
 
+# A task that runs on the lost worker ends unknown, for nobody can tell its outcome. A job that was sent later has no task
+# there: a connection that is refused has started nothing.
+check_kill_agent() {
+  local late
+  late=$(grep '"outcome":"unknown"' "$WORK/history" |
+    sed -E 's/.*"first_sent_ms":([0-9]+).*/\1/' | awk -v at=$((KILLED_AT + 200)) '$1 > at' | wc -l)
+  EXTRA=",\"unknown_sent_after_the_kill\":$late"
+  [ "$late" -eq 0 ]
+}
+
 scenario_pause_agent() {
   sleep 3
   kill -STOP "${PIDS[agent-2]}"
@@ -112,7 +123,7 @@
   stop_fleet
   printf '{"scenario":"%s","ok":%s%s,"check":%s,"load":%s}\n' "$name" "$([ "$status" = 0 ] && echo true || echo false)" \
     "$EXTRA" "$verdict" "$(tr -d '\n' <"$WORK/load.json")"
-  if [ "$status" = 0 ]; then rm -rf "$WORK"; else echo "kept $WORK" >&2; fi
+  if [ "$status" = 0 ] && [ -z "${KEEP:-}" ]; then rm -rf "$WORK"; else echo "kept $WORK" >&2; fi
   return "$status"
 }
 
