--- a/agent/agent_process.cc
+++ b/agent/agent_process.cc
@@ -14,8 +14,6 @@
 
 constexpr Milliseconds kAdoptTimeout{2000};
 
-constexpr Milliseconds kDrainPoll{20};
-
 std::string Subject(std::string_view kind, std::string_view name) {
   return std::string(kind) + ":" + std::string(name);
 }
@@ -45,9 +43,9 @@
                m_config.m_max_answer_bytes) {}
 
 void AgentProcess::Drain(MonoTime deadline, std::function<void()> on_drained) {
-  m_drain_deadline = deadline;
-  m_on_drained = std::move(on_drained);
-  m_starter.StartDraining(BootClock::now());
+  m_departure = std::make_shared<Departure>(*m_node, m_owner, m_starter,
+                                            deadline, std::move(on_drained));
+  m_departure->Begin(BootClock::now());
   m_node->Wake();
 }
 
@@ -69,7 +67,7 @@
 }
 
 bool AgentProcess::ready(MonoTime now) const {
-  return m_node->FreshUntil(now) > now && !m_on_drained;
+  return m_node->FreshUntil(now) > now && !m_departure;
 }
 
 void AgentProcess::OnConfigApplied(MonoTime now) {
@@ -104,10 +102,14 @@
   m_node->membership().SetLocalLoad({static_cast<uint16_t>(load.m_running),
                                      static_cast<uint16_t>(load.m_queued),
                                      static_cast<uint16_t>(load.m_slots)});
-  CheckDrained(now);
-  const MonoTime next =
-      std::min(m_owner.NextDeadline(), m_starter.NextDeadline());
-  return m_on_drained ? std::min(next, now + kDrainPoll) : next;
+  MonoTime next = std::min(m_owner.NextDeadline(), m_starter.NextDeadline());
+  if (m_departure) {
+    const bool has_callers =
+        !m_waiting_jobs.empty() || !m_waiting_starts.empty();
+    m_departure->Tick(now, has_callers);
+    next = std::min(next, m_departure->NextDeadline());
+  }
+  return next;
 }
 
 void AgentProcess::DoOwnerActions(MonoTime now) {
@@ -385,19 +387,13 @@
   return status;
 }
 
-bool AgentProcess::OnAdopt(const AdoptCommand& command) {
-  return m_starter.OnAdopt(WallNow(), command);
+bool AgentProcess::OnLeave(const ProcessId& /*member*/) {
+  // Only entries write the table.
+  return false;
 }
 
-void AgentProcess::CheckDrained(MonoTime now) {
-  if (!m_on_drained) {
-    return;
-  }
-  const bool idle = m_starter.running() == 0 && m_owner.running_jobs() == 0 &&
-                    m_waiting_starts.empty();
-  if (idle || now >= m_drain_deadline) {
-    std::exchange(m_on_drained, nullptr)();
-  }
+bool AgentProcess::OnAdopt(const AdoptCommand& command) {
+  return m_starter.OnAdopt(WallNow(), command);
 }
 
 }  // namespace comfreyshift
--- a/agent/agent_process.h
+++ b/agent/agent_process.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "agent/departure.h"
 #include "agent/target_client.h"
 #include "core/core.h"
 #include "dispatch/dispatch.h"
@@ -33,8 +34,7 @@
       AgentConfig config,
       RpcRuntime& runtime);
 
-  // Refuses new work from now on. `on_drained` runs once, when no task and no
-  // job is in progress any more or the deadline has passed.
+  // Begins a planned stop; see Departure.
   void Drain(MonoTime deadline, std::function<void()> on_drained);
 
   ProcessNode& node() { return *m_node; }
@@ -62,6 +62,7 @@
   ConfigChanges OnConfig(Revision since) override;
   ProcessStatus OnStatus(const std::vector<std::string>& subjects) override;
   bool OnAdopt(const AdoptCommand& command) override;
+  bool OnLeave(const ProcessId& member) override;
 
  private:
   AgentProcess(AgentConfig config, RpcRuntime& runtime);
@@ -88,7 +89,6 @@
       Result<StartReply, RpcError> result);
   ReplyToken KeepReply(Reply<StartReply> reply);
   void NoteStart(const RunTask& task);
-  void CheckDrained(MonoTime now);
 
   AgentConfig m_config;
   Owner m_owner;
@@ -106,8 +106,8 @@
   // Last start for each subject, for the proof of a retirement.
   std::map<std::string, WallTime> m_last_starts;
   uint64_t m_starts = 0;
-  MonoTime m_drain_deadline = MonoTime::max();
-  std::function<void()> m_on_drained;
+  // Set once a planned stop has begun.
+  std::shared_ptr<Departure> m_departure;
 };
 
 }  // namespace comfreyshift
--- a/entry/entry_process.cc
+++ b/entry/entry_process.cc
@@ -153,6 +153,12 @@
   return status;
 }
 
+bool EntryProcess::OnLeave(const ProcessId& member) {
+  m_keeper->OnLeaveRequest(BootClock::now(), member);
+  m_node->Wake();
+  return true;
+}
+
 bool EntryProcess::OnAdopt(const AdoptCommand& /*command*/) {
   return false;
 }
--- a/entry/entry_process.h
+++ b/entry/entry_process.h
@@ -77,6 +77,7 @@
   ConfigChanges OnConfig(Revision since) override;
   ProcessStatus OnStatus(const std::vector<std::string>& subjects) override;
   bool OnAdopt(const AdoptCommand& command) override;
+  bool OnLeave(const ProcessId& member) override;
 
  private:
   explicit EntryProcess(std::shared_ptr<StoreClient> store);
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -174,6 +174,8 @@
   status @8 (subjects :List(Text)) -> (status :StatusReply);
   # Takes over start records of a member that leaves.
   adopt @9 (command :AdoptCommand) -> (accepted :Bool);
+  # Asks an entry to take a member that has handed its records over out of the table.
+  leave @10 (member :ProcessId) -> (accepted :Bool);
 }
 
 # What a new connection offers. Both ends prove that they hold the fleet key before any call of Peer.
--- a/rpc/peer.capnp.c++
+++ b/rpc/peer.capnp.c++
@@ -2028,7 +2028,7 @@
   1, 7, i_ffd11d5e9d9b484e, nullptr, nullptr, { &s_ffd11d5e9d9b484e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<119> b_b250187ce4ee9599 = {
+static const ::capnp::_::AlignedData<129> b_b250187ce4ee9599 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     153, 149, 238, 228, 124,  24,  80, 178,
      15,   0,   0,   0,   3,   0,   0,   0,
@@ -2038,94 +2038,102 @@
      21,   0,   0,   0, 162,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 135,   2,   0,   0,
-    173,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   2,   0,   0,
+    213,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 112,  99,  47, 112, 101, 101, 114,
      46,  99,  97, 112, 110, 112,  58,  80,
     101, 101, 114,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     40,   0,   0,   0,   3,   0,   5,   0,
+     44,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      12,  85,  44, 156, 240, 194, 169, 150,
      36,  69, 158,   1, 204,  95,  45, 143,
-     49,   1,   0,   0,  58,   0,   0,   0,
+     81,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   1,   0,   0,   7,   0,   0,   0,
+     69,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     248,  27,  88, 128, 127, 220,  47, 146,
     150, 227, 253, 159, 234,   9,  25, 165,
-     25,   1,   0,   0,  50,   0,   0,   0,
+     57,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   1,   0,   0,   7,   0,   0,   0,
+     45,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     178, 246, 227, 149, 163, 202, 207, 247,
     135, 148, 150,  19,  16, 217, 238, 152,
-      1,   1,   0,   0,  58,   0,   0,   0,
+     33,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    245,   0,   0,   0,   7,   0,   0,   0,
+     21,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     241,  25, 240,   0, 205, 192, 140, 171,
       9,  70, 200,  69, 196, 131, 187, 140,
-    233,   0,   0,   0,  50,   0,   0,   0,
+      9,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    221,   0,   0,   0,   7,   0,   0,   0,
+    253,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     156,  48, 212, 123, 246, 157,  97, 223,
     230,  99,  48, 190,  70, 230, 246, 193,
-    209,   0,   0,   0,  58,   0,   0,   0,
+    241,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+    229,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      80, 150,  21, 230,  40, 178, 139, 160,
     213, 177,  78, 253, 216,  38,  45, 183,
-    185,   0,   0,   0,  90,   0,   0,   0,
+    217,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    177,   0,   0,   0,   7,   0,   0,   0,
+    209,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
      48, 215, 167,  33,  39,   0,  35, 167,
     177, 235,  39, 235,  72,  88, 166, 149,
-    165,   0,   0,   0,  66,   0,   0,   0,
+    197,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,   7,   0,   0,   0,
+    185,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     167,  25, 128,  27, 185,  40, 234, 243,
     112, 235, 205,  78, 206, 188, 117, 206,
-    141,   0,   0,   0,  58,   0,   0,   0,
+    173,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,   7,   0,   0,   0,
+    161,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      14, 188,  17, 201, 132, 199, 237, 176,
     164,  52, 155, 171, 241, 209, 180, 164,
-    117,   0,   0,   0,  58,   0,   0,   0,
+    149,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
     139,  69,  14,   8,  57, 208, 192, 144,
     243, 255, 131,  82, 207,  98,   0, 199,
-     93,   0,   0,   0,  50,   0,   0,   0,
+    125,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
+     10,   0,   0,   0,   0,   0,   0,   0,
+    197, 197, 121,  25, 236, 101,  86, 250,
+     44,  43, 211,  38,  40, 210,  52, 200,
+    101,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     89,   0,   0,   0,   7,   0,   0,   0,
     115, 117,  98, 109, 105, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     102, 101, 116,  99, 104,   0,   0,   0,
@@ -2147,6 +2155,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
      97, 100, 111, 112, 116,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    108, 101,  97, 118, 101,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_b250187ce4ee9599 = b_b250187ce4ee9599.words;
@@ -2168,15 +2178,17 @@
   &s_b72d26d8fd4eb1d5,
   &s_c1f6e646be3063e6,
   &s_c70062cf5283fff3,
+  &s_c834d22826d32b2c,
   &s_ce75bcce4ecdeb70,
   &s_df619df67bd4309c,
   &s_f3ea28b91b8019a7,
   &s_f7cfcaa395e3f6b2,
+  &s_fa5665ec1979c5c5,
 };
-static const uint16_t m_b250187ce4ee9599[] = {9, 2, 5, 6, 7, 1, 4, 3, 8, 0};
+static const uint16_t m_b250187ce4ee9599[] = {9, 2, 5, 6, 7, 1, 10, 4, 3, 8, 0};
 const ::capnp::_::RawSchema s_b250187ce4ee9599 = {
-  0xb250187ce4ee9599, b_b250187ce4ee9599.words, 119, d_b250187ce4ee9599, m_b250187ce4ee9599,
-  20, 10, nullptr, nullptr, nullptr, { &s_b250187ce4ee9599, nullptr, nullptr, 0, 0, nullptr }
+  0xb250187ce4ee9599, b_b250187ce4ee9599.words, 129, d_b250187ce4ee9599, m_b250187ce4ee9599,
+  22, 11, nullptr, nullptr, nullptr, { &s_b250187ce4ee9599, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<50> b_96a9c2f09c2c550c = {
@@ -3149,6 +3161,98 @@
   0, 1, i_c70062cf5283fff3, nullptr, nullptr, { &s_c70062cf5283fff3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_fa5665ec1979c5c5 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    197, 197, 121,  25, 236, 101,  86, 250,
+     20,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 112,  99,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46, 108, 101,  97, 118,
+    101,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    109, 101, 109,  98, 101, 114,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    159,  85,  28,  62, 186,  91, 114, 188,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fa5665ec1979c5c5 = b_fa5665ec1979c5c5.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_fa5665ec1979c5c5[] = {
+  &s_bc725bba3e1c559f,
+};
+static const uint16_t m_fa5665ec1979c5c5[] = {0};
+static const uint16_t i_fa5665ec1979c5c5[] = {0};
+const ::capnp::_::RawSchema s_fa5665ec1979c5c5 = {
+  0xfa5665ec1979c5c5, b_fa5665ec1979c5c5.words, 33, d_fa5665ec1979c5c5, m_fa5665ec1979c5c5,
+  1, 1, i_fa5665ec1979c5c5, nullptr, nullptr, { &s_fa5665ec1979c5c5, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_c834d22826d32b2c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     44,  43, 211,  38,  40, 210,  52, 200,
+     20,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 112,  99,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46, 108, 101,  97, 118,
+    101,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+     97,  99,  99, 101, 112, 116, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c834d22826d32b2c = b_c834d22826d32b2c.words;
+#if !CAPNP_LITE
+static const uint16_t m_c834d22826d32b2c[] = {0};
+static const uint16_t i_c834d22826d32b2c[] = {0};
+const ::capnp::_::RawSchema s_c834d22826d32b2c = {
+  0xc834d22826d32b2c, b_c834d22826d32b2c.words, 34, nullptr, m_c834d22826d32b2c,
+  0, 1, i_c834d22826d32b2c, nullptr, nullptr, { &s_c834d22826d32b2c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<39> b_dc79442c68915dd3 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     211,  93, 145, 104,  44,  68, 121, 220,
@@ -3703,6 +3807,16 @@
       "rpc/peer.capnp:Peer", "adopt",
       0xb250187ce4ee9599ull, 9);
 }
+::capnp::Request< ::comfreyshift::wire::Peer::LeaveParams,  ::comfreyshift::wire::Peer::LeaveResults>
+Peer::Client::leaveRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::comfreyshift::wire::Peer::LeaveParams,  ::comfreyshift::wire::Peer::LeaveResults>(
+      0xb250187ce4ee9599ull, 10, sizeHint);
+}
+::kj::Promise<void> Peer::Server::leave(LeaveContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "rpc/peer.capnp:Peer", "leave",
+      0xb250187ce4ee9599ull, 10);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3777,6 +3891,12 @@
              ::comfreyshift::wire::Peer::AdoptParams,  ::comfreyshift::wire::Peer::AdoptResults>(context)),
         false
       };
+    case 10:
+      return {
+        leave(::capnp::Capability::Server::internalGetTypedContext<
+             ::comfreyshift::wire::Peer::LeaveParams,  ::comfreyshift::wire::Peer::LeaveResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3952,6 +4072,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::AdoptResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::LeaveParams
+constexpr uint16_t Peer::LeaveParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::LeaveParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::LeaveParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::LeaveParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::LeaveResults
+constexpr uint16_t Peer::LeaveResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::LeaveResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::LeaveResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::LeaveResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::comfreyshift::wire::Gate::ChallengeParams,  ::comfreyshift::wire::Gate::ChallengeResults>
 Gate::Client::challengeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
--- a/rpc/peer.capnp.h
+++ b/rpc/peer.capnp.h
@@ -64,6 +64,8 @@
 CAPNP_DECLARE_SCHEMA(a4b4d1f1ab9b34a4);
 CAPNP_DECLARE_SCHEMA(90c0d039080e458b);
 CAPNP_DECLARE_SCHEMA(c70062cf5283fff3);
+CAPNP_DECLARE_SCHEMA(fa5665ec1979c5c5);
+CAPNP_DECLARE_SCHEMA(c834d22826d32b2c);
 CAPNP_DECLARE_SCHEMA(dc79442c68915dd3);
 CAPNP_DECLARE_SCHEMA(9ad991600b68011b);
 CAPNP_DECLARE_SCHEMA(97d68c9d16170a2d);
@@ -477,6 +479,8 @@
   struct StatusResults;
   struct AdoptParams;
   struct AdoptResults;
+  struct LeaveParams;
+  struct LeaveResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -786,6 +790,36 @@
   };
 };
 
+struct Peer::LeaveParams {
+  LeaveParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa5665ec1979c5c5, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::LeaveResults {
+  LeaveResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c834d22826d32b2c, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -3220,6 +3254,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::comfreyshift::wire::Peer::AdoptParams,  ::comfreyshift::wire::Peer::AdoptResults> adoptRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::comfreyshift::wire::Peer::LeaveParams,  ::comfreyshift::wire::Peer::LeaveResults> leaveRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3276,6 +3312,10 @@
   typedef  ::comfreyshift::wire::Peer::AdoptResults AdoptResults;
   typedef ::capnp::CallContext<AdoptParams, AdoptResults> AdoptContext;
   virtual ::kj::Promise<void> adopt(AdoptContext context);
+  typedef  ::comfreyshift::wire::Peer::LeaveParams LeaveParams;
+  typedef  ::comfreyshift::wire::Peer::LeaveResults LeaveResults;
+  typedef ::capnp::CallContext<LeaveParams, LeaveResults> LeaveContext;
+  virtual ::kj::Promise<void> leave(LeaveContext context);
 
   inline  ::comfreyshift::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4917,6 +4957,164 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::LeaveParams::Reader {
+public:
+  typedef LeaveParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMember() const;
+  inline  ::comfreyshift::wire::ProcessId::Reader getMember() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LeaveParams::Builder {
+public:
+  typedef LeaveParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMember();
+  inline  ::comfreyshift::wire::ProcessId::Builder getMember();
+  inline void setMember( ::comfreyshift::wire::ProcessId::Reader value);
+  inline  ::comfreyshift::wire::ProcessId::Builder initMember();
+  inline void adoptMember(::capnp::Orphan< ::comfreyshift::wire::ProcessId>&& value);
+  inline ::capnp::Orphan< ::comfreyshift::wire::ProcessId> disownMember();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LeaveParams::Pipeline {
+public:
+  typedef LeaveParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::comfreyshift::wire::ProcessId::Pipeline getMember();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::LeaveResults::Reader {
+public:
+  typedef LeaveResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LeaveResults::Builder {
+public:
+  typedef LeaveResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LeaveResults::Pipeline {
+public:
+  typedef LeaveResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -8029,6 +8227,59 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::LeaveParams::Reader::hasMember() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::LeaveParams::Builder::hasMember() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::comfreyshift::wire::ProcessId::Reader Peer::LeaveParams::Reader::getMember() const {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::comfreyshift::wire::ProcessId::Builder Peer::LeaveParams::Builder::getMember() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::comfreyshift::wire::ProcessId::Pipeline Peer::LeaveParams::Pipeline::getMember() {
+  return  ::comfreyshift::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::LeaveParams::Builder::setMember( ::comfreyshift::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::comfreyshift::wire::ProcessId::Builder Peer::LeaveParams::Builder::initMember() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::LeaveParams::Builder::adoptMember(
+    ::capnp::Orphan< ::comfreyshift::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::comfreyshift::wire::ProcessId> Peer::LeaveParams::Builder::disownMember() {
+  return ::capnp::_::PointerHelpers< ::comfreyshift::wire::ProcessId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::LeaveResults::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::LeaveResults::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LeaveResults::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/rpc/peer_client.cc
+++ b/rpc/peer_client.cc
@@ -377,6 +377,21 @@
       std::move(callback));
 }
 
+void PeerClient::Leave(const PeerAddress& to,
+                       const ProcessId& member,
+                       MonoTime deadline,
+                       RpcCallback<bool> callback) {
+  m_impl->Session(to)->Call<bool>(
+      deadline,
+      [member](wire::Peer::Client& peer) {
+        auto request = peer.leaveRequest();
+        wire_codec::Write(member, request.initMember());
+        return request.send();
+      },
+      [](auto& response) { return response.getAccepted(); },
+      std::move(callback));
+}
+
 void PeerClient::Close(const ProcessId& id) {
   const auto found = m_impl->m_sessions.find(id);
   if (found == m_impl->m_sessions.end()) {
--- a/rpc/peer_client.h
+++ b/rpc/peer_client.h
@@ -66,6 +66,11 @@
              MonoTime deadline,
              RpcCallback<bool> callback);
 
+  void Leave(const PeerAddress& to,
+             const ProcessId& member,
+             MonoTime deadline,
+             RpcCallback<bool> callback);
+
   // Drops the connection to a peer that is gone. Its calls fail as lost.
   void Close(const ProcessId& id);
 
--- a/rpc/peer_server.cc
+++ b/rpc/peer_server.cc
@@ -130,6 +130,12 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> leave(LeaveContext context) override {
+    context.getResults().setAccepted(
+        m_handler.OnLeave(wire_codec::Read(context.getParams().getMember())));
+    return kj::READY_NOW;
+  }
+
  private:
   PeerHandler& m_handler;
 };
--- a/rpc/peer_server.h
+++ b/rpc/peer_server.h
@@ -38,6 +38,7 @@
   virtual ConfigChanges OnConfig(Revision since) = 0;
   virtual ProcessStatus OnStatus(const std::vector<std::string>& subjects) = 0;
   virtual bool OnAdopt(const AdoptCommand& command) = 0;
+  virtual bool OnLeave(const ProcessId& member) = 0;
 };
 
 // Serves peers that prove to hold the fleet key.
--- a/rpc/wire.cc
+++ b/rpc/wire.cc
@@ -52,15 +52,6 @@
   return time.time_since_epoch().count();
 }
 
-ProcessId Read(wire::ProcessId::Reader in) {
-  return {ReadText(in.getName()), in.getIncarnation()};
-}
-
-void Write(const ProcessId& id, wire::ProcessId::Builder out) {
-  out.setName(id.m_name);
-  out.setIncarnation(id.m_incarnation);
-}
-
 TaskSpec Read(wire::TaskSpec::Reader in) {
   return {ReadText(in.getRequest()), ReadBytes(in.getPayload()),
           Milliseconds(in.getDeclaredRunTimeMs()), in.getMemoryMb(),
@@ -175,6 +166,15 @@
   return SubmissionKey(bytes);
 }
 
+ProcessId Read(wire::ProcessId::Reader in) {
+  return {ReadText(in.getName()), in.getIncarnation()};
+}
+
+void Write(const ProcessId& id, wire::ProcessId::Builder out) {
+  out.setName(id.m_name);
+  out.setIncarnation(id.m_incarnation);
+}
+
 NotRunReason ReadReason(uint8_t value) {
   KJ_REQUIRE(value <= static_cast<uint8_t>(kLastReason),
              "reason is out of range", value);
--- a/rpc/wire.h
+++ b/rpc/wire.h
@@ -12,6 +12,9 @@
 
 SubmissionKey ReadKey(capnp::Data::Reader data);
 
+ProcessId Read(wire::ProcessId::Reader in);
+void Write(const ProcessId& id, wire::ProcessId::Builder out);
+
 TaskRef Read(wire::TaskRef::Reader in);
 void Write(const TaskRef& task, wire::TaskRef::Builder out);
 
