Do not take a deadline that moved back for a pause

Cause: the deadline expected at the last Tick was kept when an ack made it later, so the next Tick looked late. The only effect was that time-outs were postponed.

--- a/membership/membership.cc
+++ b/membership/membership.cc
@@ -265,6 +265,9 @@
     m_state = state;
     m_events.emplace_back(ProofStateChanged{state});
   }
+  // What was handled may have moved the next deadline back, and a Tick that
+  // waits for it is not late.
+  m_expected_tick = std::max(m_expected_tick, NextDeadline());
 }
 
 void Membership::Flush() {
--- a/tests/membership/liveness_test.cc
+++ b/tests/membership/liveness_test.cc
@@ -169,6 +169,10 @@
   network.RunUntil(network.now() + 60 * kSecond, [] {});
   // 2,700 pings, and each suspicion reaches all 8 others.
   EXPECT_LT(suspected, 600U);
+  // A deadline that an ack moved back must not look like a pause.
+  for (const FakeFleet::Process& process : network.processes()) {
+    EXPECT_EQ(process.m_membership->counters().m_pauses, 0U);
+  }
 }
 
 // Section 5: in a store outage the side with more than half of the witnesses
