Retire the witness sets that the table in use does not carry

Cause: a process that slept through several tables kept the sets it knew and waited for witnesses that were long gone, so it never saw a revision confirmed. The writer of a table has seen that the sets it left out are retired. SetMembers now always asks for the carried sets, because leaving them out by mistake would drop sets still in use.

--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -102,7 +102,7 @@
     for (uint32_t i = 0; i < count; ++i) {
       m_nodes[i].m_membership = std::make_unique<Membership>(
           config, (*m_members)[i], m_random(), m_now);
-      m_nodes[i].m_membership->SetMembers(m_now, 1, m_members);
+      m_nodes[i].m_membership->SetMembers(m_now, 1, m_members, {});
       m_nodes[i].m_membership->SetAppliedRevision(m_now, 1);
       Schedule(i);
       if (i < kEntries) {
--- a/membership/freshness.cc
+++ b/membership/freshness.cc
@@ -36,12 +36,16 @@
 void Freshness::AddTable(Revision table_revision,
                          std::vector<ProcessId> witnesses,
                          const std::vector<WitnessSet>& previous) {
+  std::vector<Revision> unretired;
   for (const WitnessSet& set : previous) {
     if (set.m_table_revision < table_revision) {
+      unretired.push_back(set.m_table_revision);
       InsertSet(MakeSet(set.m_table_revision, set.m_members));
     }
   }
-  InsertSet(MakeSet(table_revision, std::move(witnesses)));
+  Set added = MakeSet(table_revision, std::move(witnesses));
+  added.m_unretired = std::move(unretired);
+  InsertSet(std::move(added));
   UpdateFrozen();
 }
 
@@ -295,9 +299,20 @@
 }
 
 // Drops each set from which more than half have shown the next table: F later
-// no process can hold a proof by it.
+// no process can hold a proof by it. The writer of the table in use has seen
+// that for the sets it left out.
 void Freshness::RetireSets() {
   const size_t before = m_sets.size();
+  const Set* current = CurrentSet();
+  if (current != nullptr && current->m_unretired) {
+    const Revision table = current->m_table_revision;
+    const std::vector<Revision> kept = *current->m_unretired;
+    std::erase_if(m_sets, [&](const Set& set) {
+      return set.m_table_revision < table &&
+             std::find(kept.begin(), kept.end(), set.m_table_revision) ==
+                 kept.end();
+    });
+  }
   for (size_t i = 0; i + 1 < m_sets.size();) {
     const Revision next = m_sets[i + 1].m_table_revision;
     if (next <= m_applied && MajorityShown(m_sets[i]) >= next) {
--- a/membership/freshness.h
+++ b/membership/freshness.h
@@ -86,6 +86,9 @@
     // In the order of m_ids.
     std::vector<ProcessKey> m_keys;
     uint64_t m_hash = 0;
+    // Tables whose sets the writer of this one had not retired. Not known for a
+    // set that a later table carried.
+    std::optional<std::vector<Revision>> m_unretired;
   };
 
   // What is known of one witness, whichever sets it belongs to.
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -105,17 +105,17 @@
   Membership(MembershipConfig config, Member self, uint64_t seed, MonoTime now);
 
   // Takes the members that the table written at `table_revision` lists, with
-  // the witness sets that its writer could not yet retire (UnretiredSets() of
-  // the writer). Must come before SetAppliedRevision of `table_revision` or any
-  // later revision.
+  // the witness sets that its writer could not yet retire: UnretiredSets() of
+  // the writer, which are empty only for the first table of all. Must come
+  // before SetAppliedRevision of `table_revision` or any later revision.
   void SetMembers(MonoTime now,
                   Revision table_revision,
                   MemberList members,
-                  const std::vector<WitnessSet>& previous = {});
+                  const std::vector<WitnessSet>& previous);
   void SetMembers(MonoTime now,
                   Revision table_revision,
                   std::vector<Member> members,
-                  const std::vector<WitnessSet>& previous = {});
+                  const std::vector<WitnessSet>& previous);
 
   // Stops waiting for the witnesses of tables before `table_revision`. For a
   // table that an operator forced after the loss of more than half of the
--- a/tests/membership/datagram_test.cc
+++ b/tests/membership/datagram_test.cc
@@ -110,8 +110,8 @@
   const MonoTime start(std::chrono::seconds(1));
   Membership a({.m_fleet_key = "k"}, members[0], 1, start);
   Membership b({.m_fleet_key = "k"}, members[1], 2, start);
-  a.SetMembers(start, 1, members);
-  b.SetMembers(start, 1, members);
+  a.SetMembers(start, 1, members, {});
+  b.SetMembers(start, 1, members, {});
   const MonoTime now = start + Milliseconds(200);
   a.Tick(now);
   const auto pings = a.TakeDatagrams();
--- a/tests/membership/freshness_test.cc
+++ b/tests/membership/freshness_test.cc
@@ -99,6 +99,22 @@
   EXPECT_EQ(observer.UnretiredSets().size(), 1U);
 }
 
+// A process that slept through several tables must not wait for witnesses that
+// are long gone: the sets that a table does not carry were retired by others.
+TEST(FreshnessTest, SetsThatATableDoesNotCarryAreRetired) {
+  Freshness sleeper = Make("o", 1, "abc");
+  sleeper.AddTable(9, Ids("ghi"), {{8, Ids("fgh")}});
+  EXPECT_EQ(sleeper.UnretiredSets().size(), 3U);
+  sleeper.Apply(9);
+  EXPECT_EQ(sleeper.UnretiredSets().size(), 2U);
+  Ack ack;
+  ack.m_revision = 9;
+  for (const char* name : {"g", "h"}) {
+    sleeper.OnAck(MakeProcessKey({name, 1}), ack, kNow);
+  }
+  EXPECT_EQ(sleeper.ConfirmedRevision(), 9U);
+}
+
 // Rounding down would let a chain of acks keep an old fact alive.
 TEST(FreshnessTest, AgesAreRoundedUp) {
   Freshness freshness = Make("o", 1, "abc");
