--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -1,6 +1,7 @@
 // Measures the membership library under virtual time. Prints one JSON object a
 // line on stdout.
-// usage: membership_bench [--suspicion-factor=F] [--scenario=NAME] [MEMBERS...]
+// usage: membership_bench [--suspicion-factor=F] [--lifetime-ms=MS]
+//                         [--scenario=NAME] [MEMBERS...]
 // The default is 11, 100 and 600 members in all scenarios, in about a minute.
 
 #include <algorithm>
@@ -26,7 +27,6 @@
 constexpr size_t kMembersPerRack = 20;
 constexpr uint64_t kSeed = 20261204;
 constexpr std::chrono::seconds kSecond{1};
-constexpr Microseconds kLifetime = 5 * kSecond;
 constexpr size_t kUdpIpHeader = 28;
 // Printed for what did not happen in a scenario.
 constexpr Microseconds kNotSeen = -1 * kSecond;
@@ -95,6 +95,7 @@
  public:
   Simulation(size_t count, const Scenario& scenario, MembershipConfig config)
       : m_scenario(scenario),
+        m_lifetime(config.m_proof_lifetime),
         m_members(std::make_shared<std::vector<Member>>(MakeMembers(count))),
         m_nodes(count),
         m_random(kSeed) {
@@ -336,7 +337,7 @@
   // Age of the proof that ends at `end`; 1,000 s stands for "none".
   Microseconds AgeOf(MonoTime end) const {
     return end == MonoTime::min() ? Microseconds(1000 * kSecond)
-                                  : m_now - (end - kLifetime);
+                                  : m_now - (end - m_lifetime);
   }
 
   std::pair<uint64_t, uint64_t> Traffic() const {
@@ -366,6 +367,7 @@
   Microseconds Delay() { return Microseconds(200 + m_random.Below(1'300)); }
 
   Scenario m_scenario;
+  Microseconds m_lifetime;
   MemberList m_members;
   std::vector<Node> m_nodes;
   RandomBits m_random;
@@ -431,6 +433,7 @@
 
 int Main(int argc, char** argv) {
   constexpr std::string_view kFactor = "--suspicion-factor=";
+  constexpr std::string_view kLifetimeMs = "--lifetime-ms=";
   constexpr std::string_view kScenario = "--scenario=";
   MembershipConfig config;
   std::string_view only;
@@ -439,6 +442,9 @@
     const std::string_view argument = argv[i];
     if (argument.starts_with(kFactor)) {
       config.m_suspicion_factor = std::atof(argv[i] + kFactor.size());
+    } else if (argument.starts_with(kLifetimeMs)) {
+      config.m_proof_lifetime =
+          Milliseconds(std::atoll(argv[i] + kLifetimeMs.size()));
     } else if (argument.starts_with(kScenario)) {
       only = argument.substr(kScenario.size());
     } else {
--- a/membership/config.h
+++ b/membership/config.h
@@ -12,7 +12,8 @@
 struct MembershipConfig {
   // Key of the datagrams' HMAC-SHA256 tags, the same in the whole fleet.
   std::string m_fleet_key;
-  // F: how long a proof of freshness lasts.
+  // F: how long a proof of freshness lasts; at most 60 s. The same in the whole
+  // fleet, or witness ages are not exchanged.
   Milliseconds m_proof_lifetime{5000};
   Milliseconds m_ping_period{200};
   // A ping without an ack is followed by indirect probes after this time.
--- a/membership/membership.cc
+++ b/membership/membership.cc
@@ -13,8 +13,16 @@
 constexpr Milliseconds kPauseThreshold{50};
 
 // Clocks may differ in rate by 1,000 ppm, and an age is summed over several of
-// them: twice 1,000 ppm of F = 5 s.
-constexpr Milliseconds kClockAllowance{10};
+// them: a proof lasts 2,000 ppm less than F.
+constexpr int kClockAllowanceDivisor = 500;
+
+// Acks carry ages of up to 65 s.
+constexpr std::chrono::seconds kLongestLifetime{60};
+
+Microseconds OwnLifetime(Microseconds lifetime) {
+  const Microseconds cut = std::min(lifetime, Microseconds(kLongestLifetime));
+  return cut - cut / kClockAllowanceDivisor;
+}
 
 }  // namespace
 
@@ -25,7 +33,7 @@
     : m_config(std::move(config)),
       m_self(std::move(self)),
       m_key(MakeProcessKey(m_self.m_id)),
-      m_freshness(m_self.m_id, m_config.m_proof_lifetime - kClockAllowance),
+      m_freshness(m_self.m_id, OwnLifetime(m_config.m_proof_lifetime)),
       m_table(m_config, m_key),
       m_prober(m_config, m_self, seed, now),
       m_expected_tick(MonoTime::max()) {}
