Count all losses when records were handed over in a takeover

A member that left while an owner still collected handed its records to the rack that the former owner had avoided. Any clean leaver since the move now makes every loss count.

--- a/dispatch/takeover.cc
+++ b/dispatch/takeover.cc
@@ -106,10 +106,17 @@
     std::erase_if(lost, [&](const DepartedMember& departed) {
       return departed.m_departed_at < partition.m_moved_at;
     });
-    gain.m_unknown_before =
-        std::max(gain.m_unknown_before,
-                 UnknownBefore(lost, partition.m_previous_rack,
-                               partition.m_previous_since));
+    // One that left cleanly may have handed records to the rack that the owner
+    // before avoided.
+    const bool any_rack =
+        std::any_of(lost.begin(), lost.end(), [](const DepartedMember& item) {
+          return item.m_clean;
+        });
+    gain.m_unknown_before = std::max(
+        gain.m_unknown_before,
+        any_rack ? m_table->LatestLoss()
+                 : UnknownBefore(lost, partition.m_previous_rack,
+                                 partition.m_previous_since));
   }
 }
 
--- a/tests/dispatch/world.h
+++ b/tests/dispatch/world.h
@@ -114,6 +114,7 @@
   void StartProcess(Member member);
   void Stop(Process& process, bool clean);
   void Change(const TableChange& change);
+  void CountLoss(const Member& member);
   void AddConfig(PartitionTable table, Inventory inventory);
   void Refresh(const ProcessId& id);
   void TryLeave(const ProcessId& id, std::set<ProcessId> refused);
@@ -157,6 +158,8 @@
   std::map<ReplyToken, std::shared_ptr<Call>> m_tokens;
   std::set<ProcessId> m_lost;
   std::set<std::string> m_lost_racks;
+  MonoTime m_first_loss = MonoTime::max();
+  MonoTime m_last_loss;
   bool m_left_cleanly = false;
   bool m_had_one_rack = false;
   std::map<std::string, int> m_answer_counts;
--- a/tests/dispatch/world_checks.cc
+++ b/tests/dispatch/world_checks.cc
@@ -10,6 +10,8 @@
 constexpr Milliseconds kFreshness = std::chrono::seconds(5);
 constexpr Milliseconds kResubmitInterval{400};
 constexpr Milliseconds kDeadline = std::chrono::seconds(20);
+// Losses in one rack within this time count as one; later ones as another.
+constexpr Milliseconds kOneLoss = std::chrono::seconds(5);
 constexpr Milliseconds kFinishTime = std::chrono::seconds(70);
 constexpr WallTime kWall(Milliseconds(1'796'378'400'000));
 
@@ -321,11 +323,12 @@
   }
 }
 
-// After losses in one rack only, with agents in another, a job may end unknown when a task of it was
+// After one loss, of a worker or a rack, with agents in another rack, a job may end unknown when a task of it was
 // out at a lost process, or when its target broke the connection.
 void World::CheckUnknown(const Job& job) {
   const bool excused = !job.m_unknown || job.m_injected_loss ||
                        m_lost_racks.size() > 1 || m_had_one_rack ||
+                       m_last_loss > m_first_loss + kOneLoss ||
                        (m_left_cleanly && !m_lost_racks.empty());
   if (excused) {
     return;
