Add small tests for the faults found, and measure takeovers

Each fault that the stateful test found has a test of its own: a loss between a partition's move and the new owner's first table, a handover to the rack that the former owner avoided or to the owner's own rack, two members that leave at once, a lost reply of a member that left, and unknown answers after a single loss. The wait for confirmation plus F, the copy of a refusal and the fence on adoption have tests too, because the stateful test rarely reaches them.

--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -1,6 +1,6 @@
-// Measures the dispatch library on one core, without I/O: starts a second, bytes
-// and time for each task, and the cost of tables and takeovers. Prints one JSON
-// object a line. Seeds are fixed.
+// Measures the dispatch library on one core, without I/O: starts a second,
+// bytes and time for each task, and the cost of tables and takeovers. Prints
+// one JSON object a line. Seeds are fixed.
 
 #include <malloc.h>
 
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -200,8 +201,8 @@
   std::cout << json << std::endl;
 }
 
-// One agent of a full table dies: cost for the proposer, for a member that takes
-// the table, and of its encoded form.
+// One agent of a full table dies: cost for the proposer, for a member that
+// takes the table, and of its encoded form.
 void MeasureTable(int agents) {
   const PartitionTable table = MakeTable(agents);
   TableChange change;
@@ -245,7 +246,6 @@
   PartitionTable before = MakeTable(agents);
   const ProcessId self = MakeAgent(0).m_id;
   const ProcessId dead = MakeAgent(agents - 1).m_id;
-  std::vector<PartitionId> moving;
   for (PartitionId id = 0; id < before.m_partitions.size(); ++id) {
     if (before.m_partitions[id].m_owner == self ||
         before.m_partitions[id].m_owner == dead) {
@@ -288,8 +288,9 @@
     if (auto* collect = std::get_if<SendCollect>(&action)) {
       CollectReply& reply = replies[messages++];
       reply.m_accepted = true;
+      // A copy stands for the decoding of the message.
       owner.OnCollectReply(kNow, kWall, collect->m_to, collect->m_command,
-                           std::move(reply));
+                           reply);
     }
   }
   const double collect_seconds = CpuSeconds() - began;
@@ -311,9 +312,9 @@
   json["collect_messages"] = messages;
   json["collect_cpu_ms"] = collect_seconds * 1e3;
   json["known_bytes_per_record"] =
-      records == 0 ? 0.0
-                   : static_cast<double>(known_bytes) /
-                         static_cast<double>(records);
+      records == 0
+          ? 0.0
+          : static_cast<double>(known_bytes) / static_cast<double>(records);
   json["resumed_jobs"] = resumed;
   json["resume_cpu_ms"] = (CpuSeconds() - began) * 1e3;
   std::cout << json << std::endl;
--- a/dispatch/job_runner.h
+++ b/dispatch/job_runner.h
@@ -59,9 +59,7 @@
   void Drop(MonoTime now, const SubmissionKey& key);
 
   // Returns false when the agent knows a newer owner of the job's partition.
-  bool OnStartReply(MonoTime now,
-                    const ProcessId& from,
-                    StartReply reply);
+  bool OnStartReply(MonoTime now, const ProcessId& from, StartReply reply);
   void OnReplyLost(MonoTime now, const ProcessId& from, const TaskRef& task);
   void OnAdoptDone(MonoTime now, uint64_t id, bool adopted);
   void OnLoad(MonoTime now, const ProcessId& from, const LoadReport& load);
--- a/dispatch/owner.h
+++ b/dispatch/owner.h
@@ -198,9 +198,10 @@
 };
 
 // Returns the commands that hand the records of a leaving member over, each to
-// an agent outside of the rack of the record's owner. An agent in `refused` gets
-// none, because it leaves as well or cannot be reached. When the table changes
-// before the member has left, the commands have to be planned and sent again.
+// an agent outside of the rack of the record's owner. An agent in `refused`
+// gets none, because it leaves as well or cannot be reached. When the table
+// changes before the member has left, the commands have to be planned and sent
+// again.
 HandoverPlan PlanHandover(const PartitionTable& table,
                           const ProcessId& self,
                           std::vector<StartRecord> records,
--- a/dispatch/takeover.cc
+++ b/dispatch/takeover.cc
@@ -109,14 +109,13 @@
     // One that left cleanly may have handed records to the rack that the owner
     // before avoided.
     const bool any_rack =
-        std::any_of(lost.begin(), lost.end(), [](const DepartedMember& item) {
-          return item.m_clean;
-        });
-    gain.m_unknown_before = std::max(
-        gain.m_unknown_before,
-        any_rack ? m_table->LatestLoss()
-                 : UnknownBefore(lost, partition.m_previous_rack,
-                                 partition.m_previous_since));
+        std::any_of(lost.begin(), lost.end(),
+                    [](const DepartedMember& item) { return item.m_clean; });
+    gain.m_unknown_before =
+        std::max(gain.m_unknown_before,
+                 any_rack ? m_table->LatestLoss()
+                          : UnknownBefore(lost, partition.m_previous_rack,
+                                          partition.m_previous_since));
   }
 }
 
@@ -148,8 +147,7 @@
   round.m_awaited.erase(awaited);
   for (const PartitionHistory& history : reply.m_histories) {
     const auto gain = round.m_gains.find(history.m_partition);
-    if (gain != round.m_gains.end() &&
-        !gain->second.m_rechecked &&
+    if (gain != round.m_gains.end() && !gain->second.m_rechecked &&
         history.m_epoch + 1 == gain->second.m_epoch) {
       gain->second.m_history = history.m_unknown_before;
     }
@@ -208,9 +206,9 @@
   // The owner before may not have finished its own takeover, and then no one
   // knows whether it had the records of the members that are gone.
   const bool incomplete = m_table->m_partitions[partition].m_moved_alive;
-  return log.InForce(incomplete ? std::max(gain.m_unknown_before,
-                                           m_table->LatestLoss())
-                                : gain.m_unknown_before);
+  return log.InForce(
+      incomplete ? std::max(gain.m_unknown_before, m_table->LatestLoss())
+                 : gain.m_unknown_before);
 }
 
 std::vector<Takeovers::Served> Takeovers::TakeCompleted(const ChangeLog& log) {
--- a/dispatch/takeover.h
+++ b/dispatch/takeover.h
@@ -27,8 +27,7 @@
 
   // Starts a round for partitions that this process serves, because an agent
   // left cleanly whose records are elsewhere now. Each has its unknown_before.
-  void Recheck(MonoTime now,
-               const std::map<PartitionId, WallTime>& partitions);
+  void Recheck(MonoTime now, const std::map<PartitionId, WallTime>& partitions);
 
   // Takes a newer table, in which this process still owns the partitions.
   void SetTable(MonoTime now, std::shared_ptr<const PartitionTable> table);
--- a/tests/dispatch/at_most_once_test.cc
+++ b/tests/dispatch/at_most_once_test.cc
@@ -73,16 +73,18 @@
 TEST(AtMostOnceTest, GuaranteesHoldUnderRandomFaults) {
   rc::detail::TestParams params = rc::detail::configuration().testParams;
   const char* environment = std::getenv("RC_PARAMS");
-  const bool chosen = environment != nullptr &&
-                      std::string(environment).find("max_success") !=
-                          std::string::npos;
+  const bool chosen =
+      environment != nullptr &&
+      std::string(environment).find("max_success") != std::string::npos;
   if (!chosen) {
     params.maxSuccess = kCases;
   }
   std::map<std::string, int> answers;
   size_t starts = 0;
   const std::vector<std::vector<std::string>> layouts = {
-      {"r0", "r0", "r1", "r1", "r2"}, {"r0", "r1", "r2"}, {"r0", "r1", "r1"},
+      {"r0", "r0", "r1", "r1", "r2"},
+      {"r0", "r1", "r2"},
+      {"r0", "r1", "r1"},
       {"r0", "r0"}};
   const auto property = [&] {
     const auto seed = *rc::gen::arbitrary<uint64_t>();
--- a/tests/dispatch/owner_test.cc
+++ b/tests/dispatch/owner_test.cc
@@ -181,5 +181,157 @@
   EXPECT_TRUE(fixture.m_starts.empty());
 }
 
+// Tables in which the owner of every partition died and `next` took over.
+PartitionTable AfterDeathOf(const Fixture& fixture, const ProcessId& dead) {
+  TableChange change;
+  change.m_dead.push_back(dead);
+  return ApplyChange(fixture.m_table, change, fixture.wall(), kRetention);
+}
+
+// Guards against a takeover that serves while a member which left the table may
+// still start tasks under the old one.
+TEST(TakeoverTest, WaitsForConfirmationAndFAfterLossInAnotherRack) {
+  Fixture fixture({"r0", "r1", "r2", "r3"});
+  const ProcessId dead{"a1", 1};
+  TableChange other_rack;
+  other_rack.m_dead = {{"a2", 1}, dead};
+  const auto table = std::make_shared<const PartitionTable>(
+      ApplyChange(fixture.m_table, other_rack, fixture.wall(), kRetention));
+  Owner& owner = *fixture.m_owners.at({"a0", 1});
+  owner.SetTable(fixture.m_now, fixture.wall(), 2, table);
+  Submission job = fixture.MakeSubmission(1, 1);
+  const auto moved = [&] {
+    const PartitionId id = job.m_key.Partition(16);
+    return fixture.m_table.m_partitions[id].m_owner == dead &&
+           table->m_partitions[id].m_owner == ProcessId{"a0", 1};
+  };
+  for (uint64_t seed = 2; !moved(); ++seed) {
+    ASSERT_LT(seed, 1000U);
+    job = fixture.MakeSubmission(seed, 1);
+  }
+  // The key is newer than the loss, so that only the wait protects it.
+  job.m_first_sent += std::chrono::seconds(4);
+  owner.Submit(fixture.m_now, fixture.wall(), job);
+  const auto starts = [&] {
+    size_t count = 0;
+    owner.Tick(fixture.m_now, fixture.wall());
+    for (OwnerAction& action : owner.TakeActions()) {
+      if (auto* collect = std::get_if<SendCollect>(&action)) {
+        owner.OnCollectReply(fixture.m_now, fixture.wall(), collect->m_to,
+                             collect->m_command, {true, {}, {}});
+      }
+      count += std::holds_alternative<SendStart>(action) ? 1 : 0;
+      count += std::holds_alternative<JobEnded>(action) ? 1 : 0;
+    }
+    return count;
+  };
+  EXPECT_EQ(starts(), 0U);
+  fixture.m_now += std::chrono::seconds(20);
+  EXPECT_EQ(starts(), 0U);
+  owner.OnRevisionConfirmed(fixture.m_now, 2);
+  fixture.m_now += Milliseconds(4999);
+  EXPECT_EQ(starts(), 0U);
+  fixture.m_now += Milliseconds(1);
+  EXPECT_EQ(starts(), 1U);
+}
+
+// Guards against a later owner that runs a key whose caller was told "not run".
+TEST(TakeoverTest, RefusalOutlivesItsOwner) {
+  Fixture fixture({"r0", "r1", "r2"});
+  Submission job = fixture.MakeSubmission(3, 2);
+  job.m_client = "stranger";
+  const ProcessId dead = fixture.OwnerOf(job.m_key);
+  fixture.m_owners.at(dead)->Submit(fixture.m_now, fixture.wall(), job);
+  fixture.Run();
+  ASSERT_TRUE(
+      std::holds_alternative<JobNotRun>(fixture.m_answers.at(job.m_key)));
+  const auto table =
+      std::make_shared<const PartitionTable>(AfterDeathOf(fixture, dead));
+  const ProcessId next = *table->m_partitions[job.m_key.Partition(16)].m_owner;
+  Owner& owner = *fixture.m_owners.at(next);
+  owner.SetTable(fixture.m_now, fixture.wall(), 2, table);
+  owner.Tick(fixture.m_now, fixture.wall());
+  for (OwnerAction& action : owner.TakeActions()) {
+    if (auto* collect = std::get_if<SendCollect>(&action)) {
+      owner.OnCollectReply(fixture.m_now, fixture.wall(), collect->m_to,
+                           collect->m_command,
+                           fixture.m_starters.at(collect->m_to)
+                               .OnCollect(fixture.m_now, collect->m_command));
+    }
+  }
+  owner.Submit(fixture.m_now, fixture.wall(), job);
+  ASSERT_TRUE(owner.Fetch(job.m_key).has_value());
+  EXPECT_TRUE(std::holds_alternative<JobNotRun>(*owner.Fetch(job.m_key)));
+}
+
+// Guards against a refusal that its sender may tell although a newer owner has
+// collected from the holder already and will run the job.
+TEST(StarterTest, AdoptsNothingFromSupersededOwner) {
+  Fixture fixture({"r0", "r1"});
+  Starter& starter = fixture.m_starters.at({"a0", 1});
+  EXPECT_TRUE(starter.OnAdopt(fixture.wall(), {1, {{3, 1}}, {}}));
+  EXPECT_TRUE(
+      starter.OnCollect(fixture.m_now, {1, {"a1", 1}, {{3, 2}}}).m_accepted);
+  EXPECT_FALSE(starter.OnAdopt(fixture.wall(), {2, {{3, 1}}, {}}));
+}
+
+// Guards the rules for a key's time: older than the retention is unknown, and
+// from the future is refused.
+TEST(OwnerTest, KeyTimeDecidesWhetherJobRuns) {
+  Fixture fixture({"r0", "r1"});
+  Submission old = fixture.MakeSubmission(4, 1);
+  old.m_first_sent -= kRetention + Milliseconds(1);
+  const auto result = fixture.m_owners.at(fixture.OwnerOf(old.m_key))
+                          ->Submit(fixture.m_now, fixture.wall(), old);
+  EXPECT_EQ(
+      std::get<JobFailed>(std::get<SubmitAnswered>(result).m_answer).m_failure,
+      JobFailure::kUnknownMayHaveRun);
+  Submission future = fixture.MakeSubmission(5, 1);
+  future.m_first_sent += kAllowedClockError + Milliseconds(1);
+  fixture.m_owners.at(fixture.OwnerOf(future.m_key))
+      ->Submit(fixture.m_now, fixture.wall(), future);
+  fixture.Run();
+  EXPECT_TRUE(
+      std::holds_alternative<JobNotRun>(fixture.m_answers.at(future.m_key)));
+  EXPECT_TRUE(fixture.m_starts.empty());
+}
+
+// Guards against memory that grows without bound: jobs and records go after the
+// retention, and above the limit new jobs are refused.
+TEST(OwnerTest, MemoryIsBounded) {
+  Fixture fixture({"r0", "r1"});
+  const ProcessId self{"a0", 1};
+  OwnerConfig config;
+  config.m_max_jobs = 1;
+  auto limited = std::make_unique<Owner>(config, self);
+  limited->SetTable(fixture.m_now, fixture.wall(), 1,
+                    std::make_shared<PartitionTable>(fixture.m_table));
+  limited->SetInventory(fixture.m_now,
+                        std::make_shared<Inventory>(fixture.WithTargets()));
+  limited->SetFreshUntil(fixture.m_now + std::chrono::hours(1));
+  fixture.m_owners[self] = std::move(limited);
+  Owner& owner = *fixture.m_owners[self];
+  std::vector<SubmissionKey> keys;
+  for (uint64_t seed = 10; keys.size() < 4; ++seed) {
+    const Submission job = fixture.MakeSubmission(seed, 1);
+    if (fixture.OwnerOf(job.m_key) == self) {
+      keys.push_back(job.m_key);
+      owner.Submit(fixture.m_now, fixture.wall(), job);
+      fixture.Run();
+    }
+  }
+  EXPECT_TRUE(
+      std::holds_alternative<JobComplete>(fixture.m_answers.at(keys[0])));
+  EXPECT_EQ(std::get<JobNotRun>(fixture.m_answers.at(keys[1])).m_reason,
+            NotRunReason::kQueueFull);
+  EXPECT_FALSE(fixture.m_answers.contains(keys[3]));
+  fixture.m_now += kRetention + std::chrono::seconds(11);
+  fixture.Run();
+  EXPECT_FALSE(owner.Fetch(keys[0]).has_value());
+  for (const auto& [id, starter] : fixture.m_starters) {
+    EXPECT_EQ(starter.records(), 0U);
+  }
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- /dev/null
+++ b/tests/dispatch/takeover_test.cc
@@ -0,0 +1,187 @@
+#include <gtest/gtest.h>
+
+#include "dispatch/dispatch.h"
+
+namespace comfreyshift {
+namespace {
+
+constexpr WallTime kWall(Milliseconds(1'796'378'400'000));
+constexpr MonoTime kNow(std::chrono::hours(1));
+constexpr Milliseconds kRetention = std::chrono::minutes(10);
+constexpr uint32_t kPartitions = 12;
+
+ProcessId Id(int number) {
+  return {"a" + std::to_string(number), 1};
+}
+
+// Agents a0, a1 and so on, one for each rack named.
+PartitionTable MakeTable(const std::vector<std::string>& racks) {
+  TableChange change;
+  for (size_t i = 0; i < racks.size(); ++i) {
+    Member member;
+    member.m_id = Id(static_cast<int>(i));
+    member.m_rack = racks[i];
+    change.m_joining.push_back(member);
+  }
+  return ApplyChange(MakeEmptyTable(kPartitions), change, kWall, kRetention);
+}
+
+PartitionTable Without(const PartitionTable& table,
+                       std::vector<ProcessId> dead,
+                       std::vector<ProcessId> leaving = {}) {
+  TableChange change;
+  change.m_dead = std::move(dead);
+  change.m_leaving_cleanly = std::move(leaving);
+  return ApplyChange(table, change,
+                     table.LatestChange() + std::chrono::seconds(1),
+                     kRetention);
+}
+
+// Lets `self` take over what it owns in `table` under a raised epoch, and
+// returns the highest time before which a key is unknown.
+WallTime UnknownAfterTakeover(const ProcessId& self,
+                              const PartitionTable& table) {
+  std::vector<PartitionId> gained;
+  for (PartitionId id = 0; id < kPartitions; ++id) {
+    const Partition& partition = table.m_partitions[id];
+    if (partition.m_owner == self && partition.m_epoch > 1) {
+      gained.push_back(id);
+    }
+  }
+  Takeovers takeovers(self);
+  takeovers.Begin(kNow, std::make_shared<PartitionTable>(table), gained);
+  std::vector<OwnerAction> actions;
+  takeovers.Tick(kNow, actions);
+  for (const OwnerAction& action : actions) {
+    const auto& collect = std::get<SendCollect>(action);
+    takeovers.OnReply(kNow, collect.m_to, collect.m_command, {true, {}, {}});
+  }
+  ChangeLog log(std::chrono::seconds(5));
+  log.OnTable(kNow, 2, table.LatestChange());
+  log.OnConfirmed(kNow, 2);
+  log.Tick(kNow + std::chrono::seconds(5), kWall + std::chrono::seconds(9));
+  WallTime unknown;
+  for (const Takeovers::Served& served : takeovers.TakeCompleted(log)) {
+    unknown = std::max(unknown, served.m_unknown_before);
+  }
+  return unknown;
+}
+
+// Guards against a second start of a task whose record was lost after its
+// partition moved and before the new owner had the first table with the move.
+TEST(TakeoverTest, CountsLossBetweenMoveAndFirstTable) {
+  const PartitionTable moved =
+      Without(MakeTable({"r0", "r1", "r2", "r3"}), {Id(1)});
+  EXPECT_EQ(UnknownAfterTakeover(Id(0), moved), WallTime());
+  EXPECT_GT(UnknownAfterTakeover(Id(0), Without(moved, {Id(2)})), kWall);
+}
+
+// Guards against a second start of a task whose record was handed to the rack
+// that the former owner avoided, and was lost there.
+TEST(TakeoverTest, HandoverDuringTakeoverMakesEveryLossCount) {
+  const PartitionTable moved =
+      Without(MakeTable({"r0", "r1", "r2", "r1"}), {Id(1)});
+  const PartitionTable same_rack = Without(moved, {Id(3)});
+  EXPECT_EQ(UnknownAfterTakeover(Id(0), same_rack), WallTime());
+  const PartitionTable left = Without(moved, {}, {Id(2)});
+  EXPECT_GT(UnknownAfterTakeover(Id(0), Without(left, {Id(3)})), kWall);
+}
+
+// Guards against resubmissions that end unknown after one loss: of a first
+// owner, or of a rack whose agents die one after the other.
+TEST(PartitionTableTest, LossOfOneRackLeavesNothingUnknown) {
+  const PartitionTable before = MakeTable({"r0", "r0", "r1", "r2"});
+  const PartitionTable after = Without(Without(before, {Id(0)}), {Id(1)});
+  for (const Partition& partition : after.m_partitions) {
+    EXPECT_EQ(partition.m_unknown_before, WallTime());
+  }
+  const PartitionTable other = Without(after, {Id(2)});
+  EXPECT_GT(UnknownAfterTakeover(Id(3), other), kWall);
+}
+
+StartRecord MakeRecord(const PartitionTable& table, const ProcessId& owner) {
+  for (uint64_t i = 0;; ++i) {
+    const SubmissionKey key = SubmissionKey::Make(kWall, i, i);
+    if (table.m_partitions[key.Partition(kPartitions)].m_owner == owner) {
+      return {{key, 0}, kWall, Id(0), true, TaskDone{{200, "x"}, {}}};
+    }
+  }
+}
+
+// Guards against a handover that leaves both copies of a record in one rack.
+TEST(HandoverTest, StaysWhenOnlyOwnersRackWouldAdopt) {
+  const PartitionTable table = MakeTable({"r0", "r1", "r2"});
+  const StartRecord record = MakeRecord(table, Id(1));
+  const HandoverPlan plan = PlanHandover(table, Id(0), {record});
+  ASSERT_EQ(plan.m_commands.size(), 1U);
+  EXPECT_EQ(plan.m_commands[0].m_to, Id(2));
+  const HandoverPlan refused = PlanHandover(table, Id(0), {record}, {Id(2)});
+  EXPECT_FALSE(refused.m_complete);
+  EXPECT_TRUE(refused.m_commands.empty());
+}
+
+// Guards against two members that leave at the same time and wait for each
+// other for ever.
+TEST(HandoverTest, LeavingMemberAdoptsUntilItHandsOver) {
+  const PartitionTable table = MakeTable({"r0", "r1", "r2"});
+  Starter starter({}, Id(2));
+  starter.SetTable(std::make_shared<PartitionTable>(table));
+  starter.StartDraining(kNow);
+  const StartRecord record = MakeRecord(table, Id(1));
+  EXPECT_TRUE(starter.OnAdopt(kWall, {1, {}, {record}}));
+  EXPECT_EQ(starter.BeginHandover().size(), 1U);
+  EXPECT_FALSE(starter.OnAdopt(kWall, {2, {}, {record}}));
+  starter.GiveUpHandover();
+  EXPECT_TRUE(starter.OnAdopt(kWall, {3, {}, {record}}));
+}
+
+// Guards against a planned stop that turns the answer of a finished task into
+// "unknown" because its reply was lost.
+TEST(OwnerTest, FindsRecordOfAgentThatLeftCleanly) {
+  PartitionTable table = MakeTable({"r0", "r1", "r2"});
+  Inventory inventory;
+  inventory.m_zones["z"] = {};
+  inventory.m_clients["c"] = {};
+  inventory.m_requests["r"] = {};
+  inventory.m_rules["c"] = {"c", {"*"}};
+  inventory.m_targets["t"].m_zone = "z";
+  for (Member& member : table.m_members) {
+    member.m_target = "t";
+  }
+  Owner owner({}, Id(0));
+  owner.SetInventory(kNow, std::make_shared<Inventory>(inventory));
+  owner.SetTable(kNow, kWall, 1, std::make_shared<PartitionTable>(table));
+  owner.SetFreshUntil(MonoTime::max());
+  Submission job;
+  job.m_key = MakeRecord(table, Id(0)).m_task.m_key;
+  job.m_first_sent = kWall;
+  job.m_client = "c";
+  job.m_deadline = kNow + std::chrono::minutes(1);
+  job.m_tasks = {TaskSpec{"r", "", {}, 0, false}};
+  owner.Submit(kNow, kWall, job);
+  const auto sent = owner.TakeActions();
+  const ProcessId agent = std::get<SendStart>(sent.at(0)).m_to;
+  owner.OnReplyLost(kNow, agent, {job.m_key, 0});
+  owner.SetTable(kNow, kWall, 2,
+                 std::make_shared<PartitionTable>(Without(table, {}, {agent})));
+  owner.Tick(kNow, kWall);
+  for (const OwnerAction& action : owner.TakeActions()) {
+    const auto* collect = std::get_if<SendCollect>(&action);
+    if (collect == nullptr) {
+      continue;
+    }
+    CollectReply reply;
+    reply.m_accepted = true;
+    if (collect->m_to != Id(0)) {
+      reply.m_records.push_back(
+          {{job.m_key, 0}, kWall, agent, true, TaskDone{{200, "done"}, {}}});
+    }
+    owner.OnCollectReply(kNow, kWall, collect->m_to, collect->m_command, reply);
+  }
+  ASSERT_TRUE(owner.Fetch(job.m_key).has_value());
+  EXPECT_EQ(std::get<JobComplete>(*owner.Fetch(job.m_key)).m_answers.at(0),
+            (TaskAnswer{200, "done"}));
+}
+
+}  // namespace
+}  // namespace comfreyshift
--- a/tests/dispatch/world.cc
+++ b/tests/dispatch/world.cc
@@ -70,8 +70,7 @@
 
 World::Process* World::PickListed(uint32_t pick) {
   const auto& members = current().m_table.m_members;
-  return members.empty() ? nullptr
-                         : Find(members[pick % members.size()].m_id);
+  return members.empty() ? nullptr : Find(members[pick % members.size()].m_id);
 }
 
 bool World::Connected(const ProcessId& from, const ProcessId& to) {
@@ -298,8 +297,8 @@
 }
 
 void World::Do(Process& process, SendStart action) {
-  const auto call = StartCall(process.m_member.m_id, action.m_to,
-                              action.m_command.m_task);
+  const auto call =
+      StartCall(process.m_member.m_id, action.m_to, action.m_command.m_task);
   Send(call->m_from, call->m_to, call, [=, this](Process& agent) {
     const ReplyToken token = m_order++;
     m_tokens[token] = call;
@@ -308,8 +307,8 @@
 }
 
 void World::Do(Process& process, SendSettle action) {
-  const auto call = StartCall(process.m_member.m_id, action.m_to,
-                              action.m_command.m_task);
+  const auto call =
+      StartCall(process.m_member.m_id, action.m_to, action.m_command.m_task);
   Send(call->m_from, call->m_to, call, [=, this](Process& agent) {
     const ReplyToken token = m_order++;
     m_tokens[token] = call;
@@ -396,9 +395,8 @@
     return;
   }
   if (m_faults && Chance(4)) {
-    At(m_now + Milliseconds(1), [=] {
-      end(TaskNotStarted{NotRunReason::kTargetUnreachable});
-    });
+    At(m_now + Milliseconds(1),
+       [=] { end(TaskNotStarted{NotRunReason::kTargetUnreachable}); });
     return;
   }
   CheckStart(process, action);
--- a/tests/dispatch/world_checks.cc
+++ b/tests/dispatch/world_checks.cc
@@ -45,11 +45,9 @@
   const SubmissionKey key = m_keys[pick % m_keys.size()];
   const auto entry = std::next(m_processes.begin(),
                                static_cast<int>(Random(m_processes.size())));
-  const PartitionTable& table =
-      m_configs[entry->second.m_revision].m_table;
-  const Partition& partition =
-      table.m_partitions[key.Partition(
-          static_cast<uint32_t>(table.m_partitions.size()))];
+  const PartitionTable& table = m_configs[entry->second.m_revision].m_table;
+  const Partition& partition = table.m_partitions[key.Partition(
+      static_cast<uint32_t>(table.m_partitions.size()))];
   if (partition.m_owner) {
     SendSubmission(key, *partition.m_owner);
   }
@@ -84,13 +82,13 @@
       const Process* process = Find(id);
       return process != nullptr && process->m_side == 0;
     };
-    if (job.m_answered || std::any_of(job.m_attached.begin(),
-                                      job.m_attached.end(), reachable)) {
+    if (job.m_answered ||
+        std::any_of(job.m_attached.begin(), job.m_attached.end(), reachable)) {
       continue;
     }
     const auto& partitions = current().m_table.m_partitions;
-    const Partition& partition = partitions[key.Partition(
-        static_cast<uint32_t>(partitions.size()))];
+    const Partition& partition =
+        partitions[key.Partition(static_cast<uint32_t>(partitions.size()))];
     if (partition.m_owner && reachable(*partition.m_owner)) {
       SendSubmission(key, *partition.m_owner);
     }
@@ -268,8 +266,8 @@
 }
 
 void World::CheckStart(const Process& process, const RunTask& run) {
-  const std::string where = process.m_member.m_target + " of " +
-                            process.m_member.m_id.m_name;
+  const std::string where =
+      process.m_member.m_target + " of " + process.m_member.m_id.m_name;
   const auto [found, first] = m_starts.try_emplace(run.m_task, where);
   const std::string task = run.m_task.m_key.ToString() + " task " +
                            std::to_string(run.m_task.m_index);
@@ -323,8 +321,9 @@
   }
 }
 
-// After one loss, of a worker or a rack, with agents in another rack, a job may end unknown when a task of it was
-// out at a lost process, or when its target broke the connection.
+// After one loss, of a worker or a rack, with agents in another rack, a job may
+// end unknown when a task of it was out at a lost process, or when its target
+// broke the connection.
 void World::CheckUnknown(const Job& job) {
   const bool excused = !job.m_unknown || job.m_injected_loss ||
                        m_lost_racks.size() > 1 || m_had_one_rack ||
