Make two tests see the fault they guard against

RefusalOutlivesItsOwner passed without the copy of the refusal, because the next owner refused the client as well; CountsLossBetweenMoveAndFirstTable passed without the count, because it looked at partitions of the second loss too. Both were seen to fail with the mechanism removed.

--- a/tests/dispatch/owner_test.cc
+++ b/tests/dispatch/owner_test.cc
@@ -249,6 +249,11 @@
       std::make_shared<const PartitionTable>(AfterDeathOf(fixture, dead));
   const ProcessId next = *table->m_partitions[job.m_key.Partition(16)].m_owner;
   Owner& owner = *fixture.m_owners.at(next);
+  // The reason for the refusal is gone by then.
+  fixture.m_inventory.m_clients["stranger"] = {};
+  fixture.m_inventory.m_rules["stranger"] = {"stranger", {"*"}};
+  owner.SetInventory(fixture.m_now,
+                     std::make_shared<Inventory>(fixture.WithTargets()));
   owner.SetTable(fixture.m_now, fixture.wall(), 2, table);
   owner.Tick(fixture.m_now, fixture.wall());
   for (OwnerAction& action : owner.TakeActions()) {
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -37,13 +37,14 @@
                      kRetention);
 }
 
-// Lets `self` take over what it owns in `table` under a raised epoch, and
-// returns the highest time before which a key is unknown.
+// Lets `self` take over what it gained in `moved`, with `table` as the first
+// that it sees. Returns the highest time before which a key is unknown.
 WallTime UnknownAfterTakeover(const ProcessId& self,
+                              const PartitionTable& moved,
                               const PartitionTable& table) {
   std::vector<PartitionId> gained;
   for (PartitionId id = 0; id < kPartitions; ++id) {
-    const Partition& partition = table.m_partitions[id];
+    const Partition& partition = moved.m_partitions[id];
     if (partition.m_owner == self && partition.m_epoch > 1) {
       gained.push_back(id);
     }
@@ -72,8 +73,8 @@
 TEST(TakeoverTest, CountsLossBetweenMoveAndFirstTable) {
   const PartitionTable moved =
       Without(MakeTable({"r0", "r1", "r2", "r3"}), {Id(1)});
-  EXPECT_EQ(UnknownAfterTakeover(Id(0), moved), WallTime());
-  EXPECT_GT(UnknownAfterTakeover(Id(0), Without(moved, {Id(2)})), kWall);
+  EXPECT_EQ(UnknownAfterTakeover(Id(0), moved, moved), WallTime());
+  EXPECT_GT(UnknownAfterTakeover(Id(0), moved, Without(moved, {Id(2)})), kWall);
 }
 
 // Guards against a second start of a task whose record was handed to the rack
@@ -82,9 +83,9 @@
   const PartitionTable moved =
       Without(MakeTable({"r0", "r1", "r2", "r1"}), {Id(1)});
   const PartitionTable same_rack = Without(moved, {Id(3)});
-  EXPECT_EQ(UnknownAfterTakeover(Id(0), same_rack), WallTime());
+  EXPECT_EQ(UnknownAfterTakeover(Id(0), moved, same_rack), WallTime());
   const PartitionTable left = Without(moved, {}, {Id(2)});
-  EXPECT_GT(UnknownAfterTakeover(Id(0), Without(left, {Id(3)})), kWall);
+  EXPECT_GT(UnknownAfterTakeover(Id(0), moved, Without(left, {Id(3)})), kWall);
 }
 
 // Guards against resubmissions that end unknown after one loss: of a first
@@ -96,7 +97,7 @@
     EXPECT_EQ(partition.m_unknown_before, WallTime());
   }
   const PartitionTable other = Without(after, {Id(2)});
-  EXPECT_GT(UnknownAfterTakeover(Id(3), other), kWall);
+  EXPECT_GT(UnknownAfterTakeover(Id(3), other, other), kWall);
 }
 
 StartRecord MakeRecord(const PartitionTable& table, const ProcessId& owner) {
