Carry the witness sets of earlier tables in the table

Cause: a process that knows only the newest table must also count witnesses that others may still follow (docs/decisions/0002-freshness-lease.md, faults 1 and 2). Before: an entry restarted between two table changes counted one set. After: the table value carries UnretiredSets().

--- a/dispatch/partition_table.h
+++ b/dispatch/partition_table.h
@@ -59,6 +59,9 @@
   std::vector<Member> m_members;
   std::vector<Partition> m_partitions;
   std::vector<DepartedMember> m_departed;
+  // Witness sets of earlier tables that some process may still use; see
+  // Membership::UnretiredSets().
+  std::vector<WitnessSet> m_earlier_witnesses;
 
   // Returns the member with this name and incarnation, or nothing.
   const Member* Find(const ProcessId& id) const;
--- a/dispatch/table_codec.cc
+++ b/dispatch/table_codec.cc
@@ -148,6 +148,22 @@
   }
 }
 
+void DecodeEarlierWitnesses(const Json& json, PartitionTable& table) {
+  for (const Json& item : json.at("earlier_witnesses")) {
+    Require(item.is_array() && item.size() == 2 && item[1].is_array(),
+            "a witness set needs a revision and a list of members");
+    WitnessSet set;
+    set.m_table_revision = item[0].get<uint64_t>();
+    for (const Json& member : item[1]) {
+      Require(member.is_array() && member.size() == 2,
+              "a witness needs a name and an incarnation");
+      set.m_members.push_back(
+          {member[0].get<std::string>(), member[1].get<uint64_t>()});
+    }
+    table.m_earlier_witnesses.push_back(std::move(set));
+  }
+}
+
 PartitionTable DecodeChecked(std::string_view text) {
   const Json json = Json::parse(text);
   Require(json.at("version").get<int>() == kFormatVersion,
@@ -156,6 +172,7 @@
   DecodeMembers(json, table);
   DecodePartitions(json, table);
   DecodeDeparted(json, table);
+  DecodeEarlierWitnesses(json, table);
   return table;
 }
 
@@ -193,6 +210,14 @@
         {item.m_id.m_name, item.m_id.m_incarnation, item.m_rack,
          item.m_departed_at.time_since_epoch().count(), item.m_clean}));
   }
+  Json& earlier = json["earlier_witnesses"] = Json::array();
+  for (const WitnessSet& set : table.m_earlier_witnesses) {
+    Json set_members = Json::array();
+    for (const ProcessId& id : set.m_members) {
+      set_members.push_back(Json::array({id.m_name, id.m_incarnation}));
+    }
+    earlier.push_back(Json::array({set.m_table_revision, set_members}));
+  }
   return json.dump();
 }
 
--- a/entry/table_keeper.cc
+++ b/entry/table_keeper.cc
@@ -131,8 +131,12 @@
   const PartitionTable base = has_table
                                   ? *m_node.view().table()
                                   : MakeEmptyTable(m_config.m_partition_count);
-  Write(now,
-        ApplyChange(base, PendingChange(), WallNow(), m_config.m_retention));
+  PartitionTable table =
+      ApplyChange(base, PendingChange(), WallNow(), m_config.m_retention);
+  // A reader that knows only this table must also count the witnesses of those
+  // that some process may still follow.
+  table.m_earlier_witnesses = m_node.membership().UnretiredSets();
+  Write(now, table);
 }
 
 MonoTime TableKeeper::NextDeadline() const {
--- a/node/process_node.cc
+++ b/node/process_node.cc
@@ -84,7 +84,8 @@
   m_applied = changes.m_revision;
   if (m_view.table_revision() != table_before) {
     m_membership.SetMembers(now, m_view.table_revision(),
-                            m_view.table()->m_members);
+                            m_view.table()->m_members,
+                            m_view.table()->m_earlier_witnesses);
   }
   // The role drops what the new configuration forbids before this process
   // claims to apply it.
