Carry up to 6 updates in a datagram

Cause: at 2,400 members with 5% loss or a lost zone the updates crowded each other out; some were sent too seldom to reach every process.

--- a/membership/datagram.h
+++ b/membership/datagram.h
@@ -23,7 +23,7 @@
 // Largest number of witnesses; odd, so that a majority is always strict.
 inline constexpr size_t kMaxWitnesses = 63;
 // Most updates about members that one datagram carries.
-inline constexpr size_t kMaxUpdates = 4;
+inline constexpr size_t kMaxUpdates = 6;
 // Larger datagrams are rejected: one datagram stays within one Ethernet frame.
 inline constexpr size_t kMaxDatagramSize = 1200;
 // Witness age code for "not known within the proof's lifetime".
