Close server connections that clients leave idle

Ruled out: answering each request with "Connection: close", because TLS would pay a handshake for every request; feeding libsoup a fake byte, because it could complete a cut-off body. One source for each connection sees its client go, and a server object takes 64 connections and is destroyed with the last. Also: the tests use files of their own process.

--- a/http/request.cc
+++ b/http/request.cc
@@ -1,13 +1,13 @@
 #include "http/request.h"
 
-#include <glib-unix.h>
 #include <libsoup/soup.h>
-#include <poll.h>
 
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
+#include "http/message_socket.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -43,38 +43,6 @@
 
 }  // namespace
 
-// Watches the socket of a paused request. libsoup does not poll the socket
-// meanwhile, so it does not see the client go.
-struct HttpRequest::Watch {
-  Watch(GSocket* socket, HttpRequest* request)
-      : m_socket(G_SOCKET(g_object_ref(socket))),
-        // POLLRDHUP reports the end of the client's side even behind unread
-        // data; GLib hands conditions to poll() as they are.
-        m_source(g_unix_fd_source_new(
-            g_socket_get_fd(socket),
-            static_cast<GIOCondition>(POLLRDHUP | G_IO_HUP | G_IO_ERR))) {
-    g_source_set_callback(m_source, G_SOURCE_FUNC(&Watch::OnEvent), request,
-                          nullptr);
-    g_source_attach(m_source, g_main_context_get_thread_default());
-  }
-  ~Watch() {
-    g_source_destroy(m_source);
-    g_source_unref(m_source);
-    g_object_unref(m_socket);
-  }
-  Watch(const Watch&) = delete;
-  Watch& operator=(const Watch&) = delete;
-
-  static gboolean OnEvent(gint, GIOCondition, gpointer data) {
-    const auto request = static_cast<HttpRequest*>(data)->shared_from_this();
-    request->HandleDisconnect();
-    return G_SOURCE_REMOVE;
-  }
-
-  GSocket* m_socket;
-  GSource* m_source;
-};
-
 HttpRequest::HttpRequest(_SoupServerMessage* message)
     : m_message(SOUP_SERVER_MESSAGE(g_object_ref(message))),
       m_method(soup_server_message_get_method(message)),
@@ -131,7 +99,6 @@
     return;
   }
   m_is_answered = true;
-  m_watch.reset();
   m_on_disconnect = nullptr;
   SoupMessageHeaders* fields =
       soup_server_message_get_response_headers(m_message);
@@ -175,14 +142,6 @@
 void HttpRequest::Pause() {
   m_is_paused = true;
   soup_server_message_pause(m_message);
-  StartWatch();
-}
-
-void HttpRequest::StartWatch() {
-  GSocket* socket = soup_server_message_get_socket(m_message);
-  if (socket != nullptr) {
-    m_watch = std::make_unique<Watch>(socket, this);
-  }
 }
 
 void HttpRequest::HandleDisconnect() {
@@ -190,7 +149,6 @@
     return;
   }
   m_is_disconnected = true;
-  m_watch.reset();
   if (const std::function<void()> handler =
           std::exchange(m_on_disconnect, {})) {
     handler();
@@ -203,7 +161,7 @@
 // Lets libsoup find the broken connection. A client that closed only its own
 // side gets no answer either, because any answer would be wrong.
 void HttpRequest::DropConnection() {
-  GSocket* socket = soup_server_message_get_socket(m_message);
+  GSocket* socket = SocketOf(m_message);
   if (socket != nullptr) {
     g_socket_shutdown(socket, TRUE, TRUE, nullptr);
   }
@@ -214,7 +172,6 @@
   if (m_message == nullptr) {
     return;
   }
-  m_watch.reset();
   g_object_unref(std::exchange(m_message, nullptr));
 }
 
--- a/http/request.h
+++ b/http/request.h
@@ -73,11 +73,8 @@
  private:
   friend class HttpServer;
 
-  struct Watch;
-
   void ReadMessage();
   void Pause();
-  void StartWatch();
   void HandleDisconnect();
   void DropConnection();
   // Detaches from the message, which is finished or about to be destroyed.
@@ -91,7 +88,6 @@
   std::vector<std::string> m_arguments;
   std::map<std::string, std::string> m_query;
   std::function<void()> m_on_disconnect;
-  std::unique_ptr<Watch> m_watch;
   size_t m_received_bytes = 0;
   bool m_is_too_large = false;
   bool m_is_paused = false;
--- a/http/server.cc
+++ b/http/server.cc
@@ -2,6 +2,9 @@
 
 #include <fcntl.h>
 #include <libsoup/soup.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -9,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "http/message_socket.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -68,74 +73,206 @@
   return taken;
 }
 
-// Returns null and sets `error` when the address cannot be listened on.
-GSocket* MakeListeningSocket(GSocketAddress* address, GError** error) {
-  GSocket* socket =
-      g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
-                   G_SOCKET_PROTOCOL_TCP, error);
-  if (socket == nullptr) {
-    return nullptr;
-  }
-  g_socket_set_listen_backlog(socket, kBacklog);
-  if (!g_socket_bind(socket, address, /*allow_reuse=*/TRUE, error) ||
-      !g_socket_listen(socket, error)) {
-    g_object_unref(socket);
-    return nullptr;
+// libsoup 3.2 closes each connection after its answer when the server has no
+// listener of its own. Gives it one that never accepts: it is closed at once by
+// replacing its descriptor by one that never becomes ready. libsoup takes only
+// a socket that listens.
+void KeepConnectionsAlive(SoupServer* server) {
+  if (!soup_server_listen_local(server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY,
+                                nullptr)) {
+    return;
   }
-  return socket;
+  GSList* listeners = soup_server_get_listeners(server);
+  const int never_ready = eventfd(0, EFD_CLOEXEC);
+  dup3(never_ready, g_socket_get_fd(G_SOCKET(listeners->data)), O_CLOEXEC);
+  close(never_ready);
+  g_slist_free(listeners);
 }
 
-uint16_t PortOf(GSocket* socket) {
-  GSocketAddress* local = g_socket_get_local_address(socket, nullptr);
-  if (local == nullptr) {
-    return 0;
+// libsoup 3.2 keeps a connection that its client closed while it was idle until
+// the server object is destroyed. Each server object therefore takes only this
+// many connections and is destroyed when the last of them is gone.
+constexpr size_t kConnectionsPerServer = 64;
+
+// One server object of libsoup and the number of its open connections.
+struct Generation {
+  explicit Generation(SoupServer* server) : m_server(server) {}
+  ~Generation() {
+    soup_server_disconnect(m_server);
+    g_object_unref(m_server);
   }
-  const uint16_t port =
-      g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(local));
-  g_object_unref(local);
-  return port;
-}
+  Generation(const Generation&) = delete;
+  Generation& operator=(const Generation&) = delete;
 
-// Closes the listening sockets and nothing else. soup_server_disconnect() would
-// break the connections of requests in progress too, and a server without
-// listeners keeps no connection alive. Each descriptor is therefore replaced by
-// one that never becomes ready.
-void CloseListeners(SoupServer* server) {
-  GSList* listeners = soup_server_get_listeners(server);
-  for (GSList* item = listeners; item != nullptr; item = item->next) {
-    const int descriptor = g_socket_get_fd(G_SOCKET(item->data));
-    const int never_ready = eventfd(0, EFD_CLOEXEC);
-    dup3(never_ready, descriptor, O_CLOEXEC);
-    close(never_ready);
+  SoupServer* m_server;
+  size_t m_accepted = 0;
+  size_t m_open = 0;
+};
+
+// One accepted connection. Its source fires when the client goes; libsoup does
+// not poll the socket while a request is paused.
+struct ServerConnection {
+  ServerConnection(GSocket* socket, Generation* generation)
+      : m_socket(G_SOCKET(g_object_ref(socket))),
+        m_generation(generation),
+        // POLLRDHUP reports the end of the client's side even behind unread
+        // data; GLib hands conditions to poll() as they are.
+        m_source(g_socket_create_source(
+            socket,
+            static_cast<GIOCondition>(POLLRDHUP | G_IO_HUP | G_IO_ERR),
+            nullptr)) {
+    ++m_generation->m_open;
   }
-  g_slist_free(listeners);
-}
+  ~ServerConnection() {
+    g_source_destroy(m_source);
+    g_source_unref(m_source);
+    g_socket_close(m_socket, nullptr);
+    g_object_unref(m_socket);
+    --m_generation->m_open;
+  }
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  GSocket* m_socket;
+  Generation* m_generation;
+  GSource* m_source;
+  // The request in progress, or null.
+  std::shared_ptr<HttpRequest> m_request;
+  bool m_is_gone = false;
+};
 
 }  // namespace
 
 struct HttpServer::Impl {
   explicit Impl(uint64_t max_body_bytes)
-      : m_server(soup_server_new("server-header", "comfreyshift", nullptr)),
-        m_max_body_bytes(max_body_bytes) {
-    soup_server_add_early_handler(m_server, nullptr, &Impl::OnHeaders, this,
-                                  nullptr);
-    soup_server_add_handler(m_server, nullptr, &Impl::OnRequest, this, nullptr);
+      : m_service(g_socket_service_new()), m_max_body_bytes(max_body_bytes) {
+    g_socket_listener_set_backlog(G_SOCKET_LISTENER(m_service), kBacklog);
+    g_signal_connect(m_service, "incoming", G_CALLBACK(&Impl::OnIncoming),
+                     this);
   }
 
   ~Impl() {
-    if (m_done_source != 0) {
-      g_source_remove(m_done_source);
+    for (const guint source : {m_done_source, m_reap_source}) {
+      if (source != 0) {
+        g_source_remove(source);
+      }
     }
     for (auto& [message, request] : m_pending) {
       g_signal_handlers_disconnect_by_data(message, this);
       request->Close();
     }
-    soup_server_disconnect(m_server);
-    g_object_unref(m_server);
+    CloseListener();
+    g_object_unref(m_service);
+    g_clear_object(&m_certificate);
+    m_connections.clear();
   }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
+  // The listener is not libsoup's own, because soup_server_disconnect() breaks
+  // the connections of requests in progress too.
+  static gboolean OnIncoming(GSocketService*,
+                             GSocketConnection* connection,
+                             GObject*,
+                             Impl* self) {
+    GSocket* socket = g_socket_connection_get_socket(connection);
+    // Answers are written at once instead of waiting for more to send.
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    GSocketAddress* local = g_socket_get_local_address(socket, nullptr);
+    GSocketAddress* remote = g_socket_get_remote_address(socket, nullptr);
+    GIOStream* stream = self->Wrap(connection);
+    if (stream != nullptr && local != nullptr && remote != nullptr) {
+      AttachSocket(remote, socket);
+      Generation& generation = self->CurrentGeneration();
+      self->AddConnection(socket, generation);
+      soup_server_accept_iostream(generation.m_server, stream, local, remote,
+                                  nullptr);
+    }
+    g_clear_object(&stream);
+    g_clear_object(&local);
+    g_clear_object(&remote);
+    return TRUE;
+  }
+
+  // Returns the stream to serve on a connection, which the caller unrefs.
+  GIOStream* Wrap(GSocketConnection* connection) const {
+    if (m_certificate == nullptr) {
+      return G_IO_STREAM(g_object_ref(connection));
+    }
+    return g_tls_server_connection_new(G_IO_STREAM(connection), m_certificate,
+                                       nullptr);
+  }
+
+  // Returns the server object for the next connection.
+  Generation& CurrentGeneration() {
+    if (m_generations.empty() ||
+        m_generations.back()->m_accepted >= kConnectionsPerServer) {
+      SoupServer* server =
+          soup_server_new("server-header", "comfreyshift", nullptr);
+      KeepConnectionsAlive(server);
+      soup_server_add_early_handler(server, nullptr, &Impl::OnHeaders, this,
+                                    nullptr);
+      soup_server_add_handler(server, nullptr, &Impl::OnRequest, this, nullptr);
+      m_generations.push_back(std::make_unique<Generation>(server));
+    }
+    ++m_generations.back()->m_accepted;
+    return *m_generations.back();
+  }
+
+  void AddConnection(GSocket* socket, Generation& generation) {
+    auto connection = std::make_unique<ServerConnection>(socket, &generation);
+    g_source_set_callback(connection->m_source,
+                          G_SOURCE_FUNC(&Impl::OnConnectionEvent), this,
+                          nullptr);
+    g_source_attach(connection->m_source, g_main_context_get_thread_default());
+    m_connections[socket] = std::move(connection);
+  }
+
+  // Called when a client has gone, or libsoup has closed its connection.
+  static gboolean OnConnectionEvent(GSocket* socket, GIOCondition, Impl* self) {
+    const auto found = self->m_connections.find(socket);
+    if (found != self->m_connections.end()) {
+      found->second->m_is_gone = true;
+      self->ReapLater();
+      if (const auto request = found->second->m_request) {
+        request->HandleDisconnect();
+      }
+    }
+    return G_SOURCE_REMOVE;
+  }
+
+  // Closing inside a call of libsoup would pull the connection from under it.
+  void ReapLater() {
+    if (m_reap_source == 0) {
+      m_reap_source = g_idle_add(&Impl::OnReap, this);
+    }
+  }
+
+  static gboolean OnReap(gpointer data) {
+    auto* self = static_cast<Impl*>(data);
+    self->m_reap_source = 0;
+    std::erase_if(self->m_connections, [](const auto& item) {
+      return item.second->m_is_gone && item.second->m_request == nullptr;
+    });
+    std::erase_if(self->m_generations, [](const auto& generation) {
+      return generation->m_open == 0 &&
+             generation->m_accepted >= kConnectionsPerServer;
+    });
+    return G_SOURCE_REMOVE;
+  }
+
+  // Returns the connection of a message, or null.
+  ServerConnection* ConnectionOf(SoupServerMessage* message) {
+    const auto found = m_connections.find(SocketOf(message));
+    return found == m_connections.end() ? nullptr : found->second.get();
+  }
+
+  void CloseListener() {
+    g_signal_handlers_disconnect_by_data(m_service, this);
+    g_socket_service_stop(m_service);
+    g_socket_listener_close(G_SOCKET_LISTENER(m_service));
+  }
+
   // Called by libsoup when the headers of a request are read.
   static void OnHeaders(SoupServer*,
                         SoupServerMessage* message,
@@ -148,6 +285,9 @@
         soup_server_message_get_request_headers(message);
     const goffset length = soup_message_headers_get_content_length(headers);
     self->m_pending[message] = request;
+    if (ServerConnection* connection = self->ConnectionOf(message)) {
+      connection->m_request = request;
+    }
     g_signal_connect(message, "got-chunk", G_CALLBACK(&Impl::OnChunk), self);
     g_signal_connect(message, "finished", G_CALLBACK(&Impl::OnFinished), self);
     if (length > 0 && static_cast<uint64_t>(length) > self->m_max_body_bytes) {
@@ -169,7 +309,7 @@
     }
     const uint64_t cut_off =
         self->m_max_body_bytes * kCutOffFactor + kCutOffBytes;
-    GSocket* socket = soup_server_message_get_socket(message);
+    GSocket* socket = SocketOf(message);
     if (request.m_received_bytes > cut_off && socket != nullptr) {
       g_socket_shutdown(socket, TRUE, TRUE, nullptr);
     }
@@ -207,6 +347,12 @@
     g_signal_handlers_disconnect_by_data(message, self);
     request->m_is_paused = false;
     request->HandleDisconnect();
+    if (ServerConnection* connection = self->ConnectionOf(message)) {
+      connection->m_request = nullptr;
+      if (connection->m_is_gone) {
+        self->ReapLater();
+      }
+    }
     request->Close();
     self->FinishStop();
   }
@@ -285,12 +431,17 @@
     }
   }
 
-  SoupServer* m_server;
+  GSocketService* m_service;
+  GTlsCertificate* m_certificate = nullptr;
   uint64_t m_max_body_bytes;
   std::vector<Route> m_routes;
+  // Declared before the connections, which count in them.
+  std::vector<std::unique_ptr<Generation>> m_generations;
+  std::map<GSocket*, std::unique_ptr<ServerConnection>> m_connections;
   std::map<SoupServerMessage*, std::shared_ptr<HttpRequest>> m_pending;
   std::function<void()> m_done;
   guint m_done_source = 0;
+  guint m_reap_source = 0;
   bool m_is_stopping = false;
 };
 
@@ -308,35 +459,30 @@
   if (loaded == nullptr) {
     return TakeError(HttpErrorCode::kTls, error);
   }
-  soup_server_set_tls_certificate(m_impl->m_server, loaded);
-  g_object_unref(loaded);
+  g_clear_object(&m_impl->m_certificate);
+  m_impl->m_certificate = loaded;
   return outcome::success();
 }
 
 Result<Address, HttpError> HttpServer::Listen(const Address& address) {
-  GSocketAddress* wanted = g_inet_socket_address_new_from_string(
+  GError* error = nullptr;
+  GSocketAddress* socket_address = g_inet_socket_address_new_from_string(
       address.m_host.c_str(), address.m_port);
-  if (wanted == nullptr) {
+  if (socket_address == nullptr) {
     return HttpError{HttpErrorCode::kListen,
                      address.m_host + " is not an IP number"};
   }
-  GError* error = nullptr;
-  GSocket* socket = MakeListeningSocket(wanted, &error);
-  g_object_unref(wanted);
-  if (socket == nullptr) {
-    return TakeError(HttpErrorCode::kListen, error);
-  }
-  const auto options = static_cast<SoupServerListenOptions>(
-      soup_server_get_tls_certificate(m_impl->m_server) != nullptr
-          ? SOUP_SERVER_LISTEN_HTTPS
-          : 0);
-  const uint16_t port = PortOf(socket);
-  const bool is_listening =
-      soup_server_listen_socket(m_impl->m_server, socket, options, &error);
-  g_object_unref(socket);
+  GSocketAddress* effective = nullptr;
+  const bool is_listening = g_socket_listener_add_address(
+      G_SOCKET_LISTENER(m_impl->m_service), socket_address,
+      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, &effective, &error);
+  g_object_unref(socket_address);
   if (!is_listening) {
     return TakeError(HttpErrorCode::kListen, error);
   }
+  const guint16 port =
+      g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(effective));
+  g_object_unref(effective);
   return Address{address.m_host, port};
 }
 
@@ -349,7 +495,7 @@
 }
 
 void HttpServer::Stop(std::function<void()> done) {
-  CloseListeners(m_impl->m_server);
+  m_impl->CloseListener();
   m_impl->m_is_stopping = true;
   m_impl->m_done = std::move(done);
   for (auto& [message, request] : m_impl->m_pending) {
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
+#include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -81,6 +83,13 @@
     m_inventory.m_zones["medina"] = {"sfax", true};
   }
 
+  ~CommandsTest() override {
+    for (const char* name :
+         {"token", "inventory.ini", "faulty.ini", "node.ini", "ok.ini"}) {
+      std::filesystem::remove(PathOf(name));
+    }
+  }
+
   void Route(std::string_view method,
              std::string_view pattern,
              HttpHandler handler) {
@@ -105,16 +114,21 @@
   }
 
   static std::string Write(const std::string& name, const std::string& text) {
-    std::string path = testing::TempDir() + "cli_test_" + name;
+    std::string path = PathOf(name);
     std::ofstream(path) << text;
     return path;
   }
 
+  // Other checkouts may run the same tests at the same time.
+  static std::string PathOf(const std::string& name) {
+    return testing::TempDir() + "cli_test_" + std::to_string(getpid()) + "_" +
+           name;
+  }
+
   ExitCode Run(std::vector<std::string> arguments, bool connects = true) {
     if (connects) {
       arguments.insert(arguments.end(),
-                       {"--entry", m_url, "--token-file",
-                        testing::TempDir() + "cli_test_token"});
+                       {"--entry", m_url, "--token-file", PathOf("token")});
     }
     m_out.str("");
     m_error.str("");
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -4,9 +4,12 @@
 #include <gtest/gtest.h>
 #include <openssl/pem.h>
 #include <openssl/x509v3.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstdio>
+#include <filesystem>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "http/client.h"
@@ -274,6 +277,32 @@
   }
 }
 
+size_t OpenDescriptors() {
+  const std::filesystem::directory_iterator folder("/proc/self/fd");
+  return static_cast<size_t>(std::distance(begin(folder), end(folder)));
+}
+
+// libsoup's own listener leaks a descriptor for each connection that a client
+// closes, until the process can open no more.
+TEST_F(HttpServerTest, ClosesItsConnections) {
+  const size_t before = OpenDescriptors();
+  for (int i = 0; i < 60; ++i) {
+    RawClient client(m_address);
+    client.Write(i % 2 == 0 ? "POST /v1/echo HTTP/1.1\r\nHost: "
+                              "a\r\nContent-Length: 0\r\n\r\n"
+                            : "POST /v1/wait HTTP/1.1\r\nHost: "
+                              "a\r\nContent-Length: 0\r\n\r\n");
+    if (i % 2 == 0) {
+      EXPECT_NE(client.Read(), "");
+    } else {
+      EXPECT_TRUE(RunUntil([&] { return m_waiting != nullptr; }));
+      m_waiting.reset();
+    }
+  }
+  EXPECT_TRUE(RunUntil([&] { return OpenDescriptors() <= before + 2; }))
+      << before << " before, " << OpenDescriptors() << " after";
+}
+
 TEST_F(HttpServerTest, RepliesLater) {
   std::optional<int> status;
   m_client->Send(Call("POST", "/v1/wait", "x"), [&](const auto& result) {
@@ -387,8 +416,11 @@
 }
 
 TEST_F(HttpServerTest, ServesTls) {
-  const std::string certificate = testing::TempDir() + "http_test_cert.pem";
-  const std::string key = testing::TempDir() + "http_test_key.pem";
+  // Other checkouts may run the same test at the same time.
+  const std::string prefix =
+      testing::TempDir() + "http_test_" + std::to_string(getpid());
+  const std::string certificate = prefix + "_cert.pem";
+  const std::string key = prefix + "_key.pem";
   WriteCertificate(certificate, key);
   m_server = std::make_unique<HttpServer>(kMaxBody);
   EXPECT_FALSE(m_server->UseTls("/nonexistent", key));
@@ -420,6 +452,8 @@
   ASSERT_TRUE(RunUntil([&] { return m_waiting != nullptr; }));
   m_client->Cancel(call);
   EXPECT_TRUE(RunUntil([&] { return m_waiting->is_disconnected(); }));
+  std::filesystem::remove(certificate);
+  std::filesystem::remove(key);
 }
 
 }  // namespace
