--- a/agent/agent_process.cc
+++ b/agent/agent_process.cc
@@ -150,7 +150,7 @@
                     LoadReport{}};
 }
 
-void AgentProcess::Do(MonoTime now, SendStart action) {
+void AgentProcess::Do(MonoTime now, const SendStart& action) {
   const Member* member = m_node->view().table()->Find(action.m_to);
   const TaskRef task = action.m_command.m_task;
   if (member == nullptr) {
@@ -170,7 +170,7 @@
       });
 }
 
-void AgentProcess::Do(MonoTime now, SendSettle action) {
+void AgentProcess::Do(MonoTime now, const SendSettle& action) {
   const Member* member = m_node->view().table()->Find(action.m_to);
   const TaskRef task = action.m_command.m_task;
   if (member == nullptr) {
@@ -185,14 +185,14 @@
       });
 }
 
-void AgentProcess::Do(MonoTime /*now*/, SendCancel action) {
+void AgentProcess::Do(MonoTime /*now*/, const SendCancel& action) {
   const Member* member = m_node->view().table()->Find(action.m_to);
   if (member != nullptr) {
     m_node->peers().CancelTask(ToPeer(*member), action.m_task);
   }
 }
 
-void AgentProcess::Do(MonoTime now, SendCollect action) {
+void AgentProcess::Do(MonoTime now, const SendCollect& action) {
   const Member* member = m_node->view().table()->Find(action.m_to);
   if (member == nullptr) {
     m_owner.OnCollectLost(now, action.m_to, action.m_command);
@@ -214,7 +214,7 @@
       });
 }
 
-void AgentProcess::Do(MonoTime now, SendAdopt action) {
+void AgentProcess::Do(MonoTime now, const SendAdopt& action) {
   const uint64_t id = action.m_command.m_id;
   const Member* member = m_node->view().table()->Find(action.m_to);
   if (member == nullptr) {
@@ -229,17 +229,18 @@
                         });
 }
 
-void AgentProcess::Do(MonoTime /*now*/, JobEnded action) {
+void AgentProcess::Do(MonoTime /*now*/, const JobEnded& action) {
   m_counters.Add("jobs_ended_total");
-  AnswerWaiting(action.m_key, std::move(action.m_answer));
+  AnswerWaiting(action.m_key, action.m_answer);
 }
 
-void AgentProcess::Do(MonoTime /*now*/, JobDropped action) {
+void AgentProcess::Do(MonoTime /*now*/, const JobDropped& action) {
   m_counters.Add("jobs_dropped_total");
   AnswerWaiting(action.m_key, NotRunReason::kNotOwner);
 }
 
-void AgentProcess::AnswerWaiting(const SubmissionKey& key, SubmitReply answer) {
+void AgentProcess::AnswerWaiting(const SubmissionKey& key,
+                                 const SubmitReply& answer) {
   const auto found = m_waiting_jobs.find(key);
   if (found == m_waiting_jobs.end()) {
     return;
@@ -251,7 +252,7 @@
   }
 }
 
-void AgentProcess::Do(MonoTime /*now*/, RunTask action) {
+void AgentProcess::Do(MonoTime /*now*/, const RunTask& action) {
   const TaskRef task = action.m_task;
   // The proof may have expired since the starter chose the task: checked again
   // with a fresh clock reading right before the request is written.
@@ -262,7 +263,10 @@
   };
   auto on_sent = [this, action]() { NoteStart(action); };
   m_target.Run(action, std::move(may_start), std::move(on_sent),
-               [this, task](TaskOutcome outcome) {
+               [this, task, client = action.m_client](TaskOutcome outcome) {
+                 if (!std::holds_alternative<TaskNotStarted>(outcome)) {
+                   NoteEnd(client);
+                 }
                  m_starter.OnTaskEnded(BootClock::now(), task,
                                        std::move(outcome));
                  m_node->Wake();
@@ -279,13 +283,29 @@
   reply(std::move(action.m_reply));
 }
 
+std::vector<std::string> AgentProcess::SubjectsOf(
+    const std::string& client) const {
+  return {Subject("client", client),
+          Subject("target", m_config.m_starter.m_target),
+          Subject("zone", m_node->self().m_zone)};
+}
+
+void AgentProcess::NoteEnd(const std::string& client) {
+  for (const std::string& name : SubjectsOf(client)) {
+    --m_subjects[name].m_running;
+  }
+}
+
 void AgentProcess::NoteStart(const RunTask& task) {
   const WallTime now = WallNow();
   ++m_starts;
   m_counters.Add("starts_total");
-  m_last_starts[Subject("client", task.m_client)] = now;
-  m_last_starts[Subject("target", m_config.m_starter.m_target)] = now;
-  m_last_starts[Subject("zone", m_node->self().m_zone)] = now;
+  for (const std::string& name : SubjectsOf(task.m_client)) {
+    SubjectStatus& subject = m_subjects[name];
+    subject.m_subject = name;
+    subject.m_last_start = now;
+    ++subject.m_running;
+  }
   LogEvent(LogLevel::kDebug, "agent", "task_started",
            {{"key", task.m_task.m_key.ToString()},
             {"index", uint64_t{task.m_task.m_index}},
@@ -344,7 +364,8 @@
   m_node->Wake();
 }
 
-void AgentProcess::OnSettle(SettleCommand command, Reply<StartReply> reply) {
+void AgentProcess::OnSettle(const SettleCommand& command,
+                              Reply<StartReply> reply) {
   m_starter.OnSettle(BootClock::now(), WallNow(), KeepReply(std::move(reply)),
                      command);
   m_node->Wake();
@@ -380,9 +401,10 @@
   status.m_starts = m_starts;
   status.m_jobs = static_cast<uint32_t>(m_owner.running_jobs());
   for (const std::string& subject : subjects) {
-    const auto found = m_last_starts.find(subject);
-    status.m_last_starts.push_back(
-        {subject, found == m_last_starts.end() ? WallTime() : found->second});
+    const auto found = m_subjects.find(subject);
+    status.m_subjects.push_back(found == m_subjects.end()
+                                    ? SubjectStatus{subject, WallTime(), 0}
+                                    : found->second);
   }
   return status;
 }
--- a/agent/agent_process.h
+++ b/agent/agent_process.h
@@ -56,7 +56,8 @@
   std::optional<JobAnswer> OnFetch(const SubmissionKey& key) override;
   bool OnCancel(const SubmissionKey& key) override;
   void OnStart(StartCommand command, Reply<StartReply> reply) override;
-  void OnSettle(SettleCommand command, Reply<StartReply> reply) override;
+  void OnSettle(const SettleCommand& command,
+                              Reply<StartReply> reply) override;
   void OnCancelTask(const TaskRef& task) override;
   CollectReply OnCollect(const CollectCommand& command) override;
   ConfigChanges OnConfig(Revision since) override;
@@ -68,19 +69,19 @@
   AgentProcess(AgentConfig config, RpcRuntime& runtime);
 
   // Carries out one action of the owner or the starter.
-  void Do(MonoTime now, SendStart action);
-  void Do(MonoTime now, SendSettle action);
-  void Do(MonoTime now, SendCancel action);
-  void Do(MonoTime now, SendCollect action);
-  void Do(MonoTime now, SendAdopt action);
-  void Do(MonoTime now, JobEnded action);
-  void Do(MonoTime now, JobDropped action);
-  void Do(MonoTime now, RunTask action);
+  void Do(MonoTime now, const SendStart& action);
+  void Do(MonoTime now, const SendSettle& action);
+  void Do(MonoTime now, const SendCancel& action);
+  void Do(MonoTime now, const SendCollect& action);
+  void Do(MonoTime now, const SendAdopt& action);
+  void Do(MonoTime now, const JobEnded& action);
+  void Do(MonoTime now, const JobDropped& action);
+  void Do(MonoTime now, const RunTask& action);
   void Do(MonoTime now, ReplyStart action);
   void DoOwnerActions(MonoTime now);
   void DoStarterActions(MonoTime now);
 
-  void AnswerWaiting(const SubmissionKey& key, SubmitReply answer);
+  void AnswerWaiting(const SubmissionKey& key, const SubmitReply& answer);
   void OnStartResult(const ProcessId& from,
                      const TaskRef& task,
                      Result<StartReply, RpcError> result);
@@ -88,7 +89,9 @@
       const StartCommand& command,
       Result<StartReply, RpcError> result);
   ReplyToken KeepReply(Reply<StartReply> reply);
+  std::vector<std::string> SubjectsOf(const std::string& client) const;
   void NoteStart(const RunTask& task);
+  void NoteEnd(const std::string& client);
 
   AgentConfig m_config;
   Owner m_owner;
@@ -103,8 +106,8 @@
   std::unordered_map<SubmissionKey, std::vector<Reply<SubmitReply>>>
       m_waiting_jobs;
 
-  // Last start for each subject, for the proof of a retirement.
-  std::map<std::string, WallTime> m_last_starts;
+  // Starts for each subject, for the proof of a retirement.
+  std::map<std::string, SubjectStatus> m_subjects;
   uint64_t m_starts = 0;
   // Set once a planned stop has begun.
   std::shared_ptr<Departure> m_departure;
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -145,7 +145,7 @@
 }
 
 void CallerApi::Run(const RequestPtr& request, Submission submission) {
-  m_entry.Submit(std::move(submission), [request](SessionAnswer answer) {
+  m_entry.Submit(std::move(submission), [request](const SessionAnswer& answer) {
     const HttpAnswer http = ToHttp(answer);
     request->Reply(http.m_status, std::string(kJsonType), http.m_body);
   });
--- a/entry/entry_process.cc
+++ b/entry/entry_process.cc
@@ -7,6 +7,14 @@
 
 namespace comfreyshift {
 
+namespace {
+
+// A day of changes at the two-year size is 6,800; a proof is asked for within
+// minutes.
+constexpr size_t kConfirmedKept = 1024;
+
+}  // namespace
+
 Result<std::unique_ptr<EntryProcess>, NodeError> EntryProcess::Start(
     EntryConfig config,
     std::shared_ptr<StoreClient> store,
@@ -94,6 +102,20 @@
 void EntryProcess::OnMembershipEvent(MonoTime now,
                                      const MembershipEvent& event) {
   m_keeper->OnMembershipEvent(now, event);
+  if (const auto* confirmed = std::get_if<RevisionConfirmed>(&event)) {
+    m_confirmed.emplace(confirmed->m_revision, WallNow());
+    if (m_confirmed.size() > kConfirmedKept) {
+      m_confirmed.erase(m_confirmed.begin());
+    }
+  }
+}
+
+std::optional<WallTime> EntryProcess::ConfirmedAt(Revision revision) const {
+  const auto found = m_confirmed.lower_bound(revision);
+  if (found == m_confirmed.end()) {
+    return std::nullopt;
+  }
+  return found->second;
 }
 
 MonoTime EntryProcess::OnTick(MonoTime now) {
@@ -123,7 +145,8 @@
          {}});
 }
 
-void EntryProcess::OnSettle(SettleCommand command, Reply<StartReply> reply) {
+void EntryProcess::OnSettle(const SettleCommand& command,
+                              Reply<StartReply> reply) {
   // An entry starts no task, so none can have started here.
   reply({command.m_task,
          command.m_attempt,
--- a/entry/entry_process.h
+++ b/entry/entry_process.h
@@ -2,6 +2,7 @@
 #define ENTRY_ENTRY_PROCESS_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -59,6 +60,11 @@
   // more than half of the witnesses were heard, or no agent is listed yet.
   bool SeesMajority(MonoTime now) const { return m_keeper->SeesMajority(now); }
 
+  // Returns when more than half of the witnesses had confirmed `revision`, as
+  // seen here; nothing while they have not. F later no process acts on an older
+  // one.
+  std::optional<WallTime> ConfirmedAt(Revision revision) const;
+
   // NodeRole:
   void OnConfigApplied(MonoTime now) override;
   void OnMembershipEvent(MonoTime now, const MembershipEvent& event) override;
@@ -71,7 +77,8 @@
   std::optional<JobAnswer> OnFetch(const SubmissionKey& key) override;
   bool OnCancel(const SubmissionKey& key) override;
   void OnStart(StartCommand command, Reply<StartReply> reply) override;
-  void OnSettle(SettleCommand command, Reply<StartReply> reply) override;
+  void OnSettle(const SettleCommand& command,
+                              Reply<StartReply> reply) override;
   void OnCancelTask(const TaskRef& task) override;
   CollectReply OnCollect(const CollectCommand& command) override;
   ConfigChanges OnConfig(Revision since) override;
@@ -88,6 +95,8 @@
   std::shared_ptr<StoreSync> m_sync;
   std::shared_ptr<TableKeeper> m_keeper;
   size_t m_sessions = 0;
+  // When each of the latest revisions was confirmed.
+  std::map<Revision, WallTime> m_confirmed;
 };
 
 }  // namespace comfreyshift
--- a/entry/operator_api.cc
+++ b/entry/operator_api.cc
@@ -62,6 +62,26 @@
   return "store_unavailable";
 }
 
+bool IsRetired(const Inventory& inventory,
+               std::string_view kind,
+               std::string_view name) {
+  if (kind == "client") {
+    const auto found = inventory.m_clients.find(name);
+    return found != inventory.m_clients.end() &&
+           found->second.m_lifecycle == Lifecycle::kRetired;
+  }
+  if (kind == "target") {
+    const auto found = inventory.m_targets.find(name);
+    return found != inventory.m_targets.end() &&
+           found->second.m_lifecycle == Lifecycle::kRetired;
+  }
+  if (kind == "zone") {
+    const auto found = inventory.m_zones.find(name);
+    return found != inventory.m_zones.end() && !found->second.m_open;
+  }
+  return false;
+}
+
 Json ProblemsOf(const InventoryError& error) {
   Json problems = Json::array();
   for (const InventoryProblem& problem : error.m_problems) {
@@ -114,8 +134,11 @@
 
 }  // namespace
 
-OperatorApi::OperatorApi(std::string operator_token, EntryProcess& entry)
+OperatorApi::OperatorApi(std::string operator_token,
+                         Milliseconds lease,
+                         EntryProcess& entry)
     : m_operator_token(std::move(operator_token)),
+      m_lease(lease),
       m_entry(entry),
       m_editor(std::make_shared<InventoryEditor>(entry)) {}
 
@@ -135,6 +158,9 @@
                   [this](const RequestPtr& request) { RetireClient(request); });
   server.AddRoute("POST", "/v1/targets/{}/retire", access,
                   [this](const RequestPtr& request) { RetireTarget(request); });
+  server.AddRoute(
+      "GET", "/v1/retirements/{}/{}", access,
+      [this](const RequestPtr& request) { GetRetirement(request); });
   server.AddRoute("GET", "/v1/status", access,
                   [this](const RequestPtr& request) { GetStatus(request); });
   server.AddRoute("GET", "/v1/audit", access,
@@ -240,6 +266,50 @@
   });
 }
 
+void OperatorApi::GetRetirement(const RequestPtr& request) {
+  const std::string& kind = request->arguments()[0];
+  const std::string& name = request->arguments()[1];
+  if (!IsRetired(*m_entry.node().view().inventory(), kind, name)) {
+    request->ReplyError(404, "not_found", "nothing of that name was retired");
+    return;
+  }
+  const Revision revision = m_entry.node().ModRevision(
+      std::string(kInventoryPrefix) + kind + "/" + name);
+  RetirementQuery::Start(m_entry, kind, name, revision, m_lease,
+                         [this, request](const RetirementProof& proof) {
+                           if (proof.m_state == RetirementState::kDone) {
+                             RecordProof(proof);
+                           }
+                           request->ReplyJson(200, ToJson(proof));
+                         });
+}
+
+void OperatorApi::RecordProof(const RetirementProof& proof) {
+  // The id follows from what is proved, so that the summary is written once.
+  const std::string subject = proof.m_kind + "/" + proof.m_name + "/" +
+                              std::to_string(proof.m_revision);
+  const MacTag digest = ComputeMac(
+      "retirement proof",
+      {reinterpret_cast<const uint8_t*>(subject.data()), subject.size()});
+  AuditRecord record;
+  record.m_edit_id = SubmissionKey(digest).ToString();
+  record.m_actor = m_entry.node().self().m_id.m_name;
+  record.m_time = WallNow();
+  record.m_description = "retirement_proof " + subject;
+  record.m_changes.push_back(
+      {std::string(kInventoryPrefix) + proof.m_kind + "/" + proof.m_name,
+       std::monostate(), ToJson(proof).dump()});
+  const std::string once = std::string(kEditPrefix) + record.m_edit_id;
+  TxnRequest txn;
+  txn.m_compares.push_back(
+      {once, CompareResult::kEqual, CompareModRevision{0}});
+  txn.m_success.push_back(PutRequest{once, R"({"proof":true})"});
+  txn.m_success.push_back(PutRequest{AuditKey(record.m_time, record.m_edit_id),
+                                     EncodeAuditRecord(record)});
+  m_entry.store().Txn(txn, {BootClock::now() + kAuditTimeout},
+                      [](const Result<TxnReply, StoreError>&) {});
+}
+
 void OperatorApi::GetStatus(const RequestPtr& request) {
   const MonoTime now = BootClock::now();
   ProcessNode& node = m_entry.node();
--- a/entry/operator_api.h
+++ b/entry/operator_api.h
@@ -8,6 +8,7 @@
 #include "core/core.h"
 #include "entry/entry_process.h"
 #include "entry/inventory_editor.h"
+#include "entry/retirement_proof.h"
 #include "http/http.h"
 
 namespace comfreyshift {
@@ -16,7 +17,10 @@
 class OperatorApi {
  public:
   // `entry` must outlive the routes.
-  OperatorApi(std::string operator_token, EntryProcess& entry);
+  // `lease` is F, the lifetime of a proof of freshness.
+  OperatorApi(std::string operator_token,
+              Milliseconds lease,
+              EntryProcess& entry);
 
   // Adds the routes to `server`, which must not outlive this object.
   void AddRoutes(HttpServer& server);
@@ -29,6 +33,9 @@
   void SetZone(const RequestPtr& request, bool open);
   void RetireClient(const RequestPtr& request);
   void RetireTarget(const RequestPtr& request);
+  void GetRetirement(const RequestPtr& request);
+  // Adds the summary of a finished proof to the audit trail, once.
+  void RecordProof(const RetirementProof& proof);
   void GetStatus(const RequestPtr& request);
   void GetAudit(const RequestPtr& request);
   void Edit(const RequestPtr& request,
@@ -36,6 +43,7 @@
             Inventory changed);
 
   std::string m_operator_token;
+  Milliseconds m_lease;
   EntryProcess& m_entry;
   std::shared_ptr<InventoryEditor> m_editor;
 };
--- a/main/roles.cc
+++ b/main/roles.cc
@@ -49,6 +49,12 @@
     terminal.m_error << settings.error().ToString() << '\n';
     return ExitCode::kUsage;
   }
+  const auto file_problems = CheckFiles(settings.value());
+  if (!file_problems.empty()) {
+    terminal.m_error << SettingsError{arguments[1], file_problems}.ToString()
+                     << '\n';
+    return ExitCode::kUsage;
+  }
   const std::string_view found = ToString(settings.value().m_process.m_role);
   if (found != name) {
     terminal.m_error << arguments[1]
@@ -201,7 +207,7 @@
   StoreSettings store_settings;
   store_settings.m_url = settings.m_store->m_endpoints.front();
   auto entry = EntryProcess::Start(
-      std::move(config), StoreClient::Create(std::move(store_settings)),
+      std::move(config), StoreClient::Create(store_settings),
       runtime);
   if (!entry) {
     StartFailed(entry.error());
@@ -209,7 +215,7 @@
   }
   CallerApi caller_api({settings.m_limits.m_retention}, *entry.value());
   OperatorApi operator_api(ReadSecret(settings.m_operators.m_token_file),
-                           *entry.value());
+                           settings.m_freshness.m_lease, *entry.value());
   HttpServer callers(settings.m_limits.m_max_body_bytes);
   caller_api.AddRoutes(callers);
   HttpServer operators(settings.m_limits.m_max_body_bytes);
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -144,9 +144,10 @@
   since @2 :UInt64;
 }
 
-struct LastStart {
+struct SubjectStatus {
   subject @0 :Text;
-  atMs @1 :Int64;
+  lastStartMs @1 :Int64;
+  running @2 :UInt32;
 }
 
 struct StatusReply {
@@ -156,7 +157,7 @@
   queued @3 :UInt32;
   starts @4 :UInt64;
   jobs @5 :UInt32;
-  lastStarts @6 :List(LastStart);
+  subjects @6 :List(SubjectStatus);
 }
 
 interface Peer {
--- a/rpc/peer.capnp.c++
+++ b/rpc/peer.capnp.c++
@@ -1825,39 +1825,46 @@
   1, 3, i_ed9079b9b8587dad, nullptr, nullptr, { &s_ed9079b9b8587dad, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_bd972e90e61ab266 = {
+static const ::capnp::_::AlignedData<64> b_a3196d082b824486 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    102, 178,  26, 230, 144,  46, 151, 189,
-     15,   0,   0,   0,   1,   0,   1,   0,
+    134,  68, 130,  43,   8, 109,  25, 163,
+     15,   0,   0,   0,   1,   0,   2,   0,
      23,  77, 233, 184, 240, 198, 161, 210,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 202,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 112,  99,  47, 112, 101, 101, 114,
-     46,  99,  97, 112, 110, 112,  58,  76,
-     97, 115, 116,  83, 116,  97, 114, 116,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     46,  99,  97, 112, 110, 112,  58,  83,
+    117,  98, 106, 101,  99, 116,  83, 116,
+     97, 116, 117, 115,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  66,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  42,   0,   0,   0,
+     73,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
     115, 117,  98, 106, 101,  99, 116,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1866,22 +1873,31 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97, 116,  77, 115,   0,   0,   0,   0,
+    108,  97, 115, 116,  83, 116,  97, 114,
+    116,  77, 115,   0,   0,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 117, 110, 110, 105, 110, 103,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_bd972e90e61ab266 = b_bd972e90e61ab266.words;
+::capnp::word const* const bp_a3196d082b824486 = b_a3196d082b824486.words;
 #if !CAPNP_LITE
-static const uint16_t m_bd972e90e61ab266[] = {1, 0};
-static const uint16_t i_bd972e90e61ab266[] = {0, 1};
-const ::capnp::_::RawSchema s_bd972e90e61ab266 = {
-  0xbd972e90e61ab266, b_bd972e90e61ab266.words, 48, nullptr, m_bd972e90e61ab266,
-  0, 2, i_bd972e90e61ab266, nullptr, nullptr, { &s_bd972e90e61ab266, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a3196d082b824486[] = {1, 2, 0};
+static const uint16_t i_a3196d082b824486[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_a3196d082b824486 = {
+  0xa3196d082b824486, b_a3196d082b824486.words, 64, nullptr, m_a3196d082b824486,
+  0, 3, i_a3196d082b824486, nullptr, nullptr, { &s_a3196d082b824486, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<130> b_ffd11d5e9d9b484e = {
@@ -1948,7 +1964,7 @@
       6,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    213,   0,   0,   0,  90,   0,   0,   0,
+    213,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     212,   0,   0,   0,   3,   0,   1,   0,
     240,   0,   0,   0,   2,   0,   1,   0,
@@ -2002,14 +2018,14 @@
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    108,  97, 115, 116,  83, 116,  97, 114,
-    116, 115,   0,   0,   0,   0,   0,   0,
+    115, 117,  98, 106, 101,  99, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    102, 178,  26, 230, 144,  46, 151, 189,
+    134,  68, 130,  43,   8, 109,  25, 163,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -2019,9 +2035,9 @@
 ::capnp::word const* const bp_ffd11d5e9d9b484e = b_ffd11d5e9d9b484e.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_ffd11d5e9d9b484e[] = {
-  &s_bd972e90e61ab266,
+  &s_a3196d082b824486,
 };
-static const uint16_t m_ffd11d5e9d9b484e[] = {1, 5, 6, 3, 0, 2, 4};
+static const uint16_t m_ffd11d5e9d9b484e[] = {1, 5, 3, 0, 2, 4, 6};
 static const uint16_t i_ffd11d5e9d9b484e[] = {0, 1, 2, 3, 4, 5, 6};
 const ::capnp::_::RawSchema s_ffd11d5e9d9b484e = {
   0xffd11d5e9d9b484e, b_ffd11d5e9d9b484e.words, 130, d_ffd11d5e9d9b484e, m_ffd11d5e9d9b484e,
@@ -3690,12 +3706,12 @@
 constexpr ::capnp::_::RawSchema const* ConfigChanges::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// LastStart
-constexpr uint16_t LastStart::_capnpPrivate::dataWordSize;
-constexpr uint16_t LastStart::_capnpPrivate::pointerCount;
+// SubjectStatus
+constexpr uint16_t SubjectStatus::_capnpPrivate::dataWordSize;
+constexpr uint16_t SubjectStatus::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind LastStart::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* LastStart::_capnpPrivate::schema;
+constexpr ::capnp::Kind SubjectStatus::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SubjectStatus::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // StatusReply
--- a/rpc/peer.capnp.h
+++ b/rpc/peer.capnp.h
@@ -41,7 +41,7 @@
 CAPNP_DECLARE_SCHEMA(df63c8635d1ba666);
 CAPNP_DECLARE_SCHEMA(ebbef0213bdcff9f);
 CAPNP_DECLARE_SCHEMA(ed9079b9b8587dad);
-CAPNP_DECLARE_SCHEMA(bd972e90e61ab266);
+CAPNP_DECLARE_SCHEMA(a3196d082b824486);
 CAPNP_DECLARE_SCHEMA(ffd11d5e9d9b484e);
 CAPNP_DECLARE_SCHEMA(b250187ce4ee9599);
 CAPNP_DECLARE_SCHEMA(96a9c2f09c2c550c);
@@ -421,15 +421,15 @@
   };
 };
 
-struct LastStart {
-  LastStart() = delete;
+struct SubjectStatus {
+  SubjectStatus() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd972e90e61ab266, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a3196d082b824486, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3018,9 +3018,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LastStart::Reader {
+class SubjectStatus::Reader {
 public:
-  typedef LastStart Reads;
+  typedef SubjectStatus Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3038,7 +3038,9 @@
   inline bool hasSubject() const;
   inline  ::capnp::Text::Reader getSubject() const;
 
-  inline  ::int64_t getAtMs() const;
+  inline  ::int64_t getLastStartMs() const;
+
+  inline  ::uint32_t getRunning() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3052,9 +3054,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LastStart::Builder {
+class SubjectStatus::Builder {
 public:
-  typedef LastStart Builds;
+  typedef SubjectStatus Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3075,8 +3077,11 @@
   inline void adoptSubject(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSubject();
 
-  inline  ::int64_t getAtMs();
-  inline void setAtMs( ::int64_t value);
+  inline  ::int64_t getLastStartMs();
+  inline void setLastStartMs( ::int64_t value);
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3088,9 +3093,9 @@
 };
 
 #if !CAPNP_LITE
-class LastStart::Pipeline {
+class SubjectStatus::Pipeline {
 public:
-  typedef LastStart Pipelines;
+  typedef SubjectStatus Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3133,8 +3138,8 @@
 
   inline  ::uint32_t getJobs() const;
 
-  inline bool hasLastStarts() const;
-  inline  ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>::Reader getLastStarts() const;
+  inline bool hasSubjects() const;
+  inline  ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>::Reader getSubjects() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3182,12 +3187,12 @@
   inline  ::uint32_t getJobs();
   inline void setJobs( ::uint32_t value);
 
-  inline bool hasLastStarts();
-  inline  ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>::Builder getLastStarts();
-  inline void setLastStarts( ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>::Builder initLastStarts(unsigned int size);
-  inline void adoptLastStarts(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>> disownLastStarts();
+  inline bool hasSubjects();
+  inline  ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>::Builder getSubjects();
+  inline void setSubjects( ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>::Builder initSubjects(unsigned int size);
+  inline void adoptSubjects(::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>> disownSubjects();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7326,54 +7331,68 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LastStart::Reader::hasSubject() const {
+inline bool SubjectStatus::Reader::hasSubject() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LastStart::Builder::hasSubject() {
+inline bool SubjectStatus::Builder::hasSubject() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LastStart::Reader::getSubject() const {
+inline  ::capnp::Text::Reader SubjectStatus::Reader::getSubject() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LastStart::Builder::getSubject() {
+inline  ::capnp::Text::Builder SubjectStatus::Builder::getSubject() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LastStart::Builder::setSubject( ::capnp::Text::Reader value) {
+inline void SubjectStatus::Builder::setSubject( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LastStart::Builder::initSubject(unsigned int size) {
+inline  ::capnp::Text::Builder SubjectStatus::Builder::initSubject(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LastStart::Builder::adoptSubject(
+inline void SubjectStatus::Builder::adoptSubject(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LastStart::Builder::disownSubject() {
+inline ::capnp::Orphan< ::capnp::Text> SubjectStatus::Builder::disownSubject() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t LastStart::Reader::getAtMs() const {
+inline  ::int64_t SubjectStatus::Reader::getLastStartMs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t LastStart::Builder::getAtMs() {
+inline  ::int64_t SubjectStatus::Builder::getLastStartMs() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LastStart::Builder::setAtMs( ::int64_t value) {
+inline void SubjectStatus::Builder::setLastStartMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t SubjectStatus::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SubjectStatus::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SubjectStatus::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t StatusReply::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7458,37 +7477,37 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StatusReply::Reader::hasLastStarts() const {
+inline bool StatusReply::Reader::hasSubjects() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StatusReply::Builder::hasLastStarts() {
+inline bool StatusReply::Builder::hasSubjects() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>::Reader StatusReply::Reader::getLastStarts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>::Reader StatusReply::Reader::getSubjects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::getLastStarts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::getSubjects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StatusReply::Builder::setLastStarts( ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void StatusReply::Builder::setSubjects( ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::initLastStarts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::initSubjects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StatusReply::Builder::adoptLastStarts(
-    ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void StatusReply::Builder::adoptSubjects(
+    ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>> StatusReply::Builder::disownLastStarts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::LastStart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>> StatusReply::Builder::disownSubjects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreyshift::wire::SubjectStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/rpc/peer_messages.h
+++ b/rpc/peer_messages.h
@@ -16,11 +16,13 @@
 // take it.
 using SubmitReply = std::variant<JobAnswer, NotRunReason>;
 
-// When a task last started for a subject such as "client:NAME", "target:NAME"
-// or "zone:NAME"; the epoch when none has.
-struct LastStart {
+// What a process knows of a subject such as "client:NAME", "target:NAME" or
+// "zone:NAME".
+struct SubjectStatus {
   std::string m_subject;
-  WallTime m_at;
+  // When a task last started for it here; the epoch when none has.
+  WallTime m_last_start;
+  uint32_t m_running = 0;
 };
 
 // What a process says of itself.
@@ -32,7 +34,8 @@
   uint32_t m_queued = 0;
   uint64_t m_starts = 0;
   uint32_t m_jobs = 0;
-  std::vector<LastStart> m_last_starts;
+  // One for each subject that was asked for, in that order.
+  std::vector<SubjectStatus> m_subjects;
 };
 
 // Why a call between processes failed.
--- a/rpc/peer_server.cc
+++ b/rpc/peer_server.cc
@@ -47,7 +47,7 @@
     context.releaseParams();
     PendingReply<SubmitReply> pending;
     m_handler.OnSubmit(std::move(submission), revision, pending.MakeReply());
-    return pending.m_promise.then([context](SubmitReply reply) mutable {
+    return pending.m_promise.then([context](const SubmitReply& reply) mutable {
       auto results = context.getResults();
       if (const auto* reason = std::get_if<NotRunReason>(&reply)) {
         results.setRedirect(true);
@@ -80,7 +80,7 @@
     context.releaseParams();
     PendingReply<StartReply> pending;
     m_handler.OnStart(std::move(command), pending.MakeReply());
-    return pending.m_promise.then([context](StartReply reply) mutable {
+    return pending.m_promise.then([context](const StartReply& reply) mutable {
       wire_codec::Write(reply, context.getResults().initReply());
     });
   }
@@ -89,8 +89,8 @@
     SettleCommand command = wire_codec::Read(context.getParams().getCommand());
     context.releaseParams();
     PendingReply<StartReply> pending;
-    m_handler.OnSettle(std::move(command), pending.MakeReply());
-    return pending.m_promise.then([context](StartReply reply) mutable {
+    m_handler.OnSettle(command, pending.MakeReply());
+    return pending.m_promise.then([context](const StartReply& reply) mutable {
       wire_codec::Write(reply, context.getResults().initReply());
     });
   }
--- a/rpc/peer_server.h
+++ b/rpc/peer_server.h
@@ -32,7 +32,8 @@
   virtual std::optional<JobAnswer> OnFetch(const SubmissionKey& key) = 0;
   virtual bool OnCancel(const SubmissionKey& key) = 0;
   virtual void OnStart(StartCommand command, Reply<StartReply> reply) = 0;
-  virtual void OnSettle(SettleCommand command, Reply<StartReply> reply) = 0;
+  virtual void OnSettle(const SettleCommand& command,
+                        Reply<StartReply> reply) = 0;
   virtual void OnCancelTask(const TaskRef& task) = 0;
   virtual CollectReply OnCollect(const CollectCommand& command) = 0;
   virtual ConfigChanges OnConfig(Revision since) = 0;
--- a/rpc/wire.cc
+++ b/rpc/wire.cc
@@ -402,9 +402,10 @@
   status.m_queued = in.getQueued();
   status.m_starts = in.getStarts();
   status.m_jobs = in.getJobs();
-  for (const auto last : in.getLastStarts()) {
-    status.m_last_starts.push_back(
-        {ReadText(last.getSubject()), ReadWallTime(last.getAtMs())});
+  for (const auto subject : in.getSubjects()) {
+    status.m_subjects.push_back({ReadText(subject.getSubject()),
+                                 ReadWallTime(subject.getLastStartMs()),
+                                 subject.getRunning()});
   }
   return status;
 }
@@ -416,10 +417,11 @@
   out.setQueued(status.m_queued);
   out.setStarts(status.m_starts);
   out.setJobs(status.m_jobs);
-  auto last = out.initLastStarts(status.m_last_starts.size());
-  for (size_t i = 0; i < status.m_last_starts.size(); ++i) {
-    last[i].setSubject(status.m_last_starts[i].m_subject);
-    last[i].setAtMs(WallMs(status.m_last_starts[i].m_at));
+  auto subjects = out.initSubjects(status.m_subjects.size());
+  for (size_t i = 0; i < status.m_subjects.size(); ++i) {
+    subjects[i].setSubject(status.m_subjects[i].m_subject);
+    subjects[i].setLastStartMs(WallMs(status.m_subjects[i].m_last_start));
+    subjects[i].setRunning(status.m_subjects[i].m_running);
   }
 }
 
--- a/settings/settings.cc
+++ b/settings/settings.cc
@@ -299,6 +299,12 @@
 std::vector<SettingsProblem> CheckSettings(const Settings& settings) {
   std::vector<SettingsProblem> problems;
   CheckTcpPorts(settings.m_listen, problems);
+  // A process that is not in the table yet knows its peers by one address only.
+  if (settings.m_listen.m_rpc != settings.m_listen.m_datagram) {
+    problems.push_back({"listen", "datagram",
+                        settings.m_listen.m_datagram.ToString(),
+                        "the same address and port as rpc"});
+  }
   const FreshnessSettings& freshness = settings.m_freshness;
   if (freshness.m_ping_interval * kPingsPerLease > freshness.m_lease) {
     problems.push_back(
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -94,7 +94,8 @@
 
 // Section [freshness].
 struct FreshnessSettings {
-  Milliseconds m_lease{5000};
+  // F, the lifetime of a proof of freshness; the same in the whole fleet.
+  Milliseconds m_lease{4000};
   Milliseconds m_ping_interval{200};
 };
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -11,4 +11,4 @@
 else
   mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cc' | grep -v '\.capnp\.')
 fi
-printf '%s\n' "${files[@]}" | xargs -P "${LINT_JOBS:-$(nproc)}" -n 1 clang-tidy --quiet -p "$build"
+printf '%s\n' "${files[@]}" | xargs -P "${LINT_JOBS:-$(nproc)}" -n 1 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p "$build"
