Close abandoned connections in the store stand-in

Cause: libsoup 3.2 keeps the server's socket of a client that closed its connection between two requests (strace: recvfrom returns 0 and no close follows). The stand-in ran out of its 20,000 descriptors and accepted nothing more, so a load of 5,000 calls at 16 at once hung. Ruled out: the server's request-aborted signal, with which 20 requests by curl still left 20 sockets.

Before: 20 requests by curl raise the entries in /proc/PID/fd from 8 to 28. After: 8 and 8; store_bench client URL 5000 16 ends with 0 failed calls.

--- a/bench/store_bench.cc
+++ b/bench/store_bench.cc
@@ -162,7 +162,7 @@
 ConfigChanges Snapshot(int targets) {
   ConfigChanges snapshot;
   for (int i = 0; i < targets; ++i) {
-    auto revision = static_cast<Revision>(i + 1);
+    Revision revision = static_cast<Revision>(i) + 1;
     snapshot.m_entries.push_back({TargetKey(i), TargetValue(i), revision});
   }
   snapshot.m_revision = static_cast<Revision>(targets);
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -1,5 +1,7 @@
 #include "tests/standins/store_standin.h"
 
+#include <sys/socket.h>
+
 #include <cstring>
 
 namespace comfreyshift {
@@ -87,6 +89,9 @@
     g_source_remove(m_restart);
   }
   ForgetMessages();
+  for (GSocket* socket : m_sockets) {
+    g_object_unref(socket);
+  }
   soup_server_disconnect(m_server);
   g_object_unref(m_server);
 }
@@ -173,6 +178,7 @@
     self->ServeControl(message, name.substr(kControlPrefix.size()), query);
     return;
   }
+  self->Track(soup_server_message_get_socket(message));
   ++self->m_counts[name];
   self->Serve(message, name);
 }
@@ -208,9 +214,30 @@
   auto* self = static_cast<StoreStandin*>(data);
   self->m_state.ExpireLeases(BootClock::now());
   self->FeedWatchers();
+  self->CloseAbandoned();
   return G_SOURCE_CONTINUE;
 }
 
+void StoreStandin::Track(GSocket* socket) {
+  if (socket != nullptr && m_sockets.insert(socket).second) {
+    g_object_ref(socket);
+  }
+}
+
+void StoreStandin::CloseAbandoned() {
+  std::erase_if(m_sockets, [](GSocket* socket) {
+    char byte = 0;
+    bool ended =
+        g_socket_is_closed(socket) != FALSE ||
+        recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    if (ended) {
+      g_socket_close(socket, nullptr);
+      g_object_unref(socket);
+    }
+    return ended;
+  });
+}
+
 void StoreStandin::Serve(SoupServerMessage* message, const std::string& path) {
   if (m_mode == StandinMode::kClosing) {
     CloseConnection(message);
--- a/tests/standins/store_standin.h
+++ b/tests/standins/store_standin.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "core/core.h"
@@ -76,6 +77,10 @@
   static gboolean OnTick(gpointer data);
   static gboolean OnDelayOver(gpointer data);
 
+  // libsoup 3.2 keeps the socket of a client that closed its connection between
+  // two requests, so these two close it.
+  void Track(GSocket* socket);
+  void CloseAbandoned();
   void Serve(SoupServerMessage* message, const std::string& path);
   void ServeControl(SoupServerMessage* message,
                     const std::string& name,
@@ -105,6 +110,7 @@
   int m_answers_to_lose = 0;
   std::map<std::string, uint64_t> m_counts;
   std::list<Watcher> m_watchers;
+  std::set<GSocket*> m_sockets;
   // Messages that wait, with the timer of their answer; 0 when none will come.
   std::map<SoupServerMessage*, guint> m_held;
 };
