--- a/bench/placement_bench_admission.cc
+++ b/bench/placement_bench_admission.cc
@@ -363,8 +363,10 @@
   std::cout << line.dump() << std::endl;
 }
 
-// A placer with `count` targets that are about 80% busy.
-Placer BusyPlacer(uint32_t count, uint64_t seed) {
+enum class Fill : uint8_t { kMostlyBusy, kFull };
+
+// A placer with `count` targets.
+Placer BusyPlacer(uint32_t count, Fill fill, uint64_t seed) {
   Placer placer(seed);
   std::vector<PlacementTarget> targets(count);
   for (uint32_t i = 0; i < count; ++i) {
@@ -375,15 +377,19 @@
   placer.SetTargets(kStart, targets);
   std::mt19937_64 random(seed);
   for (uint32_t i = 0; i < count; ++i) {
-    const auto tasks = static_cast<uint32_t>(random() % 10);
+    const auto tasks =
+        fill == Fill::kFull ? kSlots : static_cast<uint32_t>(random() % 10);
+    for (uint32_t sent = 0; fill == Fill::kFull && sent < kSlots; ++sent) {
+      placer.OnSent(kStart, i);
+    }
     placer.OnLoad(kStart, i, {std::min(tasks, kSlots), tasks / 9, kSlots, {}});
   }
   return placer;
 }
 
-void RunChooseCost(uint32_t count, uint64_t seed) {
+void RunChooseCost(uint32_t count, Fill fill, uint64_t seed) {
   constexpr uint32_t kDecisions = 200'000;
-  Placer placer = BusyPlacer(count, seed);
+  Placer placer = BusyPlacer(count, fill, seed);
   const std::vector<bool> allowed(count, true);
   PlacementRequest request;
   request.m_allowed = &allowed;
@@ -402,6 +408,7 @@
   }
   const Json line = {{"bench", "placement_cost"},
                      {"targets", count},
+                     {"all_full", fill == Fill::kFull},
                      {"choose_send_end_ns", NanosecondsEach(from, kDecisions)},
                      {"chosen", chosen},
                      {"bytes_per_target", Placer::StateBytes()}};
@@ -420,7 +427,8 @@
 
 void RunCosts(uint64_t seed) {
   for (const uint32_t count : {11U, 600U, 2400U}) {
-    RunChooseCost(count, seed);
+    RunChooseCost(count, Fill::kMostlyBusy, seed);
+    RunChooseCost(count, Fill::kFull, seed);
   }
   RunDecisionCost();
 }
--- a/placement/admission.cc
+++ b/placement/admission.cc
@@ -28,10 +28,7 @@
   for (size_t i = 0; i < targets.size(); ++i) {
     const bool allowed =
         request.m_allowed == nullptr || (*request.m_allowed)[i];
-    const bool accelerator =
-        !request.m_needs_accelerator || targets[i].m_accelerators > 0;
-    if (allowed && accelerator &&
-        targets[i].m_memory_mb >= request.m_memory_mb) {
+    if (allowed && CanRun(targets[i], request)) {
       return true;
     }
   }
--- a/placement/placer.cc
+++ b/placement/placer.cc
@@ -36,6 +36,9 @@
 // With more targets than this, Choose looks at a random sample of this size.
 constexpr TargetIndex kMaxExamined = 32;
 
+// With fewer allowed targets in the sample, Choose goes over all targets.
+constexpr uint32_t kEnoughExamined = 4;
+
 // At most this share of the targets is ejected: with more failing, the cause
 // is likely not the targets.
 constexpr uint32_t kEjectOneIn = 3;
@@ -51,6 +54,11 @@
 
 }  // namespace
 
+bool CanRun(const PlacementTarget& target, const PlacementRequest& request) {
+  return target.m_memory_mb >= request.m_memory_mb &&
+         (!request.m_needs_accelerator || target.m_accelerators > 0);
+}
+
 MonoTime StartDue(MonoTime submitted, uint32_t tasks_unfinished) {
   return submitted + tasks_unfinished * kDuePerTask;
 }
@@ -133,7 +141,12 @@
 }
 
 bool Placer::Fits(TargetIndex index, const PlacementRequest& request) const {
-  return request.m_allowed == nullptr || (*request.m_allowed)[index];
+  if (request.m_allowed != nullptr && !(*request.m_allowed)[index]) {
+    return false;
+  }
+  // Most tasks need nothing special; then m_targets is not read at all.
+  const bool needs = request.m_memory_mb > 0 || request.m_needs_accelerator;
+  return !needs || CanRun(m_targets[index], request);
 }
 
 // Examines all targets, or a sample of them when there are many.
@@ -155,7 +168,11 @@
     index = static_cast<TargetIndex>(m_random() % count);
     Examine(now, index, request, choice);
   }
-  // Rules that leave few targets open make the sample miss them.
+  // Rules that leave few targets open make the sample miss them. When the
+  // sample found enough and all were full, the others are likely full too.
+  if (choice.m_examined >= kEnoughExamined) {
+    return;
+  }
   for (TargetIndex step = 0; step < count && !choice.m_best; ++step) {
     Examine(now, (index + step) % count, request, choice);
   }
--- a/placement/placer.h
+++ b/placement/placer.h
@@ -54,6 +54,10 @@
   uint32_t m_tasks_left = 1;
 };
 
+// Returns whether the target has the memory and the accelerator that the task
+// needs.
+bool CanRun(const PlacementTarget& target, const PlacementRequest& request);
+
 // Returns the due time that orders a task at its owner and in its agent's
 // StartQueue: jobs with few unfinished tasks go first, and a waiting job
 // gains on newer ones.
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -111,6 +111,23 @@
   EXPECT_EQ(placer.Choose(kNow, request), std::nullopt);
 }
 
+// Guards against a task at a target that lacks what the task needs.
+TEST(PlacerTest, ChoosesOnlyTargetsThatCanRunTheTask) {
+  Placer placer(1);
+  std::vector<PlacementTarget> targets = MakeTargets(4);
+  targets[1].m_accelerators = 1;
+  targets[2].m_memory_mb = 64000;
+  targets[3].m_accelerators = 1;
+  targets[3].m_memory_mb = 64000;
+  placer.SetTargets(kNow, targets);
+  PlacementRequest request;
+  request.m_memory_mb = 1000;
+  request.m_needs_accelerator = true;
+  EXPECT_EQ(placer.Choose(kNow, request), TargetIndex{3});
+  request.m_memory_mb = 65000;
+  EXPECT_EQ(placer.Choose(kNow, request), std::nullopt);
+}
+
 // Guards against a target that fails everything fast and so attracts work, and
 // against its return without a probe.
 TEST(PlacerTest, FailingTargetIsEjectedAndProbedBeforeItReturns) {
