--- a/placement/placer.cc
+++ b/placement/placer.cc
@@ -83,19 +83,18 @@
   }
 }
 
-float Placer::ExpectedEnd(const State& state,
-                          const PlacementRequest& request,
-                          float run_us) const {
+RunTime Placer::ExpectedEnd(const State& state,
+                            const PlacementRequest& request,
+                            RunTime run) const {
   const uint32_t tasks = state.m_others + state.m_outstanding;
   float ahead =
       tasks < state.m_slots ? 0 : static_cast<float>(tasks + 1 - state.m_slots);
   if (request.m_tasks_left <= kFewTasks) {
     ahead = std::min(ahead, 1.0F + static_cast<float>(state.m_own_queued));
   }
-  const float wait_us =
-      m_model.mean_run_us() * ahead / static_cast<float>(state.m_slots);
-  return static_cast<float>(state.m_link_delay.count()) +
-         state.m_factor.m_factor * (run_us + wait_us);
+  const RunTime wait =
+      m_model.mean_run() * ahead / static_cast<float>(state.m_slots);
+  return state.m_link_delay + state.m_factor.m_factor * (run + wait);
 }
 
 bool Placer::HasRoom(MonoTime now,
@@ -133,7 +132,7 @@
   if (!HasRoom(now, state, request)) {
     return;
   }
-  const float end = ExpectedEnd(state, request, choice.m_run_us);
+  const RunTime end = ExpectedEnd(state, request, choice.m_run);
   if (end < choice.m_end) {
     choice.m_end = end;
     choice.m_best = index;
@@ -192,7 +191,7 @@
 std::optional<TargetIndex> Placer::Choose(MonoTime now,
                                           const PlacementRequest& request) {
   Choice choice;
-  choice.m_run_us = m_model.ExpectedRun(request.m_declared_run_time);
+  choice.m_run = m_model.ExpectedRun(request.m_declared_run_time);
   ExamineTargets(now, request, choice);
   if (choice.m_examined == 0) {
     return ChooseEjected(request);
@@ -200,13 +199,12 @@
   if (!choice.m_best) {
     return std::nullopt;
   }
-  const float backlog_us = static_cast<float>(request.m_tasks_left) *
-                           m_model.mean_run_us() / choice.m_rate;
-  const float longest_us =
-      kSlowFactor * choice.m_run_us * choice.m_least_factor +
-      kBacklogShare * backlog_us;
+  const RunTime backlog = static_cast<float>(request.m_tasks_left) *
+                          m_model.mean_run() / choice.m_rate;
+  const RunTime longest = kSlowFactor * choice.m_run * choice.m_least_factor +
+                          kBacklogShare * backlog;
   const State& best = m_states[*choice.m_best];
-  if (choice.m_run_us * best.m_factor.m_factor > longest_us) {
+  if (choice.m_run * best.m_factor.m_factor > longest) {
     return std::nullopt;
   }
   return choice.m_best;
--- a/placement/placer.h
+++ b/placement/placer.h
@@ -77,10 +77,9 @@
   std::optional<TargetIndex> Choose(MonoTime now,
                                     const PlacementRequest& request);
 
-  // Run time of a task on a target of mean speed, in microseconds: from the
-  // declared run time as far as declarations were informative. Orders the
-  // tasks of a job.
-  float ExpectedRun(Milliseconds declared) const {
+  // Run time of a task on a target of mean speed: from the declared run time as
+  // far as declarations were informative. Orders the tasks of a job.
+  RunTime ExpectedRun(Milliseconds declared) const {
     return m_model.ExpectedRun(declared);
   }
 
@@ -142,17 +141,17 @@
     std::optional<TargetIndex> m_best;
     uint32_t m_examined = 0;
     // Expected run time of the task at factor 1.
-    float m_run_us = 0;
-    float m_end = std::numeric_limits<float>::infinity();
+    RunTime m_run{0};
+    RunTime m_end = RunTime::max();
     float m_least_factor = std::numeric_limits<float>::infinity();
     // Slots over factor, of all targets examined.
     float m_rate = 0;
   };
 
   bool Fits(TargetIndex index, const PlacementRequest& request) const;
-  float ExpectedEnd(const State& state,
-                    const PlacementRequest& request,
-                    float run_us) const;
+  RunTime ExpectedEnd(const State& state,
+                      const PlacementRequest& request,
+                      RunTime run) const;
   bool HasRoom(MonoTime now,
                const State& state,
                const PlacementRequest& request) const;
--- a/placement/run_model.cc
+++ b/placement/run_model.cc
@@ -52,9 +52,9 @@
   return m_log_run + m_slope * (LogMicroseconds(declared) - m_log_declared);
 }
 
-float RunModel::ExpectedRun(Milliseconds declared) const {
+RunTime RunModel::ExpectedRun(Milliseconds declared) const {
   // The mean of a log-normal value lies half its variance above the median.
-  return std::exp(LogOf(declared) + m_residual / 2);
+  return RunTime(std::exp(LogOf(declared) + m_residual / 2));
 }
 
 void RunModel::Learn(RunFactor& factor,
--- a/placement/run_model.h
+++ b/placement/run_model.h
@@ -1,12 +1,16 @@
 #ifndef PLACEMENT_RUN_MODEL_H_
 #define PLACEMENT_RUN_MODEL_H_
 
+#include <chrono>
 #include <cstdint>
 
 #include "core/core.h"
 
 namespace comfreyshift {
 
+// An expected run time; fractions keep the model smooth.
+using RunTime = std::chrono::duration<float, std::micro>;
+
 // How much slower than the mean one target runs tasks, learned by RunModel.
 struct RunFactor {
   // Logarithm of the factor.
@@ -25,11 +29,11 @@
   // Takes one run. `declared` is 0 when not declared.
   void Learn(RunFactor& factor, Microseconds run_time, Milliseconds declared);
 
-  // Expected run time on a target of factor 1, in microseconds.
-  float ExpectedRun(Milliseconds declared) const;
+  // Expected run time on a target of factor 1.
+  RunTime ExpectedRun(Milliseconds declared) const;
 
-  // Mean run time on a target of factor 1, in microseconds.
-  float mean_run_us() const { return m_mean_us; }
+  // Mean run time on a target of factor 1.
+  RunTime mean_run() const { return RunTime(m_mean_us); }
 
   // Slope of the line, 0 to 1.
   float slope() const { return m_slope; }
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -194,7 +194,7 @@
   for (int i = 0; i < 50; ++i) {
     Finish(placer, kNow, 0, true);
   }
-  const float before = placer.ExpectedRun(Milliseconds(0));
+  const RunTime before = placer.ExpectedRun(Milliseconds(0));
   Finish(placer, kNow, 0, false);
   EXPECT_EQ(placer.ExpectedRun(Milliseconds(0)), before);
 }
