--- a/placement/placer.cc
+++ b/placement/placer.cc
@@ -36,6 +36,9 @@
 // With more targets than this, Choose looks at a random sample of this size.
 constexpr TargetIndex kMaxExamined = 32;
 
+// With fewer allowed targets in the sample, Choose goes over all targets.
+constexpr uint32_t kEnoughExamined = 4;
+
 // At most this share of the targets is ejected: with more failing, the cause
 // is likely not the targets.
 constexpr uint32_t kEjectOneIn = 3;
@@ -51,6 +54,11 @@
 
 }  // namespace
 
+bool CanRun(const PlacementTarget& target, const PlacementRequest& request) {
+  return target.m_memory_mb >= request.m_memory_mb &&
+         (!request.m_needs_accelerator || target.m_accelerators > 0);
+}
+
 MonoTime StartDue(MonoTime submitted, uint32_t tasks_unfinished) {
   return submitted + tasks_unfinished * kDuePerTask;
 }
@@ -75,19 +83,18 @@
   }
 }
 
-float Placer::ExpectedEnd(const State& state,
-                          const PlacementRequest& request,
-                          float run_us) const {
+RunTime Placer::ExpectedEnd(const State& state,
+                            const PlacementRequest& request,
+                            RunTime run) const {
   const uint32_t tasks = state.m_others + state.m_outstanding;
   float ahead =
       tasks < state.m_slots ? 0 : static_cast<float>(tasks + 1 - state.m_slots);
   if (request.m_tasks_left <= kFewTasks) {
     ahead = std::min(ahead, 1.0F + static_cast<float>(state.m_own_queued));
   }
-  const float wait_us =
-      m_model.mean_run_us() * ahead / static_cast<float>(state.m_slots);
-  return static_cast<float>(state.m_link_delay.count()) +
-         state.m_factor.m_factor * (run_us + wait_us);
+  const RunTime wait =
+      m_model.mean_run() * ahead / static_cast<float>(state.m_slots);
+  return state.m_link_delay + state.m_factor.m_factor * (run + wait);
 }
 
 bool Placer::HasRoom(MonoTime now,
@@ -125,7 +132,7 @@
   if (!HasRoom(now, state, request)) {
     return;
   }
-  const float end = ExpectedEnd(state, request, choice.m_run_us);
+  const RunTime end = ExpectedEnd(state, request, choice.m_run);
   if (end < choice.m_end) {
     choice.m_end = end;
     choice.m_best = index;
@@ -133,7 +140,12 @@
 }
 
 bool Placer::Fits(TargetIndex index, const PlacementRequest& request) const {
-  return request.m_allowed == nullptr || (*request.m_allowed)[index];
+  if (request.m_allowed != nullptr && !(*request.m_allowed)[index]) {
+    return false;
+  }
+  // Most tasks need nothing special; then m_targets is not read at all.
+  const bool needs = request.m_memory_mb > 0 || request.m_needs_accelerator;
+  return !needs || CanRun(m_targets[index], request);
 }
 
 // Examines all targets, or a sample of them when there are many.
@@ -155,7 +167,11 @@
     index = static_cast<TargetIndex>(m_random() % count);
     Examine(now, index, request, choice);
   }
-  // Rules that leave few targets open make the sample miss them.
+  // Rules that leave few targets open make the sample miss them. When the
+  // sample found enough and all were full, the others are likely full too.
+  if (choice.m_examined >= kEnoughExamined) {
+    return;
+  }
   for (TargetIndex step = 0; step < count && !choice.m_best; ++step) {
     Examine(now, (index + step) % count, request, choice);
   }
@@ -175,7 +191,7 @@
 std::optional<TargetIndex> Placer::Choose(MonoTime now,
                                           const PlacementRequest& request) {
   Choice choice;
-  choice.m_run_us = m_model.ExpectedRun(request.m_declared_run_time);
+  choice.m_run = m_model.ExpectedRun(request.m_declared_run_time);
   ExamineTargets(now, request, choice);
   if (choice.m_examined == 0) {
     return ChooseEjected(request);
@@ -183,13 +199,12 @@
   if (!choice.m_best) {
     return std::nullopt;
   }
-  const float backlog_us = static_cast<float>(request.m_tasks_left) *
-                           m_model.mean_run_us() / choice.m_rate;
-  const float longest_us =
-      kSlowFactor * choice.m_run_us * choice.m_least_factor +
-      kBacklogShare * backlog_us;
+  const RunTime backlog = static_cast<float>(request.m_tasks_left) *
+                          m_model.mean_run() / choice.m_rate;
+  const RunTime longest = kSlowFactor * choice.m_run * choice.m_least_factor +
+                          kBacklogShare * backlog;
   const State& best = m_states[*choice.m_best];
-  if (choice.m_run_us * best.m_factor.m_factor > longest_us) {
+  if (choice.m_run * best.m_factor.m_factor > longest) {
     return std::nullopt;
   }
   return choice.m_best;
