--- a/dispatch/job_runner.cc
+++ b/dispatch/job_runner.cc
@@ -453,6 +453,9 @@
 
 void JobRunner::Tick(MonoTime now) {
   while (Job* job = m_jobs.PopOverdue(now)) {
+    if (job->m_refusing) {
+      continue;
+    }
     const auto reason = WhyNoTarget(job->m_client, job->m_specs.front());
     Stop(*job, {JobFailure::kDeadline, reason.value_or(NotRunReason::kDeadline),
                 "the deadline passed"});
--- a/tests/dispatch/owner_test.cc
+++ b/tests/dispatch/owner_test.cc
@@ -296,6 +296,19 @@
   EXPECT_TRUE(fixture.m_starts.empty());
 }
 
+// Guards against a crash when the deadline of an empty job passes before its
+// refusal is kept elsewhere.
+TEST(OwnerTest, EmptyJobIsRefusedAfterItsDeadline) {
+  Fixture fixture({"r0", "r1"});
+  const Submission job = fixture.MakeSubmission(6, 0);
+  Owner& owner = *fixture.m_owners.at(fixture.OwnerOf(job.m_key));
+  owner.Submit(fixture.m_now, fixture.wall(), job);
+  fixture.m_now += std::chrono::minutes(2);
+  fixture.Run();
+  EXPECT_EQ(std::get<JobNotRun>(fixture.m_answers.at(job.m_key)).m_reason,
+            NotRunReason::kCannotRun);
+}
+
 // Guards against memory that grows without bound: jobs and records go after the
 // retention, and above the limit new jobs are refused.
 TEST(OwnerTest, MemoryIsBounded) {
