Fail a job whose task fails after the deadline

The failure now replaces the deadline as the reason.

Before: OwnerTest.TaskThatFailsAfterTheDeadlineFailsTheJob failed.

--- a/dispatch/job_runner.cc
+++ b/dispatch/job_runner.cc
@@ -320,7 +320,11 @@
 void JobRunner::Stop(Job& job, JobStop stop) {
   const bool unknown = stop.m_failure == JobFailure::kUnknownMayHaveRun;
   const bool first = !job.m_stop;
-  if (first || unknown) {
+  // All answers of a job past its deadline would still make it complete.
+  const bool failed_late = !first &&
+                           job.m_stop->m_failure == JobFailure::kDeadline &&
+                           stop.m_failure == JobFailure::kTaskFailed;
+  if (first || unknown || failed_late) {
     job.m_stop = std::move(stop);
   }
   if (first) {
--- a/tests/dispatch/owner_test.cc
+++ b/tests/dispatch/owner_test.cc
@@ -309,6 +309,27 @@
             NotRunReason::kCannotRun);
 }
 
+// Guards against a complete answer that holds a task's error, when the error
+// comes after the deadline.
+TEST(OwnerTest, TaskThatFailsAfterTheDeadlineFailsTheJob) {
+  Fixture fixture({"r0", "r1"});
+  const Submission job = fixture.MakeSubmission(7, 1);
+  Owner& owner = *fixture.m_owners.at(fixture.OwnerOf(job.m_key));
+  owner.Submit(fixture.m_now, fixture.wall(), job);
+  const auto actions = owner.TakeActions();
+  const auto& start = std::get<SendStart>(actions.at(0));
+  fixture.m_now += std::chrono::minutes(2);
+  owner.Tick(fixture.m_now, fixture.wall());
+  owner.OnStartReply(fixture.m_now, start.m_to,
+                     {start.m_command.m_task,
+                      start.m_command.m_attempt,
+                      TaskDone{{500, "error"}, {}},
+                      {}});
+  ASSERT_TRUE(owner.Fetch(job.m_key).has_value());
+  EXPECT_EQ(std::get<JobFailed>(*owner.Fetch(job.m_key)).m_failure,
+            JobFailure::kTaskFailed);
+}
+
 // Guards against memory that grows without bound: jobs and records go after the
 // retention, and above the limit new jobs are refused.
 TEST(OwnerTest, MemoryIsBounded) {
