--- a/dispatch/job_runner.cc
+++ b/dispatch/job_runner.cc
@@ -326,7 +326,11 @@
 void JobRunner::Stop(Job& job, JobStop stop) {
   const bool unknown = stop.m_failure == JobFailure::kUnknownMayHaveRun;
   const bool first = !job.m_stop;
-  if (first || unknown) {
+  // All answers of a job past its deadline would still make it complete.
+  const bool failed_late = !first &&
+                           job.m_stop->m_failure == JobFailure::kDeadline &&
+                           stop.m_failure == JobFailure::kTaskFailed;
+  if (first || unknown || failed_late) {
     job.m_stop = std::move(stop);
   }
   if (first) {
@@ -459,6 +463,9 @@
 
 void JobRunner::Tick(MonoTime now) {
   while (Job* job = m_jobs.PopOverdue(now)) {
+    if (job->m_refusing) {
+      continue;
+    }
     const auto reason = WhyNoTarget(job->m_client, job->m_specs.front());
     Stop(*job, {JobFailure::kDeadline, reason.value_or(NotRunReason::kDeadline),
                 "the deadline passed"});
--- a/tests/dispatch/owner_test.cc
+++ b/tests/dispatch/owner_test.cc
@@ -181,13 +181,6 @@
   EXPECT_TRUE(fixture.m_starts.empty());
 }
 
-// Tables in which the owner of every partition died and `next` took over.
-PartitionTable AfterDeathOf(const Fixture& fixture, const ProcessId& dead) {
-  TableChange change;
-  change.m_dead.push_back(dead);
-  return ApplyChange(fixture.m_table, change, fixture.wall(), kRetention);
-}
-
 // Guards against a takeover that serves while a member which left the table may
 // still start tasks under the old one.
 TEST(TakeoverTest, WaitsForConfirmationAndFAfterLossInAnotherRack) {
@@ -245,8 +238,10 @@
   fixture.Run();
   ASSERT_TRUE(
       std::holds_alternative<JobNotRun>(fixture.m_answers.at(job.m_key)));
-  const auto table =
-      std::make_shared<const PartitionTable>(AfterDeathOf(fixture, dead));
+  TableChange change;
+  change.m_dead.push_back(dead);
+  const auto table = std::make_shared<const PartitionTable>(
+      ApplyChange(fixture.m_table, change, fixture.wall(), kRetention));
   const ProcessId next = *table->m_partitions[job.m_key.Partition(16)].m_owner;
   Owner& owner = *fixture.m_owners.at(next);
   // The reason for the refusal is gone by then.
@@ -301,6 +296,40 @@
   EXPECT_TRUE(fixture.m_starts.empty());
 }
 
+// Guards against a crash when the deadline of an empty job passes before its
+// refusal is kept elsewhere.
+TEST(OwnerTest, EmptyJobIsRefusedAfterItsDeadline) {
+  Fixture fixture({"r0", "r1"});
+  const Submission job = fixture.MakeSubmission(6, 0);
+  Owner& owner = *fixture.m_owners.at(fixture.OwnerOf(job.m_key));
+  owner.Submit(fixture.m_now, fixture.wall(), job);
+  fixture.m_now += std::chrono::minutes(2);
+  fixture.Run();
+  EXPECT_EQ(std::get<JobNotRun>(fixture.m_answers.at(job.m_key)).m_reason,
+            NotRunReason::kCannotRun);
+}
+
+// Guards against a complete answer that holds a task's error, when the error
+// comes after the deadline.
+TEST(OwnerTest, TaskThatFailsAfterTheDeadlineFailsTheJob) {
+  Fixture fixture({"r0", "r1"});
+  const Submission job = fixture.MakeSubmission(7, 1);
+  Owner& owner = *fixture.m_owners.at(fixture.OwnerOf(job.m_key));
+  owner.Submit(fixture.m_now, fixture.wall(), job);
+  const auto actions = owner.TakeActions();
+  const auto& start = std::get<SendStart>(actions.at(0));
+  fixture.m_now += std::chrono::minutes(2);
+  owner.Tick(fixture.m_now, fixture.wall());
+  owner.OnStartReply(fixture.m_now, start.m_to,
+                     {start.m_command.m_task,
+                      start.m_command.m_attempt,
+                      TaskDone{{500, "error"}, {}},
+                      {}});
+  ASSERT_TRUE(owner.Fetch(job.m_key).has_value());
+  EXPECT_EQ(std::get<JobFailed>(*owner.Fetch(job.m_key)).m_failure,
+            JobFailure::kTaskFailed);
+}
+
 // Guards against memory that grows without bound: jobs and records go after the
 // retention, and above the limit new jobs are refused.
 TEST(OwnerTest, MemoryIsBounded) {
