--- a/entry/retirement_proof.cc
+++ b/entry/retirement_proof.cc
@@ -99,7 +99,9 @@
       continue;
     }
     const size_t index = m_proof.m_processes.size();
-    m_proof.m_processes.push_back({member.m_id});
+    ProcessEvidence evidence;
+    evidence.m_id = member.m_id;
+    m_proof.m_processes.push_back(std::move(evidence));
     ++m_open;
     m_entry.node().peers().Status(
         ToPeer(member), {subject}, deadline,
--- a/tests/rpc/wire_test.cc
+++ b/tests/rpc/wire_test.cc
@@ -59,7 +59,7 @@
   int rejected = 0;
   for (int round = 0; round < 20'000; ++round) {
     kj::Array<capnp::word> copy = kj::heapArray<capnp::word>(words);
-    const auto bytes = copy.asBytes();
+    kj::ArrayPtr<kj::byte> bytes = copy.asPtr().asBytes();
     for (uint32_t i = random() % 4 + 1; i > 0; --i) {
       bytes[random() % bytes.size()] ^= static_cast<uint8_t>(random());
     }
