--- a/agent/agent_process.cc
+++ b/agent/agent_process.cc
@@ -365,7 +365,7 @@
 }
 
 void AgentProcess::OnSettle(const SettleCommand& command,
-                              Reply<StartReply> reply) {
+                            Reply<StartReply> reply) {
   m_starter.OnSettle(BootClock::now(), WallNow(), KeepReply(std::move(reply)),
                      command);
   m_node->Wake();
--- a/agent/agent_process.h
+++ b/agent/agent_process.h
@@ -56,8 +56,7 @@
   std::optional<JobAnswer> OnFetch(const SubmissionKey& key) override;
   bool OnCancel(const SubmissionKey& key) override;
   void OnStart(StartCommand command, Reply<StartReply> reply) override;
-  void OnSettle(const SettleCommand& command,
-                              Reply<StartReply> reply) override;
+  void OnSettle(const SettleCommand& command, Reply<StartReply> reply) override;
   void OnCancelTask(const TaskRef& task) override;
   CollectReply OnCollect(const CollectCommand& command) override;
   ConfigChanges OnConfig(Revision since) override;
--- a/agent/departure.cc
+++ b/agent/departure.cc
@@ -85,12 +85,11 @@
   m_open_commands = plan.m_commands.size();
   for (SendAdopt& send : plan.m_commands) {
     const Member* member = m_node.view().table()->Find(send.m_to);
-    m_node.peers().Adopt(
-        ToPeer(*member), send.m_command, now + kAdoptTimeout,
-        [self = shared_from_this(),
-         to = send.m_to](Result<bool, RpcError> result) {
-          self->OnAdopted(to, result && result.value());
-        });
+    m_node.peers().Adopt(ToPeer(*member), send.m_command, now + kAdoptTimeout,
+                         [self = shared_from_this(),
+                          to = send.m_to](Result<bool, RpcError> result) {
+                           self->OnAdopted(to, result && result.value());
+                         });
   }
 }
 
--- a/agent/departure.h
+++ b/agent/departure.h
@@ -32,7 +32,13 @@
   MonoTime NextDeadline() const { return m_next_tick; }
 
  private:
-  enum class Phase : uint8_t { kDraining, kHandingOver, kLeaving, kLeft, kDone };
+  enum class Phase : uint8_t {
+    kDraining,
+    kHandingOver,
+    kLeaving,
+    kLeft,
+    kDone
+  };
 
   void HandOver(MonoTime now);
   void OnAdopted(const ProcessId& by, bool accepted);
--- a/cli/load.cc
+++ b/cli/load.cc
@@ -172,9 +172,8 @@
     const CallerAnswer answer = ReadCallerAnswer(result);
     WriteHistory(*job, answer, result);
     // Only these leave it open whether the job ran or will run.
-    const bool is_open =
-        !result || (answer.m_outcome == JobOutcome::kNotRun &&
-                    !answer.m_covers_submission);
+    const bool is_open = !result || (answer.m_outcome == JobOutcome::kNotRun &&
+                                     !answer.m_covers_submission);
     if (is_open && job->m_sendings <= m_options.m_resubmissions) {
       ResendLater(job);
       return;
--- a/entry/entry_process.cc
+++ b/entry/entry_process.cc
@@ -146,7 +146,7 @@
 }
 
 void EntryProcess::OnSettle(const SettleCommand& command,
-                              Reply<StartReply> reply) {
+                            Reply<StartReply> reply) {
   // An entry starts no task, so none can have started here.
   reply({command.m_task,
          command.m_attempt,
--- a/entry/retirement_proof.h
+++ b/entry/retirement_proof.h
@@ -20,7 +20,12 @@
 
 std::string_view ToString(RetirementState state);
 
-enum class WitnessState : uint8_t { kConfirmed, kPending, kUnreachable, kFenced };
+enum class WitnessState : uint8_t {
+  kConfirmed,
+  kPending,
+  kUnreachable,
+  kFenced
+};
 
 std::string_view ToString(WitnessState state);
 
--- a/main/roles.cc
+++ b/main/roles.cc
@@ -207,8 +207,7 @@
   StoreSettings store_settings;
   store_settings.m_url = settings.m_store->m_endpoints.front();
   auto entry = EntryProcess::Start(
-      std::move(config), StoreClient::Create(store_settings),
-      runtime);
+      std::move(config), StoreClient::Create(store_settings), runtime);
   if (!entry) {
     StartFailed(entry.error());
     return ExitCode::kFailed;
--- a/rpc/peer_client.cc
+++ b/rpc/peer_client.cc
@@ -69,7 +69,7 @@
 // One outgoing connection. Calls and the pool share it; it ends when the last
 // of them drops it.
 class ClientSession final : public std::enable_shared_from_this<ClientSession>,
-                      private kj::TaskSet::ErrorHandler {
+                            private kj::TaskSet::ErrorHandler {
  public:
   explicit ClientSession(std::string fleet_key)
       : m_fleet_key(std::move(fleet_key)), m_calls(*this), m_ready(nullptr) {}
