--- a/tests/rpc/peer_test.cc
+++ b/tests/rpc/peer_test.cc
@@ -167,6 +167,25 @@
   EXPECT_EQ((*result)->error().m_failure, RpcFailure::kLost);
 }
 
+// Guards against tasks that end unknown because they were sent on a connection
+// that a killed peer had closed while it was idle.
+TEST_F(PeerTest, CallAfterThePeerClosedAnIdleConnectionIsNotSent) {
+  PeerClient client(m_runtime, kKey);
+  std::optional<bool> accepted;
+  client.Cancel(Server(), SubmissionKey(),
+                [&](const Result<bool, RpcError>& result) {
+                  accepted = result && result.value();
+                });
+  ASSERT_TRUE(RunUntil([&]() { return accepted.has_value(); }));
+  m_server.reset();
+  for (int i = 0; i < 20; ++i) {
+    g_main_context_iteration(nullptr, FALSE);
+  }
+  const auto result = Start(client);
+  ASSERT_TRUE(RunUntil([&]() { return result->has_value(); }));
+  EXPECT_EQ((*result)->error().m_failure, RpcFailure::kNotSent);
+}
+
 TEST_F(PeerTest, CloseFailsOpenCallsAsLost) {
   PeerClient client(m_runtime, kKey);
   const auto result = Start(client);
