Order tasks by due time at owners and agents

Ruled out: a second queue class beside the starter's records; a sorted insertion keeps one queue of a few dozen tasks.

--- a/dispatch/job_runner.cc
+++ b/dispatch/job_runner.cc
@@ -137,6 +137,7 @@
   request.m_declared_run_time = spec.m_declared_run_time;
   request.m_memory_mb = spec.m_memory_mb;
   request.m_needs_accelerator = spec.m_needs_accelerator;
+  request.m_tasks_left = std::max(1U, item.m_job->unsent());
   // The target that refused the task last is left out if there is another.
   std::vector<bool> others;
   if (task.m_agent != nullptr && allowed.m_count > 1) {
@@ -170,6 +171,7 @@
   command.m_client = job.m_client;
   command.m_spec = job.m_specs[index];
   command.m_deadline = job.m_deadline;
+  command.m_due = job.due();
   m_actions.emplace_back(SendStart{*task.m_agent, std::move(command)});
 }
 
@@ -225,8 +227,11 @@
                            TaskDone done) {
   JobTask& task = job.m_tasks[index];
   const bool ok = done.m_answer.ok();
+  const Milliseconds declared = index < job.m_specs.size()
+                                    ? job.m_specs[index].m_declared_run_time
+                                    : Milliseconds(0);
   if (const auto target = m_targets.IndexOf(*task.m_agent)) {
-    m_placer.OnDone(now, *target, done.m_run_time, ok);
+    m_placer.OnDone(now, *target, done.m_run_time, ok, declared);
   }
   CountBack(job);
   task.m_state = TaskState::kDone;
--- a/dispatch/job_table.cc
+++ b/dispatch/job_table.cc
@@ -40,6 +40,14 @@
 
 }  // namespace
 
+uint32_t Job::unsent() const {
+  size_t count = 0;
+  for (const WaitingGroup& group : m_waiting) {
+    count += group.m_tasks.size();
+  }
+  return static_cast<uint32_t>(count);
+}
+
 bool Job::IsOutAt(const std::set<ProcessId>& agents) const {
   return std::any_of(m_tasks.begin(), m_tasks.end(), [&](const JobTask& task) {
     return (task.m_state == TaskState::kSent ||
--- a/dispatch/job_table.h
+++ b/dispatch/job_table.h
@@ -68,6 +68,7 @@
   MonoTime m_deadline;
   // Order of arrival.
   uint64_t m_sequence = 0;
+  MonoTime m_submitted;
 
   std::vector<JobTask> m_tasks;
   std::vector<WaitingGroup> m_waiting;
@@ -83,6 +84,9 @@
   uint32_t remaining() const {
     return static_cast<uint32_t>(m_tasks.size()) - m_done;
   }
+  // When the job's tasks are due, which orders them among those of other jobs.
+  MonoTime due() const { return StartDue(m_submitted, remaining()); }
+  uint32_t unsent() const;
   // True when a task is out at one of `agents`.
   bool IsOutAt(const std::set<ProcessId>& agents) const;
   // True when a task of it has run or may have.
--- a/dispatch/messages.h
+++ b/dispatch/messages.h
@@ -89,6 +89,8 @@
   std::string m_client;
   TaskSpec m_spec;
   MonoTime m_deadline;
+  // Orders the task in the agent's queue: the earliest goes first.
+  MonoTime m_due;
 };
 
 // Ends a StartCommand or a SettleCommand.
--- a/dispatch/owner.cc
+++ b/dispatch/owner.cc
@@ -280,6 +280,7 @@
   job->m_specs = std::move(submission.m_tasks);
   job->m_tasks.resize(job->m_specs.size());
   job->m_sequence = m_sequence++;
+  job->m_submitted = now;
   // No task starts when its record could expire before a resubmission does.
   const MonoTime too_old =
       now + (job->m_first_sent + m_config.m_retention - wall_now);
--- a/dispatch/starter.cc
+++ b/dispatch/starter.cc
@@ -110,12 +110,23 @@
   record.m_agent = m_self;
   record.m_waiting.push_back({token, command.m_attempt});
   m_next_check = std::min(m_next_check, command.m_deadline);
-  m_queue.push_back({command.m_partition,
-                     {task, std::move(command.m_client),
-                      std::move(command.m_spec), command.m_deadline}});
+  Enqueue({command.m_partition,
+           command.m_due,
+           {task, std::move(command.m_client), std::move(command.m_spec),
+            command.m_deadline}});
   RunQueued(now);
 }
 
+void Starter::Enqueue(QueuedTask task) {
+  // Tasks with the same due time stay in the order of their arrival.
+  const auto position =
+      std::upper_bound(m_queue.begin(), m_queue.end(), task.m_due,
+                       [](MonoTime due, const QueuedTask& queued) {
+                         return due < queued.m_due;
+                       });
+  m_queue.insert(position, std::move(task));
+}
+
 void Starter::RunQueued(MonoTime now) {
   while (m_running < m_config.m_slots && !m_queue.empty()) {
     QueuedTask next = std::move(m_queue.front());
@@ -178,8 +189,10 @@
                     uint64_t attempt,
                     const TaskRef& task,
                     TaskOutcome outcome) {
+  LoadReport load = Load();
+  load.m_queued_of_owner = QueuedOfOwner(task.m_key);
   m_actions.emplace_back(
-      ReplyStart{token, {task, attempt, std::move(outcome), Load()}});
+      ReplyStart{token, {task, attempt, std::move(outcome), load}});
 }
 
 void Starter::OnSettle(MonoTime /*now*/,
@@ -306,6 +319,17 @@
   return std::exchange(m_actions, {});
 }
 
+std::optional<uint32_t> Starter::QueuedOfOwner(const SubmissionKey& key) const {
+  if (m_table == nullptr || m_table->m_partitions.empty()) {
+    return std::nullopt;
+  }
+  const auto& owner = m_table->m_partitions[PartitionOf(key)].m_owner;
+  return static_cast<uint32_t>(std::count_if(
+      m_queue.begin(), m_queue.end(), [&](const QueuedTask& queued) {
+        return m_table->m_partitions[queued.m_partition].m_owner == owner;
+      }));
+}
+
 LoadReport Starter::Load() const {
   return {static_cast<uint32_t>(m_running),
           static_cast<uint32_t>(m_queue.size()), m_config.m_slots,
--- a/dispatch/starter.h
+++ b/dispatch/starter.h
@@ -96,6 +96,7 @@
  private:
   struct QueuedTask {
     PartitionId m_partition = 0;
+    MonoTime m_due;
     RunTask m_run;
   };
 
@@ -110,6 +111,7 @@
   std::optional<NotRunReason> WhyNotNow(MonoTime now,
                                         const std::string& client,
                                         MonoTime deadline) const;
+  void Enqueue(QueuedTask task);
   void RunQueued(MonoTime now);
   // Ends all queued tasks that may no longer start as not started, so that
   // their owners place them elsewhere.
@@ -120,6 +122,8 @@
              uint64_t attempt,
              const TaskRef& task,
              TaskOutcome outcome);
+  // Counts the queued tasks whose owner is that of `key`.
+  std::optional<uint32_t> QueuedOfOwner(const SubmissionKey& key) const;
   void AdoptRecord(WallTime wall_now, const StartRecord& adopted);
 
   StarterConfig m_config;
--- a/dispatch/waiting_queue.h
+++ b/dispatch/waiting_queue.h
@@ -22,8 +22,8 @@
   auto operator<=>(const TaskClass&) const = default;
 };
 
-// The tasks that wait for a target: those of the job with the fewest tasks left
-// first, then in order of arrival.
+// The tasks that wait for a target: those of the job that is due first, then in
+// order of arrival.
 class WaitingQueue {
  public:
   struct Item {
@@ -54,7 +54,7 @@
 
  private:
   struct Entry {
-    uint32_t m_remaining = 0;
+    MonoTime m_due;
     uint64_t m_sequence = 0;
     Job* m_job = nullptr;
 
@@ -65,9 +65,7 @@
     std::set<Entry> m_jobs;
   };
 
-  static Entry EntryOf(Job& job) {
-    return {job.remaining(), job.m_sequence, &job};
-  }
+  static Entry EntryOf(Job& job) { return {job.due(), job.m_sequence, &job}; }
   uint32_t AddClass(const Job& job, const TaskSpec& spec);
   void RemoveEntry(uint32_t id, Job& job);
 
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -80,6 +80,7 @@
   spec @6 :TaskSpec;
   timeLeftUs @7 :Int64;
   attempt @8 :UInt64;
+  dueInUs @9 :Int64;
 }
 
 struct StartReply {
--- a/rpc/peer.capnp.h
+++ b/rpc/peer.capnp.h
@@ -264,7 +264,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e7c7c4471fde28c1, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e7c7c4471fde28c1, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1960,6 +1960,8 @@
 
   inline  ::uint64_t getAttempt() const;
 
+  inline  ::int64_t getDueInUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2031,6 +2033,9 @@
   inline  ::uint64_t getAttempt();
   inline void setAttempt( ::uint64_t value);
 
+  inline  ::int64_t getDueInUs();
+  inline void setDueInUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6523,6 +6528,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t StartCommand::Reader::getDueInUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StartCommand::Builder::getDueInUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StartCommand::Builder::setDueInUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StartReply::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/rpc/peer_client.cc
+++ b/rpc/peer_client.cc
@@ -143,8 +143,8 @@
     m_stream = kj::mv(stream);
     m_network = kj::heap<capnp::TwoPartyVatNetwork>(
         *m_stream, capnp::rpc::twoparty::Side::CLIENT);
-    // A call on a connection that the peer has closed would fail as lost, though
-    // nothing of it was sent.
+    // A call on a connection that the peer has closed would fail as lost,
+    // though nothing of it was sent.
     m_calls.add(m_network->onDisconnect().then([this]() { m_broken = true; }));
     m_rpc = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
         capnp::makeRpcClient(*m_network));
--- a/rpc/wire.cc
+++ b/rpc/wire.cc
@@ -260,6 +260,7 @@
   command.m_client = ReadText(in.getClient());
   command.m_spec = Read(in.getSpec());
   command.m_deadline = ReadDeadline(in.getTimeLeftUs(), now);
+  command.m_due = ReadDeadline(in.getDueInUs(), now);
   return command;
 }
 
@@ -275,6 +276,7 @@
   out.setClient(command.m_client);
   Write(command.m_spec, out.initSpec());
   out.setTimeLeftUs(TimeLeftUs(command.m_deadline, now));
+  out.setDueInUs(TimeLeftUs(command.m_due, now));
 }
 
 StartReply Read(wire::StartReply::Reader in) {
