Keep "may have run" over the owner's note of a gone agent's task

Cause: an agent's target lost the outcome of a task ("may have run"), the agent left cleanly and handed that record over. The owner, with reply and settle still out, asked all agents again and got the record. KnownRecords::Add ranked its own note "sent, not ended" above "may have run" and dropped the record. Owner::Resume then read the note of a cleanly departed agent as "never started" and placed the task again.

A note of a running task now ranks above "may have run" only while its agent is in the table and can be asked; otherwise it ranks below every record.

Ruled out by a trace of the case: the record was adopted (by a3), a3 stayed a member, and a1 asked a3 in its second round and had the record before it resumed the job.

The new test OwnerTest.StartsNothingThatMayHaveRunAtAgentThatLeftCleanly failed before the change (the job had no answer) and passes now.

--- a/dispatch/known_records.cc
+++ b/dispatch/known_records.cc
@@ -6,22 +6,26 @@
 
 namespace {
 
-// An answer tells the most, then a running task that can still be asked.
-int Knowledge(const StartRecord& record) {
+// An answer tells the most, then a running task whose agent can still be asked.
+// A running task at an agent that is gone may never have started there, so that
+// a record of its start tells more.
+int Knowledge(const StartRecord& record, const PartitionTable& table) {
   if (!record.m_ended) {
-    return 1;
+    return table.Find(record.m_agent) != nullptr ? 2 : 0;
   }
-  return std::holds_alternative<TaskMayHaveRun>(record.m_outcome) ? 0 : 2;
+  return std::holds_alternative<TaskMayHaveRun>(record.m_outcome) ? 1 : 3;
 }
 
 }  // namespace
 
-void KnownRecords::Add(PartitionId partition, StartRecord record) {
+void KnownRecords::Add(const PartitionTable& table,
+                       PartitionId partition,
+                       StartRecord record) {
   Records& records = m_partitions[partition][record.m_task.m_key];
   const auto [found, inserted] = records.try_emplace(record.m_task);
   if (inserted) {
     ++m_size;
-  } else if (Knowledge(record) <= Knowledge(found->second)) {
+  } else if (Knowledge(record, table) <= Knowledge(found->second, table)) {
     return;
   }
   found->second = std::move(record);
--- a/dispatch/known_records.h
+++ b/dispatch/known_records.h
@@ -7,6 +7,7 @@
 
 #include "core/core.h"
 #include "dispatch/messages.h"
+#include "dispatch/partition_table.h"
 
 namespace comfreyshift {
 
@@ -14,8 +15,11 @@
 // takeover, or left from a partition that moved on.
 class KnownRecords {
  public:
-  // Adds a record, or keeps the one that tells more about the same task.
-  void Add(PartitionId partition, StartRecord record);
+  // Adds a record, or keeps the one that tells more about the same task, by the
+  // agents in `table`.
+  void Add(const PartitionTable& table,
+           PartitionId partition,
+           StartRecord record);
 
   // Removes and returns the records of one key.
   std::vector<StartRecord> Take(PartitionId partition,
--- a/dispatch/owner.cc
+++ b/dispatch/owner.cc
@@ -90,7 +90,7 @@
     std::vector<StartRecord> records;
     AppendRecords(job, records);
     for (StartRecord& record : records) {
-      m_known.Add(job.m_partition, std::move(record));
+      m_known.Add(*m_table, job.m_partition, std::move(record));
     }
   });
   for (const SubmissionKey& key : keys) {
@@ -161,7 +161,7 @@
     std::vector<StartRecord> records;
     AppendRecords(*job, records);
     for (StartRecord& record : records) {
-      m_known.Add(partition, std::move(record));
+      m_known.Add(*m_table, partition, std::move(record));
     }
     Held held;
     held.m_partition = partition;
@@ -425,7 +425,7 @@
   }
   for (StartRecord& record : reply.m_records) {
     const PartitionId partition = PartitionOf(record.m_task.m_key);
-    m_known.Add(partition, std::move(record));
+    m_known.Add(*m_table, partition, std::move(record));
   }
   FinishTakeovers(now, wall_now);
 }
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -136,9 +136,10 @@
   EXPECT_TRUE(starter.OnAdopt(kWall, {3, {}, {record}}));
 }
 
-// Guards against a planned stop that turns the answer of a finished task into
-// "unknown" because its reply was lost.
-TEST(OwnerTest, FindsRecordOfAgentThatLeftCleanly) {
+// Lets an agent leave cleanly after the reply of a task was lost there. All
+// other agents then tell the record with `outcome` that it handed over. Returns
+// the answer of the job, if it has one.
+std::optional<JobAnswer> AnswerAfterCleanLeave(const TaskOutcome& outcome) {
   PartitionTable table = MakeTable({"r0", "r1", "r2"});
   Inventory inventory;
   inventory.m_zones["z"] = {};
@@ -174,15 +175,31 @@
     CollectReply reply;
     reply.m_accepted = true;
     if (collect->m_to != Id(0)) {
-      reply.m_records.push_back(
-          {{job.m_key, 0}, kWall, agent, true, TaskDone{{200, "done"}, {}}});
+      reply.m_records.push_back({{job.m_key, 0}, kWall, agent, true, outcome});
     }
     owner.OnCollectReply(kNow, kWall, collect->m_to, collect->m_command, reply);
   }
-  ASSERT_TRUE(owner.Fetch(job.m_key).has_value());
-  EXPECT_EQ(std::get<JobComplete>(*owner.Fetch(job.m_key)).m_answers.at(0),
+  return owner.Fetch(job.m_key);
+}
+
+// Guards against a planned stop that turns the answer of a finished task into
+// "unknown" because its reply was lost.
+TEST(OwnerTest, FindsRecordOfAgentThatLeftCleanly) {
+  const auto answer = AnswerAfterCleanLeave(TaskDone{{200, "done"}, {}});
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(std::get<JobComplete>(*answer).m_answers.at(0),
             (TaskAnswer{200, "done"}));
 }
 
+// Guards against a second start of a task whose agent left cleanly and handed
+// over that it may have run: the owner's own note of a running task must not
+// hide that record.
+TEST(OwnerTest, StartsNothingThatMayHaveRunAtAgentThatLeftCleanly) {
+  const auto answer = AnswerAfterCleanLeave(TaskMayHaveRun{});
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(std::get<JobFailed>(*answer).m_failure,
+            JobFailure::kUnknownMayHaveRun);
+}
+
 }  // namespace
 }  // namespace comfreyshift
