--- a/tests/rpc/peer_test.cc
+++ b/tests/rpc/peer_test.cc
@@ -22,7 +22,7 @@
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   SocketAddress address = SocketAddress::From({"127.0.0.1", 1});
   reinterpret_cast<sockaddr_in*>(address.get())->sin_port = 0;
-  bind(fd, address.get(), address.m_length);
+  EXPECT_EQ(bind(fd, address.get(), address.m_length), 0);
   getsockname(fd, address.get(), &address.m_length);
   close(fd);
   return address.ToAddress();
--- a/tests/rpc/wire_test.cc
+++ b/tests/rpc/wire_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <kj/exception.h>
 
+#include <cstring>
 #include <random>
 
 namespace comfreyshift {
@@ -58,7 +59,8 @@
   std::mt19937 random(20261204);
   int rejected = 0;
   for (int round = 0; round < 20'000; ++round) {
-    kj::Array<capnp::word> copy = kj::heapArray<capnp::word>(words);
+    kj::Array<capnp::word> copy = kj::heapArray<capnp::word>(words.size());
+    std::memcpy(copy.begin(), words.begin(), words.asBytes().size());
     kj::ArrayPtr<kj::byte> bytes = copy.asPtr().asBytes();
     for (uint32_t i = random() % 4 + 1; i > 0; --i) {
       bytes[random() % bytes.size()] ^= static_cast<uint8_t>(random());
