Let submissions in by quota and fair share at the entries

Ruled out: counting running tasks fleet-wide; each entry takes its share of the quota, and its limit of tasks that are out follows from the fleet's slots. Before: a client without limit. Conclusion: usage digests between entries are not carried yet; unused shares stay unused.

--- a/entry/entry_process.cc
+++ b/entry/entry_process.cc
@@ -27,6 +27,12 @@
   }
   entry->m_node = std::move(node.value());
   entry->m_sync = std::make_shared<StoreSync>(entry->m_store, *entry->m_node);
+  EntryProcess* raw = entry.get();
+  entry->m_gate = std::make_unique<AdmissionGate>(
+      entry->m_node->self().m_id.m_name,
+      [raw](Submission submission, JobSession::DoneFunction done) {
+        raw->Carry(std::move(submission), std::move(done));
+      });
   entry->m_keeper = std::make_shared<TableKeeper>(
       config.m_table, entry->m_store, entry->m_sync, *entry->m_node);
   return entry;
@@ -37,8 +43,19 @@
 
 void EntryProcess::Submit(Submission submission,
                           JobSession::DoneFunction done) {
-  ++m_sessions;
   m_counters.Add("submissions_total");
+  m_gate->Submit(BootClock::now(), std::move(submission),
+                 [this, done = std::move(done)](SessionAnswer answer) {
+                   if (std::holds_alternative<AttemptRejected>(answer)) {
+                     m_counters.Add("submissions_rejected_total");
+                   }
+                   done(std::move(answer));
+                 });
+  m_node->Wake();
+}
+
+void EntryProcess::Carry(Submission submission, JobSession::DoneFunction done) {
+  ++m_sessions;
   JobSession::Start(*m_node, std::move(submission),
                     [this, done = std::move(done)](SessionAnswer answer) {
                       --m_sessions;
@@ -97,7 +114,21 @@
          !m_node->view().table()->m_partitions.empty();
 }
 
-void EntryProcess::OnConfigApplied(MonoTime /*now*/) {}
+uint32_t EntryProcess::LiveEntries() {
+  const auto live = m_node->membership().LiveMembers();
+  // This process does not list itself.
+  uint32_t count = 1;
+  for (const Member& member : m_node->view().table()->m_members) {
+    const bool is_live =
+        std::find(live.begin(), live.end(), member.m_id) != live.end();
+    count += member.m_role == MemberRole::kEntry && is_live ? 1 : 0;
+  }
+  return count;
+}
+
+void EntryProcess::OnConfigApplied(MonoTime now) {
+  m_gate->Configure(now, *m_node->view().inventory(), LiveEntries());
+}
 
 void EntryProcess::OnMembershipEvent(MonoTime now,
                                      const MembershipEvent& event) {
@@ -121,7 +152,9 @@
 MonoTime EntryProcess::OnTick(MonoTime now) {
   m_sync->Tick(now);
   m_keeper->Tick(now);
-  return std::min(m_sync->NextDeadline(), m_keeper->NextDeadline());
+  m_gate->Tick(now);
+  return std::min({m_sync->NextDeadline(), m_keeper->NextDeadline(),
+                   m_gate->NextDeadline(now)});
 }
 
 void EntryProcess::OnSubmit(Submission /*submission*/,
--- a/entry/entry_process.h
+++ b/entry/entry_process.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "entry/admission_gate.h"
 #include "entry/job_session.h"
 #include "entry/store_sync.h"
 #include "entry/table_keeper.h"
@@ -33,7 +34,8 @@
       std::shared_ptr<StoreClient> store,
       RpcRuntime& runtime);
 
-  // Carries a submission to its owner; `done` gets the whole answer.
+  // Lets a submission in by its client's quota and carries it to its owner.
+  // `done` gets the whole answer.
   void Submit(Submission submission, JobSession::DoneFunction done);
 
   // Asks the owner of `key` for the answer of an ended job. `done` gets nothing
@@ -86,6 +88,9 @@
   bool OnLeave(const ProcessId& member) override;
 
  private:
+  uint32_t LiveEntries();
+  void Carry(Submission submission, JobSession::DoneFunction done);
+
   explicit EntryProcess(std::shared_ptr<StoreClient> store);
 
   std::shared_ptr<StoreClient> m_store;
@@ -93,6 +98,7 @@
   std::unique_ptr<ProcessNode> m_node;
   std::shared_ptr<StoreSync> m_sync;
   std::shared_ptr<TableKeeper> m_keeper;
+  std::unique_ptr<AdmissionGate> m_gate;
   size_t m_sessions = 0;
   // When each of the latest revisions was confirmed.
   std::map<Revision, WallTime> m_confirmed;
