Base edits on the present state of the store

Cause: an operator who opened a zone at one entry right after another had closed it at a second entry got "no changes, accepted", because the entry compared with the configuration it had read up to a second before. The zone stayed closed. Ruled out: comparing revisions of the changed keys; an edit without changes writes nothing and compares nothing. Before: failures.sh operator_race ok=false. After: ok=true; entries read the head before each edit, and answer 503 when the store does not.

--- a/entry/operator_api.cc
+++ b/entry/operator_api.cc
@@ -201,22 +201,42 @@
       m_entry(entry),
       m_editor(std::make_shared<InventoryEditor>(entry)) {}
 
+HttpHandler OperatorApi::WithCurrentState(bool needs_store,
+                                          HttpHandler handler) {
+  return [this, needs_store,
+          handler = std::move(handler)](const RequestPtr& request) {
+    m_entry.sync().Refresh([request, needs_store, handler](bool refreshed) {
+      if (needs_store && !refreshed) {
+        request->ReplyError(503, "store_unavailable",
+                            "the store does not answer; nothing was changed");
+        return;
+      }
+      handler(request);
+    });
+  };
+}
+
 void OperatorApi::AddRoutes(HttpServer& server) {
   const OperatorAccess access{m_operator_token};
+  const auto edit = [&](std::string_view method, std::string_view path,
+                        HttpHandler handler) {
+    server.AddRoute(method, path, access,
+                    WithCurrentState(true, std::move(handler)));
+  };
   server.AddRoute("GET", "/v1/inventory", access,
-                  [this](const RequestPtr& request) { GetInventory(request); });
-  server.AddRoute("PUT", "/v1/inventory", access,
-                  [this](const RequestPtr& request) { PutInventory(request); });
-  server.AddRoute(
-      "POST", "/v1/zones/{}/close", access,
-      [this](const RequestPtr& request) { SetZone(request, false); });
-  server.AddRoute(
-      "POST", "/v1/zones/{}/open", access,
-      [this](const RequestPtr& request) { SetZone(request, true); });
-  server.AddRoute("POST", "/v1/clients/{}/retire", access,
-                  [this](const RequestPtr& request) { RetireClient(request); });
-  server.AddRoute("POST", "/v1/targets/{}/retire", access,
-                  [this](const RequestPtr& request) { RetireTarget(request); });
+                  WithCurrentState(false, [this](const RequestPtr& request) {
+                    GetInventory(request);
+                  }));
+  edit("PUT", "/v1/inventory",
+       [this](const RequestPtr& request) { PutInventory(request); });
+  edit("POST", "/v1/zones/{}/close",
+       [this](const RequestPtr& request) { SetZone(request, false); });
+  edit("POST", "/v1/zones/{}/open",
+       [this](const RequestPtr& request) { SetZone(request, true); });
+  edit("POST", "/v1/clients/{}/retire",
+       [this](const RequestPtr& request) { RetireClient(request); });
+  edit("POST", "/v1/targets/{}/retire",
+       [this](const RequestPtr& request) { RetireTarget(request); });
   server.AddRoute(
       "GET", "/v1/retirements/{}/{}", access,
       [this](const RequestPtr& request) { GetRetirement(request); });
--- a/entry/operator_api.h
+++ b/entry/operator_api.h
@@ -28,6 +28,10 @@
  private:
   using RequestPtr = std::shared_ptr<HttpRequest>;
 
+  // Wraps a handler that must see the present state of the store. With
+  // `needs_store`, a request is refused while the store does not answer.
+  HttpHandler WithCurrentState(bool needs_store, HttpHandler handler);
+
   void GetInventory(const RequestPtr& request);
   void PutInventory(const RequestPtr& request);
   void SetZone(const RequestPtr& request, bool open);
--- a/entry/store_sync.cc
+++ b/entry/store_sync.cc
@@ -34,6 +34,38 @@
   m_node.Wake();
 }
 
+void StoreSync::Refresh(std::function<void(bool)> done) {
+  const MonoTime now = BootClock::now();
+  m_store->Range(
+      HeadRequest(), {now + kReadTimeout},
+      [self = shared_from_this(), sent_at = now,
+       done = std::move(done)](Result<RangeReply, StoreError> result) {
+        if (!result) {
+          done(false);
+          return;
+        }
+        self->m_waiting.push_back({HeadRevision(result.value()), done});
+        self->OnHead(sent_at, result.value());
+        self->EndRefreshes(true);
+      });
+}
+
+void StoreSync::EndRefreshes(bool fetched) {
+  std::vector<Waiting> waiting = std::exchange(m_waiting, {});
+  for (Waiting& refresh : waiting) {
+    if (refresh.m_head <= m_node.applied_revision()) {
+      refresh.m_done(true);
+    } else if (fetched) {
+      m_waiting.push_back(std::move(refresh));
+    } else {
+      refresh.m_done(false);
+    }
+  }
+  if (!m_waiting.empty()) {
+    FetchChanges(BootClock::now());
+  }
+}
+
 void StoreSync::ReadHead(MonoTime now) {
   m_store->Range(HeadRequest(), {now + kReadTimeout},
                  [self = shared_from_this(),
@@ -77,6 +109,7 @@
                  if (result) {
                    self->OnChanges(sent_at, since, result.value());
                  }
+                 self->EndRefreshes(result.has_value());
                });
 }
 
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -1,7 +1,9 @@
 #ifndef ENTRY_STORE_SYNC_H_
 #define ENTRY_STORE_SYNC_H_
 
+#include <functional>
 #include <memory>
+#include <vector>
 
 #include "core/core.h"
 #include "node/node.h"
@@ -23,6 +25,11 @@
   // Makes a read due at once, after an edit of this process.
   void ReadNow();
 
+  // Reads the head and applies what is newer; then calls `done` with true, or
+  // with false when the store does not answer. An edit that is made from an
+  // older state could be taken for one that changes nothing.
+  void Refresh(std::function<void(bool)> done);
+
   // True while the last answer is younger than a few reads.
   bool InContact(MonoTime now) const { return now < m_contact_until; }
 
@@ -30,7 +37,14 @@
   bool StoreIsEmpty() const { return m_store_is_empty; }
 
  private:
+  // A refresh that waits until its head is applied.
+  struct Waiting {
+    Revision m_head = 0;
+    std::function<void(bool)> m_done;
+  };
+
   void ReadHead(MonoTime now);
+  void EndRefreshes(bool fetched);
   void OnHead(MonoTime sent_at, const RangeReply& reply);
   void FetchChanges(MonoTime now);
   void OnChanges(MonoTime sent_at, Revision since, const TxnReply& reply);
@@ -41,6 +55,7 @@
   MonoTime m_contact_until;
   MonoTime m_fetch_deadline;
   bool m_store_is_empty = false;
+  std::vector<Waiting> m_waiting;
 };
 
 }  // namespace comfreyshift
--- a/tests/processes/failures.sh
+++ b/tests/processes/failures.sh
@@ -3,7 +3,7 @@
 # history. Prints one JSON line for each scenario; exits with 1 when a promise is broken.
 #
 # usage: tests/processes/failures.sh [SCENARIO...]
-# Scenarios: kill_agent pause_agent kill_entry store_down zone_close graceful_stop
+# Scenarios: kill_agent pause_agent kill_entry store_down zone_close operator_race graceful_stop
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 
@@ -93,6 +93,18 @@
   [ "$late" -le 5000 ]
 }
 
+# Two operators at two entries: the second edit must see the first one, although its entry has not read it yet.
+scenario_operator_race() {
+  sleep 2
+  operator 1 zone close sakiet >"$WORK/race.out"
+  operator 2 zone open sakiet >>"$WORK/race.out"
+  sleep 2
+}
+
+check_operator_race() {
+  operator 1 inventory show --json | grep -q '"sakiet":{"open":true' && [ "$(grep -c 'open: ' "$WORK/race.out")" -eq 2 ]
+}
+
 scenario_graceful_stop() {
   sleep 3
   stop_process agent-2 TERM
@@ -129,7 +141,7 @@
 
 trap stop_fleet EXIT
 if [ "$#" -eq 0 ]; then
-  set -- kill_agent pause_agent kill_entry store_down zone_close graceful_stop
+  set -- kill_agent pause_agent kill_entry store_down zone_close operator_race graceful_stop
 fi
 failed=0
 for scenario in "$@"; do
