--- a/tests/entry/admission_gate_test.cc
+++ b/tests/entry/admission_gate_test.cc
@@ -17,9 +17,10 @@
 class AdmissionGateTest : public testing::Test {
  protected:
   AdmissionGateTest()
-      : m_gate("entry-1", [this](Submission, JobSession::DoneFunction done) {
-          m_running.push_back(std::move(done));
-        }) {}
+      : m_gate("entry-1",
+               [this](const Submission&, JobSession::DoneFunction done) {
+                 m_running.push_back(std::move(done));
+               }) {}
 
   void Submit(const std::string& client, size_t tasks) {
     Submission submission;
