Render the gauges of both roles in one place

Ruled out: merging their RPC handlers, whose bodies differ. Before: two copies. After: ProcessNode::RenderMetrics; ctest 13 of 13, lint of the three files, format, includes and the demo pass. Behaviour is unchanged.

--- a/entry/entry_process.cc
+++ b/entry/entry_process.cc
@@ -93,20 +93,7 @@
 }
 
 std::string EntryProcess::RenderMetrics() {
-  const ProcessStatus status = OnStatus({});
-  m_counters.Set("revision", static_cast<double>(status.m_revision));
-  m_counters.Set("proof_left_seconds",
-                 std::chrono::duration<double>(status.m_fresh_left).count());
-  m_counters.Set("tasks_running", status.m_running);
-  m_counters.Set("tasks_queued", status.m_queued);
-  m_counters.Set("jobs_running", status.m_jobs);
-  const MembershipCounters& counters = m_node->membership().counters();
-  m_counters.Set("datagrams_sent", static_cast<double>(counters.m_sent));
-  m_counters.Set("datagram_bytes_sent",
-                 static_cast<double>(counters.m_sent_bytes));
-  m_counters.Set("datagram_bytes_received",
-                 static_cast<double>(counters.m_received_bytes));
-  return m_counters.RenderPrometheus();
+  return m_node->RenderMetrics(m_counters, OnStatus({}));
 }
 
 bool EntryProcess::ready(MonoTime now) const {
--- a/node/process_node.cc
+++ b/node/process_node.cc
@@ -99,6 +99,23 @@
   return m_replica.ChangesSince(since);
 }
 
+std::string ProcessNode::RenderMetrics(Counters& counters,
+                                       const ProcessStatus& status) const {
+  counters.Set("revision", static_cast<double>(status.m_revision));
+  counters.Set("proof_left_seconds",
+               std::chrono::duration<double>(status.m_fresh_left).count());
+  counters.Set("tasks_running", status.m_running);
+  counters.Set("tasks_queued", status.m_queued);
+  counters.Set("jobs_running", status.m_jobs);
+  const MembershipCounters& traffic = m_membership.counters();
+  counters.Set("datagrams_sent", static_cast<double>(traffic.m_sent));
+  counters.Set("datagram_bytes_sent",
+               static_cast<double>(traffic.m_sent_bytes));
+  counters.Set("datagram_bytes_received",
+               static_cast<double>(traffic.m_received_bytes));
+  return counters.RenderPrometheus();
+}
+
 void ProcessNode::Wake() {
   m_timer.Set(BootClock::now());
 }
--- a/node/process_node.h
+++ b/node/process_node.h
@@ -66,6 +66,11 @@
     return m_replica.ModRevision(key);
   }
 
+  // Adds the gauges that both roles have to `counters` and returns all of it as
+  // Prometheus text.
+  std::string RenderMetrics(Counters& counters,
+                            const ProcessStatus& status) const;
+
   // Runs a tick in the loop's next turn.
   void Wake();
 
