--- /dev/null
+++ b/cmake/executor.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(executor core jobs link)
+comfreyshift_tests(executor executor)
--- /dev/null
+++ b/cmake/jobs.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(jobs core)
+comfreyshift_tests(jobs jobs)
--- /dev/null
+++ b/cmake/scheduler.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(scheduler core jobs link)
+comfreyshift_tests(scheduler scheduler)
--- /dev/null
+++ b/executor/actions.h
@@ -0,0 +1,57 @@
+#ifndef EXECUTOR_ACTIONS_H_
+#define EXECUTOR_ACTIONS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "core/core.h"
+#include "jobs/jobs.h"
+#include "link/link.h"
+
+namespace comfreyshift {
+
+// A point in time on a runner's own steady clock.
+using RunnerTime = std::chrono::milliseconds;
+
+// Start a run on the runner; it ends in OnStartAnswer.
+struct OrderStart {
+  RunnerLife m_life;
+  RunKey m_run;
+  std::string m_payload;
+  uint64_t m_fencing_token = 0;
+  RunnerTime m_lease_until{0};
+};
+
+// Stop a run; it ends in OnStopAnswer.
+struct OrderStop {
+  RunnerLife m_life;
+  RunKey m_run;
+  uint64_t m_fencing_token = 0;
+};
+
+// Read the runner's lists of runs; it ends in OnLookAnswer.
+struct OrderLook {
+  RunnerLife m_life;
+  uint64_t m_fencing_token = 0;
+  // Ends up to this number are forgotten by the runner.
+  uint64_t m_acknowledged_ends = 0;
+  // Renews the lease of all runs; missing if nothing runs.
+  std::optional<RunnerTime> m_lease_until;
+  // The runner answers by then at the latest, or as soon as a run ends.
+  MonoTime m_answer_by;
+};
+
+// Send a message to an entry, if its connection is open.
+struct SendToEntry {
+  ProcessId m_entry;
+  LinkMessage m_message;
+};
+
+using ExecutorAction =
+    std::variant<OrderStart, OrderStop, OrderLook, SendToEntry>;
+
+}  // namespace comfreyshift
+
+#endif  // EXECUTOR_ACTIONS_H_
--- /dev/null
+++ b/executor/run_executor.cc
@@ -0,0 +1,601 @@
+#include "executor/run_executor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyshift {
+
+namespace {
+
+// A look waits this long for an end. The lease is renewed with each look.
+constexpr Milliseconds kLookWait{150};
+// Looks are at least this far apart, so that one look reports several ends.
+constexpr Milliseconds kLookPause{10};
+// After a look that failed.
+constexpr Milliseconds kLookRetry{50};
+// Stops are ordered again until they are acknowledged.
+constexpr Milliseconds kStopRetry{250};
+// A runner whose lists could not be read for this long gets nothing new.
+constexpr Milliseconds kUnreachableAfter{400};
+// Statuses are at least this far apart, and sent again after kStatusRepeat,
+// which also tells entries that this agent lives.
+constexpr Milliseconds kStatusPause{10};
+constexpr Milliseconds kStatusRepeat{150};
+// Reports are kept this long for entries that connect again.
+constexpr Milliseconds kReportMemory{5000};
+// A runner that has seen a higher token than ours saw it from an earlier life
+// of this agent, whose clock ran ahead by less than this.
+constexpr uint64_t kTokenStep = 60'000;
+
+}  // namespace
+
+RunExecutor::RunExecutor(ProcessId self, uint64_t token)
+    : m_self(std::move(self)), m_token(token) {}
+
+bool RunExecutor::OnHeartbeat(const RunnerReport& report, MonoTime now) {
+  if (m_runner) {
+    const bool is_same_life = m_runner->m_life == report.m_life;
+    if (is_same_life ? report.m_sequence <= m_runner->m_sequence
+                     : report.m_life.m_born_ms < m_runner->m_life.m_born_ms) {
+      return false;
+    }
+    if (is_same_life) {
+      m_is_status_due |= m_runner->m_is_draining != report.m_is_draining ||
+                         m_runner->m_capacity != report.m_capacity;
+      m_runner = report;
+      return true;
+    }
+    EndLife(now);
+  }
+  StartLife(report, now);
+  return true;
+}
+
+void RunExecutor::OnRunnerLeft(const std::string& runner_id, MonoTime now) {
+  if (m_runner && m_runner->m_life.m_id == runner_id) {
+    EndLife(now);
+    m_runner.reset();
+    m_is_status_due = true;
+  }
+}
+
+void RunExecutor::StartLife(const RunnerReport& report, MonoTime now) {
+  m_runner = report;
+  m_health.Reset();
+  m_strays.clear();
+  m_acknowledged_ends = 0;
+  m_is_listed = false;
+  m_is_looking = false;
+  m_clock = RunnerTime(0);
+  m_next_look_at = now;
+  m_last_list_at = now;
+  m_lease_ends_at = now;
+  m_is_status_due = true;
+}
+
+// Everything that the old life ran has ended with it.
+void RunExecutor::EndLife(MonoTime now) {
+  for (auto run = m_runs.begin(); run != m_runs.end();) {
+    const auto next = std::next(run);
+    if (run->second.m_state != RunState::kWaiting) {
+      Finish(run, RunOutcome::kStopped, now);
+    }
+    run = next;
+  }
+}
+
+void RunExecutor::OnClosedZones(const ClosedZones& zones, MonoTime) {
+  m_closed_zones = zones;
+  m_is_status_due = true;
+}
+
+void RunExecutor::Drain(MonoTime) {
+  m_is_draining = true;
+  m_is_status_due = true;
+}
+
+void RunExecutor::OnEntryConnected(const ProcessId& entry, MonoTime now) {
+  // A new incarnation of an entry knows nothing of the earlier one's runs.
+  for (auto& [id, state] : m_entries) {
+    if (id.m_name == entry.m_name && id.m_incarnation < entry.m_incarnation) {
+      state.m_claimed_until = now;
+    }
+  }
+  EntryState& state = m_entries[entry];
+  state.m_is_connected = true;
+  state.m_sequence = 0;
+  state.m_claimed_until = now + kClaimTimeout;
+  m_actions.push_back(SendToEntry{entry, Welcome{m_self}});
+  m_is_status_due = true;
+}
+
+void RunExecutor::OnEntryDisconnected(const ProcessId& entry, MonoTime) {
+  const auto found = m_entries.find(entry);
+  if (found != m_entries.end()) {
+    found->second.m_is_connected = false;
+  }
+}
+
+void RunExecutor::OnClaim(const ProcessId& entry,
+                          const Claim& claim,
+                          MonoTime now) {
+  const auto found = m_entries.find(entry);
+  if (found == m_entries.end() || claim.m_agent_clock > now) {
+    return;
+  }
+  MonoTime& until = found->second.m_claimed_until;
+  until = std::max(until, claim.m_agent_clock + kClaimTimeout);
+}
+
+void RunExecutor::OnStartRun(const ProcessId& entry,
+                             const StartRun& start,
+                             MonoTime now) {
+  const auto known_entry = m_entries.find(entry);
+  if (known_entry == m_entries.end()) {
+    return;
+  }
+  known_entry->second.m_sequence = start.m_sequence;
+  m_is_status_due = true;
+  const auto ended = m_ended_runs.find(start.m_run);
+  if (ended != m_ended_runs.end()) {
+    m_actions.push_back(SendToEntry{entry, ended->second.m_report});
+    return;
+  }
+  const auto [found, is_new] = m_runs.try_emplace(start.m_run);
+  Run& run = found->second;
+  if (!is_new) {
+    return;
+  }
+  run.m_entry = entry;
+  run.m_payload = start.m_payload;
+  run.m_demand = start.m_demand;
+  run.m_expected = start.m_expected;
+  run.m_urgency = start.m_urgency;
+  run.m_abandon_at = start.m_abandon_at;
+  run.m_queue_until = start.m_queue_until;
+  run.m_state_since = now;
+  const bool is_possible = m_runner && is_accepting(now) &&
+                           start.m_service == m_runner->m_service &&
+                           start.m_demand.Fits(m_runner->m_capacity);
+  if (!is_possible) {
+    Finish(found, RunOutcome::kNotStarted, now);
+  }
+}
+
+void RunExecutor::OnStopRun(const ProcessId& entry,
+                            const StopRun& stop,
+                            MonoTime now) {
+  const auto found = m_runs.find(stop.m_run);
+  if (found != m_runs.end()) {
+    RequestStop(found->first, found->second, now);
+    if (found->second.m_state == RunState::kWaiting) {
+      Finish(found, RunOutcome::kNotStarted, now);
+    }
+    return;
+  }
+  // A stop may overtake nothing on its connection, so the run has ended, or
+  // its StartRun was lost with an earlier connection.
+  const auto ended = m_ended_runs.find(stop.m_run);
+  const RunReport report = ended != m_ended_runs.end()
+                               ? ended->second.m_report
+                               : RunReport{stop.m_run, RunOutcome::kNotStarted,
+                                           false, Microseconds(0)};
+  m_ended_runs[stop.m_run] = {report, now + kReportMemory};
+  m_actions.push_back(SendToEntry{entry, report});
+}
+
+void RunExecutor::RequestStop(const RunKey&, Run& run, MonoTime now) {
+  if (run.m_state == RunState::kStarting || run.m_state == RunState::kRunning) {
+    run.m_state = RunState::kStopping;
+    run.m_state_since = now;
+    run.m_stop_again_at = now;
+  }
+}
+
+void RunExecutor::OnStartAnswer(const RunnerLife& life,
+                                const RunKey& key,
+                                StartAnswer answer,
+                                MonoTime now) {
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end() || !m_runner || m_runner->m_life != life) {
+    return;
+  }
+  Run& run = found->second;
+  if (answer == StartAnswer::kUnhealthy) {
+    m_health.OnFailure(now);
+    m_is_status_due = true;
+  }
+  if (answer == StartAnswer::kFenced) {
+    RaiseToken(now);
+  }
+  // A stop is under way already; it settles the run.
+  if (run.m_state != RunState::kStarting) {
+    return;
+  }
+  switch (answer) {
+    case StartAnswer::kStarted:
+      run.m_state = RunState::kRunning;
+      run.m_state_since = now;
+      return;
+    case StartAnswer::kUnknown:
+      RequestStop(key, run, now);
+      return;
+    case StartAnswer::kRejected:
+    case StartAnswer::kNumberTooLow:
+    case StartAnswer::kFenced:
+    case StartAnswer::kUnhealthy:
+    case StartAnswer::kOtherLife:
+    case StartAnswer::kNotSent:
+      Finish(found, RunOutcome::kNotStarted, now);
+      return;
+  }
+}
+
+void RunExecutor::OnStopAnswer(const RunnerLife& life,
+                               const RunKey& key,
+                               StopAnswer answer,
+                               MonoTime now) {
+  if (!m_runner || m_runner->m_life != life) {
+    return;
+  }
+  if (answer == StopAnswer::kFenced) {
+    RaiseToken(now);
+  }
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end() || found->second.m_state != RunState::kStopping ||
+      answer != StopAnswer::kAccepted) {
+    return;
+  }
+  found->second.m_state = RunState::kStopped;
+  found->second.m_state_since = now;
+}
+
+void RunExecutor::OnLookAnswer(
+    const RunnerLife& life,
+    const std::variant<RunnerLists, LookFailure>& answer,
+    MonoTime now) {
+  if (!m_runner || m_runner->m_life != life) {
+    return;
+  }
+  m_is_looking = false;
+  if (const auto* failure = std::get_if<LookFailure>(&answer)) {
+    if (*failure == LookFailure::kFenced) {
+      RaiseToken(now);
+    }
+    m_next_look_at = now + kLookRetry;
+    return;
+  }
+  const auto& lists = std::get<RunnerLists>(answer);
+  if (lists.m_born_ms && *lists.m_born_ms != life.m_born_ms) {
+    m_next_look_at = now + kLookRetry;
+    return;
+  }
+  m_clock = lists.m_clock;
+  m_clock_read_at = now;
+  m_last_list_at = now;
+  m_next_look_at = std::max(now, m_look_sent_at + kLookPause);
+  ApplyEnded(lists, now);
+  ApplyRunning(lists, now);
+  if (!m_is_listed && m_strays.empty()) {
+    m_is_listed = true;
+    m_is_status_due = true;
+  }
+}
+
+void RunExecutor::RaiseToken(MonoTime now) {
+  m_token += kTokenStep;
+  m_next_look_at = now;
+}
+
+void RunExecutor::ApplyEnded(const RunnerLists& lists, MonoTime now) {
+  for (const EndedRow& row : lists.m_ended) {
+    if (row.m_number <= m_acknowledged_ends) {
+      continue;
+    }
+    m_acknowledged_ends = row.m_number;
+    m_strays.erase(row.m_run);
+    const auto found = m_runs.find(row.m_run);
+    if (found == m_runs.end()) {
+      continue;
+    }
+    Run& run = found->second;
+    if (row.m_outcome == RunOutcome::kDone) {
+      m_health.OnDone(now - run.m_started_at, run.m_expected, now);
+    } else if (row.m_outcome == RunOutcome::kFailed) {
+      m_health.OnFailure(now);
+    }
+    Finish(found, row.m_outcome, now);
+  }
+}
+
+void RunExecutor::ApplyRunning(const RunnerLists& lists, MonoTime now) {
+  std::map<RunKey, MonoTime> strays;
+  std::map<RunKey, double> listed;
+  for (const RunningRow& row : lists.m_running) {
+    listed[row.m_run] = row.m_percent;
+    if (!m_runs.contains(row.m_run)) {
+      const auto known = m_strays.find(row.m_run);
+      strays[row.m_run] = known == m_strays.end() ? now : known->second;
+    }
+  }
+  m_strays = std::move(strays);
+  for (auto found = m_runs.begin(); found != m_runs.end();) {
+    const auto next = std::next(found);
+    Run& run = found->second;
+    const auto row = listed.find(found->first);
+    const bool is_newer = m_look_sent_at > run.m_state_since;
+    if (row != listed.end()) {
+      m_health.OnProgress(now - run.m_started_at, row->second, run.m_expected);
+    } else if (is_newer && (run.m_state == RunState::kRunning ||
+                            run.m_state == RunState::kStopped)) {
+      // Its end was listed and forgotten, or it never began.
+      Finish(found, RunOutcome::kStopped, now);
+    }
+    found = next;
+  }
+}
+
+void RunExecutor::Report(const RunKey& key,
+                         Run& run,
+                         RunOutcome outcome,
+                         MonoTime now) {
+  if (run.m_is_reported) {
+    return;
+  }
+  run.m_is_reported = true;
+  const bool has_run =
+      run.m_state != RunState::kWaiting && outcome != RunOutcome::kNotStarted;
+  const RunReport report{key, outcome, has_run,
+                         has_run ? now - run.m_started_at : Microseconds(0)};
+  m_ended_runs[key] = {report, now + kReportMemory};
+  m_actions.push_back(SendToEntry{run.m_entry, report});
+}
+
+void RunExecutor::Finish(RunTable::iterator found,
+                         RunOutcome outcome,
+                         MonoTime now) {
+  Report(found->first, found->second, outcome, now);
+  m_runs.erase(found);
+  m_is_status_due = true;
+}
+
+bool RunExecutor::HoldsRoom(const Run& run) const {
+  return run.m_state != RunState::kWaiting;
+}
+
+Resources RunExecutor::FreeRoom() const {
+  Resources room = m_runner ? m_runner->m_capacity : Resources{};
+  for (const auto& [key, run] : m_runs) {
+    room -= run.m_demand;
+  }
+  return room;
+}
+
+bool RunExecutor::is_accepting(MonoTime now) const {
+  return m_runner && !m_runner->m_is_draining && !m_is_draining &&
+         m_is_listed && !m_closed_zones.contains(m_runner->m_zone) &&
+         m_health.IsUsable(now) && now < m_last_list_at + kUnreachableAfter;
+}
+
+RunnerTime RunExecutor::RunnerNow(MonoTime now) const {
+  return m_clock +
+         std::chrono::duration_cast<RunnerTime>(now - m_clock_read_at);
+}
+
+void RunExecutor::StopUnclaimed(MonoTime now) {
+  for (auto& [key, run] : m_runs) {
+    const auto entry = m_entries.find(run.m_entry);
+    if (entry == m_entries.end() || entry->second.m_claimed_until <= now) {
+      RequestStop(key, run, now);
+      run.m_queue_until = std::min(run.m_queue_until, now);
+    }
+  }
+  std::erase_if(m_entries, [&](const auto& item) {
+    return !item.second.m_is_connected &&
+           item.second.m_claimed_until + kReportMemory <= now;
+  });
+}
+
+void RunExecutor::StopExpired(MonoTime now) {
+  for (auto found = m_runs.begin(); found != m_runs.end();) {
+    const auto next = std::next(found);
+    Run& run = found->second;
+    if (run.m_abandon_at <= now) {
+      RequestStop(found->first, run, now);
+    }
+    const bool can_start =
+        is_accepting(now) && run.m_queue_until > now && run.m_abandon_at > now;
+    if (run.m_state == RunState::kWaiting && !can_start) {
+      Finish(found, RunOutcome::kNotStarted, now);
+    }
+    found = next;
+  }
+  std::erase_if(m_ended_runs, [&](const auto& item) {
+    return item.second.m_forget_at <= now;
+  });
+}
+
+bool RunExecutor::HasOtherRun(RunTable::const_iterator found) const {
+  const TaskKey& task = found->first.m_task;
+  const auto first = m_runs.lower_bound(RunKey{task, 0});
+  for (auto other = first; other != m_runs.end() && other->first.m_task == task;
+       ++other) {
+    if (other != found && HoldsRoom(other->second)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void RunExecutor::StartWaiting(MonoTime now) {
+  if (!is_accepting(now)) {
+    return;
+  }
+  Resources room = m_runner->m_capacity;
+  size_t held = 0;
+  std::vector<RunTable::iterator> waiting;
+  for (auto found = m_runs.begin(); found != m_runs.end(); ++found) {
+    if (HoldsRoom(found->second)) {
+      room -= found->second.m_demand;
+      ++held;
+    } else {
+      waiting.push_back(found);
+    }
+  }
+  std::ranges::stable_sort(
+      waiting, {}, [](const auto& found) { return found->second.m_urgency; });
+  for (const auto& found : waiting) {
+    Run& run = found->second;
+    if (HasOtherRun(found)) {
+      continue;
+    }
+    if (!run.m_demand.Fits(room) || (m_health.is_on_probation() && held > 0)) {
+      break;
+    }
+    room -= run.m_demand;
+    ++held;
+    run.m_state = RunState::kStarting;
+    run.m_started_at = now;
+    run.m_state_since = now;
+    const RunnerTime lease_until = RunnerNow(now) + kLease;
+    m_lease_ends_at = std::max(m_lease_ends_at, now + kLease);
+    m_actions.push_back(OrderStart{m_runner->m_life, found->first,
+                                   std::move(run.m_payload), m_token,
+                                   lease_until});
+    m_is_status_due = true;
+  }
+}
+
+void RunExecutor::SendStops(MonoTime now) {
+  if (!m_runner) {
+    return;
+  }
+  for (auto& [key, run] : m_runs) {
+    if (run.m_state == RunState::kStopping && run.m_stop_again_at <= now) {
+      run.m_stop_again_at = now + kStopRetry;
+      m_actions.push_back(OrderStop{m_runner->m_life, key, m_token});
+    }
+  }
+  for (auto& [key, stop_again_at] : m_strays) {
+    if (stop_again_at <= now) {
+      stop_again_at = now + kStopRetry;
+      m_actions.push_back(OrderStop{m_runner->m_life, key, m_token});
+    }
+  }
+}
+
+// The runner has not answered for so long that all leases have run out: what
+// it ran has ended, although nobody can see it. A run keeps its room until a
+// stop is acknowledged, because its order may still be carried out.
+void RunExecutor::LapseUnreachable(MonoTime now) {
+  const auto lapsed_at =
+      m_lease_ends_at + std::chrono::duration_cast<Microseconds>(
+                            kLease * (kRunnerClockError - 1.0));
+  if (!m_runner || now < m_last_list_at + kUnreachableAfter ||
+      now < lapsed_at) {
+    return;
+  }
+  for (auto& [key, run] : m_runs) {
+    if (HoldsRoom(run)) {
+      RequestStop(key, run, now);
+      Report(key, run, RunOutcome::kStopped, now);
+    }
+  }
+}
+
+bool RunExecutor::MustRenew() const {
+  return std::ranges::any_of(m_runs, [this](const auto& item) {
+    return HoldsRoom(item.second) && !item.second.m_is_reported;
+  });
+}
+
+void RunExecutor::Look(MonoTime now) {
+  const bool is_needed = !m_is_listed || !m_strays.empty() || !m_runs.empty() ||
+                         now >= m_last_list_at + kUnreachableAfter / 2;
+  if (!m_runner || m_is_looking || !is_needed || now < m_next_look_at) {
+    return;
+  }
+  OrderLook look;
+  look.m_life = m_runner->m_life;
+  look.m_fencing_token = m_token;
+  look.m_acknowledged_ends = m_acknowledged_ends;
+  const bool is_reachable = now < m_last_list_at + kUnreachableAfter;
+  if (MustRenew() && m_clock > RunnerTime(0) && is_reachable) {
+    look.m_lease_until = RunnerNow(now) + kLease;
+    m_lease_ends_at = now + kLease;
+  }
+  look.m_answer_by = now + (m_is_listed ? kLookWait : Milliseconds(0));
+  m_is_looking = true;
+  m_look_sent_at = now;
+  m_actions.push_back(look);
+}
+
+void RunExecutor::SendStatus(MonoTime now) {
+  if (now < (m_is_status_due ? m_next_status_at : m_status_repeat_at)) {
+    return;
+  }
+  m_is_status_due = false;
+  m_next_status_at = now + kStatusPause;
+  m_status_repeat_at = now + kStatusRepeat;
+  RunnerStatus status;
+  status.m_agent_clock = now;
+  status.m_is_accepting = is_accepting(now);
+  status.m_free = FreeRoom();
+  status.m_slowness = m_health.slowness();
+  if (m_runner) {
+    status.m_service = m_runner->m_service;
+    status.m_zone = m_runner->m_zone;
+    status.m_labels = m_runner->m_labels;
+    status.m_capacity = m_runner->m_capacity;
+    status.m_runner_born_ms = m_runner->m_life.m_born_ms;
+  }
+  for (const auto& [entry, state] : m_entries) {
+    if (state.m_is_connected) {
+      status.m_sequence = state.m_sequence;
+      m_actions.push_back(SendToEntry{entry, status});
+    }
+  }
+}
+
+std::vector<ExecutorAction> RunExecutor::Tick(MonoTime now) {
+  StopUnclaimed(now);
+  LapseUnreachable(now);
+  StopExpired(now);
+  StartWaiting(now);
+  SendStops(now);
+  Look(now);
+  SendStatus(now);
+  return std::exchange(m_actions, {});
+}
+
+MonoTime RunExecutor::NextDeadline(MonoTime now) const {
+  MonoTime next = m_is_status_due ? m_next_status_at : m_status_repeat_at;
+  if (m_runner && !m_is_looking) {
+    const bool is_idle = m_is_listed && m_strays.empty() && m_runs.empty();
+    const MonoTime idle_look = m_last_list_at + kUnreachableAfter / 2;
+    next = std::min(
+        next, is_idle ? std::max(idle_look, m_next_look_at) : m_next_look_at);
+  }
+  for (const auto& [key, run] : m_runs) {
+    if (run.m_abandon_at > now) {
+      next = std::min(next, run.m_abandon_at);
+    }
+    if (run.m_state == RunState::kWaiting) {
+      next = std::min(next, run.m_queue_until);
+    }
+    if (run.m_state == RunState::kStopping) {
+      next = std::min(next, run.m_stop_again_at);
+    }
+  }
+  for (const auto& [entry, state] : m_entries) {
+    if (state.m_claimed_until > now) {
+      next = std::min(next, state.m_claimed_until);
+    }
+  }
+  if (m_health.retry_at() > now) {
+    next = std::min(next, m_health.retry_at());
+  }
+  return next;
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/executor/run_executor.h
@@ -0,0 +1,167 @@
+#ifndef EXECUTOR_RUN_EXECUTOR_H_
+#define EXECUTOR_RUN_EXECUTOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "executor/actions.h"
+#include "executor/runner_health.h"
+#include "executor/runner_observation.h"
+#include "jobs/jobs.h"
+#include "link/link.h"
+
+namespace comfreyshift {
+
+// Decides what one agent does with its runner: which runs start, wait, stop,
+// and what the entries hear of them. It is the only one that gives the runner
+// orders, so the runner's room is never exceeded as long as it counts
+// everything that may be running.
+class RunExecutor {
+ public:
+  // `token` must be above that of every earlier run of this agent.
+  RunExecutor(ProcessId self, uint64_t token);
+
+  // A heartbeat arrived. Returns false for one of an earlier life, or older
+  // than the newest of its life.
+  bool OnHeartbeat(const RunnerReport& report, MonoTime now);
+  // The runner has left for good.
+  void OnRunnerLeft(const std::string& runner_id, MonoTime now);
+  void OnClosedZones(const ClosedZones& zones, MonoTime now);
+  // The process stops: nothing new starts.
+  void Drain(MonoTime now);
+
+  void OnEntryConnected(const ProcessId& entry, MonoTime now);
+  // The connection broke. A live entry connects again and repeats its StartRun
+  // messages within kClaimTimeout.
+  void OnEntryDisconnected(const ProcessId& entry, MonoTime now);
+  void OnClaim(const ProcessId& entry, const Claim& claim, MonoTime now);
+  void OnStartRun(const ProcessId& entry, const StartRun& start, MonoTime now);
+  void OnStopRun(const ProcessId& entry, const StopRun& stop, MonoTime now);
+
+  void OnStartAnswer(const RunnerLife& life,
+                     const RunKey& run,
+                     StartAnswer answer,
+                     MonoTime now);
+  void OnStopAnswer(const RunnerLife& life,
+                    const RunKey& run,
+                    StopAnswer answer,
+                    MonoTime now);
+  void OnLookAnswer(const RunnerLife& life,
+                    const std::variant<RunnerLists, LookFailure>& answer,
+                    MonoTime now);
+
+  // Does what is due and returns what is to be sent.
+  std::vector<ExecutorAction> Tick(MonoTime now);
+  // When Tick must be called next without new input.
+  MonoTime NextDeadline(MonoTime now) const;
+
+  bool has_runs() const { return !m_runs.empty(); }
+  bool is_accepting(MonoTime now) const;
+  Resources FreeRoom() const;
+  const std::optional<RunnerReport>& runner() const { return m_runner; }
+
+ private:
+  enum class RunState : uint8_t {
+    // Waits for room.
+    kWaiting,
+    // Ordered, without an answer yet.
+    kStarting,
+    kRunning,
+    // Must be stopped, or is being stopped.
+    kStopping,
+    // The runner has acknowledged the stop; the next list shows the end.
+    kStopped,
+  };
+
+  struct Run {
+    ProcessId m_entry;
+    std::string m_payload;
+    Resources m_demand;
+    Microseconds m_expected{0};
+    int64_t m_urgency = 0;
+    MonoTime m_abandon_at;
+    MonoTime m_queue_until;
+    RunState m_state = RunState::kWaiting;
+    // Time of the order to start.
+    MonoTime m_started_at;
+    // Lists read by looks sent before this time do not show the state.
+    MonoTime m_state_since;
+    MonoTime m_stop_again_at;
+    bool m_is_reported = false;
+  };
+
+  struct EntryState {
+    bool m_is_connected = false;
+    uint64_t m_sequence = 0;
+    // The entry's runs are stopped then.
+    MonoTime m_claimed_until;
+  };
+
+  // A report that is kept for repeated StartRun messages.
+  struct EndedRun {
+    RunReport m_report;
+    MonoTime m_forget_at;
+  };
+
+  using RunTable = std::map<RunKey, Run>;
+
+  bool HoldsRoom(const Run& run) const;
+  // Whether another run of the same task may be at work here.
+  bool HasOtherRun(RunTable::const_iterator found) const;
+  void StartLife(const RunnerReport& report, MonoTime now);
+  void EndLife(MonoTime now);
+  void Finish(RunTable::iterator found, RunOutcome outcome, MonoTime now);
+  void Report(const RunKey& key, Run& run, RunOutcome outcome, MonoTime now);
+  void RequestStop(const RunKey& key, Run& run, MonoTime now);
+  void RaiseToken(MonoTime now);
+  void ApplyEnded(const RunnerLists& lists, MonoTime now);
+  void ApplyRunning(const RunnerLists& lists, MonoTime now);
+  void StopUnclaimed(MonoTime now);
+  void StopExpired(MonoTime now);
+  void StartWaiting(MonoTime now);
+  void SendStops(MonoTime now);
+  void LapseUnreachable(MonoTime now);
+  void Look(MonoTime now);
+  void SendStatus(MonoTime now);
+  bool MustRenew() const;
+  RunnerTime RunnerNow(MonoTime now) const;
+
+  ProcessId m_self;
+  uint64_t m_token;
+  std::optional<RunnerReport> m_runner;
+  RunnerHealth m_health;
+  RunTable m_runs;
+  std::map<RunKey, EndedRun> m_ended_runs;
+  std::map<ProcessId, EntryState> m_entries;
+  // Runs found on the runner that nobody claims; they are being stopped.
+  std::map<RunKey, MonoTime> m_strays;
+  ClosedZones m_closed_zones;
+  bool m_is_draining = false;
+
+  // The runner's clock, and when it was read.
+  RunnerTime m_clock{0};
+  MonoTime m_clock_read_at;
+  uint64_t m_acknowledged_ends = 0;
+  // Nothing starts before a list has shown what runs already.
+  bool m_is_listed = false;
+  bool m_is_looking = false;
+  MonoTime m_look_sent_at;
+  MonoTime m_next_look_at;
+  MonoTime m_last_list_at;
+  // The runner kills everything by then, as far as renewals were sent.
+  MonoTime m_lease_ends_at;
+
+  bool m_is_status_due = false;
+  MonoTime m_next_status_at;
+  MonoTime m_status_repeat_at;
+  std::vector<ExecutorAction> m_actions;
+};
+
+}  // namespace comfreyshift
+
+#endif  // EXECUTOR_RUN_EXECUTOR_H_
--- /dev/null
+++ b/executor/runner_health.cc
@@ -0,0 +1,71 @@
+#include "executor/runner_health.h"
+
+#include <algorithm>
+
+namespace comfreyshift {
+
+namespace {
+
+// A runner that fails this many runs in a row is paused. Single jobs that can
+// never be done fail as well, so one or two say little.
+constexpr uint32_t kFailuresToPause = 3;
+constexpr Milliseconds kFirstPause{500};
+constexpr Milliseconds kLongestPause{4000};
+// Weight of one run in the estimate. Run times of tasks vary by about half.
+constexpr double kSampleWeight = 0.05;
+// One run counts for at most this much, so that single giants do not.
+constexpr double kMaxSample = 10.0;
+constexpr double kMinSlowness = 0.1;
+
+}  // namespace
+
+void RunnerHealth::Reset() {
+  *this = RunnerHealth();
+}
+
+void RunnerHealth::OnDone(Microseconds run_time,
+                          Microseconds expected,
+                          MonoTime) {
+  m_failures_in_row = 0;
+  m_pauses = 0;
+  if (expected <= Microseconds(0)) {
+    return;
+  }
+  const double sample =
+      std::min(kMaxSample, static_cast<double>(run_time.count()) /
+                               static_cast<double>(expected.count()));
+  m_slowness += kSampleWeight * (sample - m_slowness);
+  m_slowness = std::max(m_slowness, kMinSlowness);
+}
+
+void RunnerHealth::OnFailure(MonoTime now) {
+  ++m_failures_in_row;
+  const uint32_t limit = is_on_probation() ? 1 : kFailuresToPause;
+  if (m_failures_in_row < limit) {
+    return;
+  }
+  const auto pause = kFirstPause * (1 << std::min(m_pauses, 8U));
+  m_retry_at = now + std::min<Milliseconds>(pause, kLongestPause);
+  ++m_pauses;
+  m_failures_in_row = 0;
+}
+
+void RunnerHealth::OnProgress(Microseconds elapsed,
+                              double percent,
+                              Microseconds expected) {
+  const double expected_us = static_cast<double>(expected.count());
+  const double elapsed_us = static_cast<double>(elapsed.count());
+  // Nothing is concluded before the run has had its expected time.
+  if (expected_us <= 0.0 || elapsed_us < 1.5 * expected_us * m_slowness ||
+      percent >= 100.0) {
+    return;
+  }
+  const double done = std::max(percent / 100.0, 0.01);
+  const double projected = elapsed_us / done / expected_us;
+  const double sample = std::min(kMaxSample, projected);
+  if (sample > m_slowness) {
+    m_slowness += kSampleWeight * (sample - m_slowness);
+  }
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/fleet/agent_node.cc
@@ -0,0 +1,186 @@
+#include "fleet/agent_node.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "logging/logging.h"
+
+namespace comfreyshift {
+
+namespace {
+
+// Entries send a claim every 100 ms.
+constexpr Milliseconds kSilenceLimit = kClaimTimeout;
+
+}  // namespace
+
+AgentNode::AgentNode(ProcessId self, uint64_t token, RunnerCalls calls)
+    : m_executor(std::move(self), token),
+      m_calls(std::move(calls)),
+      m_ticker([this](MonoTime now) { return Tick(now); }) {}
+
+AgentNode::~AgentNode() {
+  *m_is_alive = false;
+  for (const auto& [entry, session] : m_sessions) {
+    session->Close();
+  }
+}
+
+bool AgentNode::Listen(const Address& address) {
+  m_listener = LinkListener::Listen(
+      address,
+      [this](GSocketConnection* connection) { OnAccepted(connection); });
+  return m_listener != nullptr;
+}
+
+bool AgentNode::OnHeartbeat(const RunnerReport& report) {
+  const bool is_new = m_executor.OnHeartbeat(report, BootClock::now());
+  m_ticker.Wake();
+  return is_new;
+}
+
+void AgentNode::OnRunnerLeft(const std::string& runner_id) {
+  m_executor.OnRunnerLeft(runner_id, BootClock::now());
+  m_ticker.Wake();
+}
+
+void AgentNode::Drain() {
+  m_executor.Drain(BootClock::now());
+  m_ticker.Wake();
+}
+
+MonoTime AgentNode::Tick(MonoTime now) {
+  CloseSilent(now);
+  for (const ExecutorAction& action : m_executor.Tick(now)) {
+    Perform(action);
+  }
+  return std::min(m_executor.NextDeadline(now), now + kSilenceLimit);
+}
+
+void AgentNode::CloseSilent(MonoTime now) {
+  std::vector<SessionPointer> silent;
+  for (const auto& [entry, session] : m_sessions) {
+    if (now >= session->last_received() + kSilenceLimit) {
+      silent.push_back(session);
+    }
+  }
+  for (const SessionPointer& session : silent) {
+    session->Close();
+    OnClosed(session);
+  }
+}
+
+void AgentNode::OnAccepted(GSocketConnection* connection) {
+  LinkSession::Accept(
+      connection,
+      [this](const SessionPointer& session, const LinkMessage& message) {
+        OnMessage(session, message);
+      },
+      [this](const SessionPointer& session) { OnClosed(session); });
+}
+
+const ProcessId* AgentNode::EntryOf(const SessionPointer& session) const {
+  const auto found = std::ranges::find_if(
+      m_sessions, [&](const auto& item) { return item.second == session; });
+  return found == m_sessions.end() ? nullptr : &found->first;
+}
+
+void AgentNode::OnHello(const SessionPointer& session, const Hello& hello) {
+  SessionPointer& known = m_sessions[hello.m_entry];
+  if (known != nullptr && known != session) {
+    known->Close();
+  }
+  known = session;
+  LogEvent(LogLevel::kInfo, "fleet", "entry_connected",
+           {{"entry", hello.m_entry.m_name},
+            {"incarnation", hello.m_entry.m_incarnation}});
+  m_executor.OnEntryConnected(hello.m_entry, BootClock::now());
+}
+
+void AgentNode::OnMessage(const SessionPointer& session,
+                          const LinkMessage& message) {
+  m_ticker.Wake();
+  if (const auto* hello = std::get_if<Hello>(&message)) {
+    OnHello(session, *hello);
+    return;
+  }
+  const ProcessId* entry = EntryOf(session);
+  if (entry == nullptr) {
+    LogEvent(LogLevel::kWarning, "fleet", "message_before_hello");
+    session->Close();
+    return;
+  }
+  const MonoTime now = BootClock::now();
+  if (const auto* start = std::get_if<StartRun>(&message)) {
+    m_executor.OnStartRun(*entry, *start, now);
+  } else if (const auto* stop = std::get_if<StopRun>(&message)) {
+    m_executor.OnStopRun(*entry, *stop, now);
+  } else if (const auto* claim = std::get_if<Claim>(&message)) {
+    m_executor.OnClaim(*entry, *claim, now);
+  } else {
+    LogEvent(LogLevel::kWarning, "fleet", "unexpected_message",
+             {{"entry", entry->m_name}});
+  }
+}
+
+void AgentNode::OnClosed(const SessionPointer& session) {
+  const auto found = std::ranges::find_if(
+      m_sessions, [&](const auto& item) { return item.second == session; });
+  if (found == m_sessions.end()) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "fleet", "entry_disconnected",
+           {{"entry", found->first.m_name}});
+  m_executor.OnEntryDisconnected(found->first, BootClock::now());
+  m_sessions.erase(found);
+  m_ticker.Wake();
+}
+
+void AgentNode::Perform(const ExecutorAction& action) {
+  if (const auto* send = std::get_if<SendToEntry>(&action)) {
+    const auto found = m_sessions.find(send->m_entry);
+    if (found != m_sessions.end()) {
+      found->second->Send(send->m_message);
+    }
+  } else if (const auto* start = std::get_if<OrderStart>(&action)) {
+    Order(*start);
+  } else if (const auto* stop = std::get_if<OrderStop>(&action)) {
+    Order(*stop);
+  } else {
+    Order(std::get<OrderLook>(action));
+  }
+}
+
+void AgentNode::Order(const OrderStart& order) {
+  m_calls.m_start(order, [this, alive = m_is_alive, life = order.m_life,
+                          run = order.m_run](StartAnswer answer) {
+    if (*alive) {
+      m_executor.OnStartAnswer(life, run, answer, BootClock::now());
+      m_ticker.Wake();
+    }
+  });
+}
+
+void AgentNode::Order(const OrderStop& order) {
+  m_calls.m_stop(order, [this, alive = m_is_alive, life = order.m_life,
+                         run = order.m_run](StopAnswer answer) {
+    if (*alive) {
+      m_executor.OnStopAnswer(life, run, answer, BootClock::now());
+      m_ticker.Wake();
+    }
+  });
+}
+
+void AgentNode::Order(const OrderLook& order) {
+  m_calls.m_look(order,
+                 [this, alive = m_is_alive, life = order.m_life](
+                     const std::variant<RunnerLists, LookFailure>& answer) {
+                   if (*alive) {
+                     m_executor.OnLookAnswer(life, answer, BootClock::now());
+                     m_ticker.Wake();
+                   }
+                 });
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/fleet/entry_node.cc
@@ -0,0 +1,187 @@
+#include "fleet/entry_node.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "logging/logging.h"
+
+namespace comfreyshift {
+
+namespace {
+
+constexpr Milliseconds kReconnectPause{100};
+// Agents send their status at least every 150 ms. A connection that stays
+// silent is replaced, because it may never break by itself.
+constexpr Milliseconds kSilenceLimit{450};
+
+template <class... Ts>
+struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+}  // namespace
+
+EntryNode::EntryNode(ProcessId self)
+    : m_self(std::move(self)),
+      m_ticker([this](MonoTime now) { return Tick(now); }) {}
+
+EntryNode::~EntryNode() {
+  for (auto& [name, peer] : m_peers) {
+    if (peer.m_session) {
+      peer.m_session->Close();
+    }
+  }
+}
+
+void EntryNode::SetAgents(const std::map<std::string, Address>& agents) {
+  for (auto& [name, peer] : m_peers) {
+    peer.m_is_listed = agents.contains(name);
+  }
+  for (const auto& [name, address] : agents) {
+    Peer& peer = m_peers[name];
+    if (peer.m_address != address && peer.m_session) {
+      peer.m_session->Close();
+      m_scheduler.OnAgentDisconnected(name, BootClock::now());
+    }
+    peer.m_address = address;
+  }
+  m_ticker.Wake();
+}
+
+void EntryNode::SetClosedZones(const ClosedZones& zones) {
+  m_scheduler.OnClosedZones(zones);
+  m_ticker.Wake();
+}
+
+JobHandle EntryNode::Submit(JobRequest request,
+                            const QueueConfig& queue,
+                            AnswerFunction on_answer) {
+  const JobHandle job =
+      m_scheduler.Submit(std::move(request), queue, BootClock::now());
+  m_answers[job] = std::move(on_answer);
+  m_ticker.Wake();
+  return job;
+}
+
+void EntryNode::Cancel(JobHandle job) {
+  m_answers.erase(job);
+  m_scheduler.Cancel(job, BootClock::now());
+  m_ticker.Wake();
+}
+
+void EntryNode::Drain() {
+  m_scheduler.Drain();
+}
+
+size_t EntryNode::connected_agents() const {
+  return static_cast<size_t>(std::ranges::count_if(
+      m_scheduler.agents().agents(),
+      [](const auto& a) { return a.second.m_is_connected; }));
+}
+
+MonoTime EntryNode::Tick(MonoTime now) {
+  std::erase_if(m_peers, [this](const auto& item) {
+    const Peer& peer = item.second;
+    const bool is_gone = !peer.m_is_listed && peer.m_session != nullptr &&
+                         !peer.m_session->is_open();
+    if (is_gone) {
+      m_scheduler.OnAgentRemoved(item.first);
+    }
+    return is_gone;
+  });
+  for (auto& [name, peer] : m_peers) {
+    KeepConnected(name, peer, now);
+  }
+  for (const SchedulerAction& action : m_scheduler.Tick(now)) {
+    Perform(action);
+  }
+  return std::min(m_scheduler.NextDeadline(now), now + kReconnectPause);
+}
+
+void EntryNode::KeepConnected(const std::string& name,
+                              Peer& peer,
+                              MonoTime now) {
+  const bool is_open = peer.m_session && peer.m_session->is_open();
+  if (is_open && now >= peer.m_session->last_received() + kSilenceLimit) {
+    LogEvent(LogLevel::kInfo, "fleet", "agent_silent", {{"agent", name}});
+    peer.m_session->Close();
+    m_scheduler.OnAgentDisconnected(name, now);
+  }
+  const bool is_closed = !peer.m_session || !peer.m_session->is_open();
+  if (is_closed && now >= peer.m_connect_at) {
+    Connect(name, peer, now);
+  }
+}
+
+void EntryNode::Connect(const std::string& name, Peer& peer, MonoTime now) {
+  peer.m_connect_at = now + kReconnectPause;
+  peer.m_session = LinkSession::Connect(
+      peer.m_address,
+      [this, name](const std::shared_ptr<LinkSession>&, LinkMessage message) {
+        OnMessage(name, message);
+      },
+      [this, name](const std::shared_ptr<LinkSession>& session) {
+        OnClosed(name, session);
+      });
+  peer.m_session->Send(Hello{m_self});
+}
+
+void EntryNode::OnMessage(const std::string& name, const LinkMessage& message) {
+  const MonoTime now = BootClock::now();
+  std::visit(Overloaded{
+                 [&](const Welcome& welcome) {
+                   LogEvent(LogLevel::kInfo, "fleet", "agent_connected",
+                            {{"agent", name},
+                             {"incarnation", welcome.m_agent.m_incarnation}});
+                   m_scheduler.OnAgentConnected(name, welcome.m_agent, now);
+                 },
+                 [&](const RunnerStatus& status) {
+                   m_scheduler.OnStatus(name, status, now);
+                 },
+                 [&](const RunReport& report) {
+                   m_scheduler.OnReport(name, report, now);
+                 },
+                 [&](const auto&) {
+                   LogEvent(LogLevel::kWarning, "fleet", "unexpected_message",
+                            {{"agent", name}});
+                 },
+             },
+             message);
+  m_ticker.Wake();
+}
+
+void EntryNode::OnClosed(const std::string& name,
+                         const std::shared_ptr<LinkSession>& session) {
+  const auto found = m_peers.find(name);
+  if (found == m_peers.end() || found->second.m_session != session) {
+    return;
+  }
+  const AgentView* agent = m_scheduler.FindAgent(name);
+  if (agent != nullptr && agent->m_is_connected) {
+    LogEvent(LogLevel::kInfo, "fleet", "agent_disconnected", {{"agent", name}});
+  }
+  m_scheduler.OnAgentDisconnected(name, BootClock::now());
+  m_ticker.Wake();
+}
+
+void EntryNode::Perform(const SchedulerAction& action) {
+  if (const auto* send = std::get_if<SendToAgent>(&action)) {
+    const auto found = m_peers.find(send->m_agent);
+    if (found != m_peers.end() && found->second.m_session) {
+      found->second.m_session->Send(send->m_message);
+    }
+    return;
+  }
+  const auto& answer = std::get<AnswerJob>(action);
+  const auto found = m_answers.find(answer.m_job);
+  if (found != m_answers.end()) {
+    const AnswerFunction on_answer = std::move(found->second);
+    m_answers.erase(found);
+    on_answer(answer.m_outcome);
+  }
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/fleet/entry_node.h
@@ -0,0 +1,72 @@
+#ifndef FLEET_ENTRY_NODE_H_
+#define FLEET_ENTRY_NODE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/core.h"
+#include "fleet/ticker.h"
+#include "link/link.h"
+#include "scheduler/scheduler.h"
+
+namespace comfreyshift {
+
+// An entry as it runs: a scheduler with a connection to each agent.
+class EntryNode {
+ public:
+  using AnswerFunction = std::function<void(const JobResult&)>;
+
+  explicit EntryNode(ProcessId self);
+  ~EntryNode();
+  EntryNode(const EntryNode&) = delete;
+  EntryNode& operator=(const EntryNode&) = delete;
+
+  // The agents that are registered now. Connections to others are kept while
+  // they work: registrations lapse when the registry has troubles.
+  void SetAgents(const std::map<std::string, Address>& agents);
+  void SetClosedZones(const ClosedZones& zones);
+
+  // Hands a job in. `on_answer` is called once, from the main loop, unless the
+  // job is cancelled.
+  JobHandle Submit(JobRequest request,
+                   const QueueConfig& queue,
+                   AnswerFunction on_answer);
+  void Cancel(JobHandle job);
+  void Drain();
+
+  // Jobs of a queue of which nothing has started.
+  size_t WaitingJobs(const std::string& queue) const {
+    return m_scheduler.WaitingJobs(queue);
+  }
+  size_t job_count() const { return m_scheduler.job_count(); }
+  size_t connected_agents() const;
+
+ private:
+  struct Peer {
+    Address m_address;
+    std::shared_ptr<LinkSession> m_session;
+    MonoTime m_connect_at;
+    // Not registered any more: dropped when its connection breaks.
+    bool m_is_listed = true;
+  };
+
+  MonoTime Tick(MonoTime now);
+  void KeepConnected(const std::string& name, Peer& peer, MonoTime now);
+  void Connect(const std::string& name, Peer& peer, MonoTime now);
+  void OnMessage(const std::string& name, const LinkMessage& message);
+  void OnClosed(const std::string& name,
+                const std::shared_ptr<LinkSession>& session);
+  void Perform(const SchedulerAction& action);
+
+  ProcessId m_self;
+  JobScheduler m_scheduler;
+  std::map<std::string, Peer> m_peers;
+  std::map<JobHandle, AnswerFunction> m_answers;
+  Ticker m_ticker;
+};
+
+}  // namespace comfreyshift
+
+#endif  // FLEET_ENTRY_NODE_H_
--- /dev/null
+++ b/fleet/fleet.h
@@ -0,0 +1,12 @@
+#ifndef FLEET_FLEET_H_
+#define FLEET_FLEET_H_
+
+// Public header of the fleet library: entries and agents as they run, with
+// their connections and timers, on the GLib main loop. They know no platform.
+
+#include "fleet/agent_node.h"
+#include "fleet/entry_node.h"
+#include "fleet/stop_signal.h"
+#include "fleet/ticker.h"
+
+#endif  // FLEET_FLEET_H_
--- /dev/null
+++ b/fleet/stop_signal.h
@@ -0,0 +1,32 @@
+#ifndef FLEET_STOP_SIGNAL_H_
+#define FLEET_STOP_SIGNAL_H_
+
+#include <glib.h>
+
+#include <functional>
+
+namespace comfreyshift {
+
+// Runs the main loop until the first SIGTERM or SIGINT, then until `stop` calls
+// its argument.
+class StopSignal {
+ public:
+  using StopFunction = std::function<void(std::function<void()> stopped)>;
+
+  explicit StopSignal(StopFunction stop);
+  ~StopSignal();
+  StopSignal(const StopSignal&) = delete;
+  StopSignal& operator=(const StopSignal&) = delete;
+
+  void Run() { g_main_loop_run(m_loop); }
+
+ private:
+  static gboolean OnSignal(gpointer self);
+
+  StopFunction m_stop;
+  GMainLoop* m_loop;
+};
+
+}  // namespace comfreyshift
+
+#endif  // FLEET_STOP_SIGNAL_H_
--- a/http/server.cc
+++ b/http/server.cc
@@ -380,6 +380,10 @@
                           "this process is stopping; nothing was run");
       return;
     }
+    if (m_routes.empty() && m_default_handler) {
+      Handle({"", {}, PublicAccess{}, m_default_handler}, request);
+      return;
+    }
     const std::vector<std::string> path = SplitPath(request->path());
     std::string allowed;
     for (const Route& route : m_routes) {
@@ -392,6 +396,10 @@
       }
       allowed += (allowed.empty() ? "" : ", ") + route.m_method;
     }
+    if (allowed.empty() && m_default_handler) {
+      Handle({"", {}, PublicAccess{}, m_default_handler}, request);
+      return;
+    }
     if (allowed.empty()) {
       request->ReplyError(SOUP_STATUS_NOT_FOUND, "unknown_path",
                           "there is no path " + request->path());
@@ -435,6 +443,7 @@
   GTlsCertificate* m_certificate = nullptr;
   uint64_t m_max_body_bytes;
   std::vector<Route> m_routes;
+  HttpHandler m_default_handler;
   // Declared before the connections, which count in them.
   std::vector<std::unique_ptr<Generation>> m_generations;
   std::map<GSocket*, std::unique_ptr<ServerConnection>> m_connections;
@@ -494,6 +503,10 @@
                               std::move(access), std::move(handler)});
 }
 
+void HttpServer::SetDefaultHandler(HttpHandler handler) {
+  m_impl->m_default_handler = std::move(handler);
+}
+
 void HttpServer::Stop(std::function<void()> done) {
   m_impl->CloseListener();
   m_impl->m_is_stopping = true;
--- a/http/server.h
+++ b/http/server.h
@@ -45,6 +45,9 @@
                 Access access,
                 HttpHandler handler);
 
+  // Calls `handler`, open to anyone, for requests that fit no route.
+  void SetDefaultHandler(HttpHandler handler);
+
   // Refuses new connections, answers new requests on open ones with 503, and
   // calls `done` once when the answers to all others are written; never from
   // within Stop. The caller limits how long it waits.
--- /dev/null
+++ b/jobs/jobs.h
@@ -0,0 +1,13 @@
+#ifndef JOBS_JOBS_H_
+#define JOBS_JOBS_H_
+
+// Public header of the jobs library: the values that entries and agents share
+// about jobs, runs, runners and the configuration. It does no I/O.
+
+#include "jobs/config.h"
+#include "jobs/job.h"
+#include "jobs/leases.h"
+#include "jobs/run.h"
+#include "jobs/runner.h"
+
+#endif  // JOBS_JOBS_H_
--- /dev/null
+++ b/link/codec.cc
@@ -0,0 +1,269 @@
+#include "link/codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <array>
+#include <cstring>
+
+#include "link/link.capnp.h"
+
+namespace comfreyshift {
+
+namespace {
+
+constexpr size_t kLengthBytes = 4;
+
+kj::StringPtr Text(const std::string& text) {
+  return {text.c_str(), text.size()};
+}
+
+std::string ToString(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+int64_t ToWire(MonoTime time) {
+  return time.time_since_epoch().count();
+}
+
+MonoTime FromWire(int64_t time) {
+  return MonoTime(Microseconds(time));
+}
+
+void Write(link_wire::Run::Builder wire, const RunKey& run) {
+  wire.setJob(Text(run.m_task.m_job));
+  wire.setStep(run.m_task.m_step);
+  wire.setIndex(run.m_task.m_index);
+  wire.setNumber(run.m_number);
+}
+
+RunKey Read(link_wire::Run::Reader wire) {
+  return {{ToString(wire.getJob()), wire.getStep(), wire.getIndex()},
+          wire.getNumber()};
+}
+
+void Write(link_wire::Resources::Builder wire, const Resources& resources) {
+  wire.setCpuMillis(resources.m_cpu_millis);
+  wire.setMemoryMb(resources.m_memory_mb);
+  wire.setGpus(resources.m_gpus);
+}
+
+Resources Read(link_wire::Resources::Reader wire) {
+  return {wire.getCpuMillis(), wire.getMemoryMb(), wire.getGpus()};
+}
+
+// Writes one message; one overload for each kind.
+class Writer {
+ public:
+  Writer(link_wire::Message::Builder wire, MonoTime now)
+      : m_wire(wire), m_now(now) {}
+
+  void operator()(const Hello& hello) {
+    auto wire = m_wire.initHello();
+    wire.setEntry(Text(hello.m_entry.m_name));
+    wire.setIncarnation(hello.m_entry.m_incarnation);
+  }
+
+  void operator()(const Welcome& welcome) {
+    auto wire = m_wire.initWelcome();
+    wire.setAgent(Text(welcome.m_agent.m_name));
+    wire.setIncarnation(welcome.m_agent.m_incarnation);
+  }
+
+  void operator()(const Claim& claim) {
+    m_wire.initClaim().setAgentClockUs(ToWire(claim.m_agent_clock));
+  }
+
+  void operator()(const StartRun& start) {
+    auto wire = m_wire.initStartRun();
+    Write(wire.initRun(), start.m_run);
+    wire.setSequence(start.m_sequence);
+    wire.setService(Text(start.m_service));
+    wire.setPayload(Text(start.m_payload));
+    Write(wire.initDemand(), start.m_demand);
+    wire.setExpectedUs(start.m_expected.count());
+    wire.setUrgency(start.m_urgency);
+    wire.setAbandonInUs((start.m_abandon_at - m_now).count());
+    wire.setQueueForUs((start.m_queue_until - m_now).count());
+  }
+
+  void operator()(const StopRun& stop) {
+    Write(m_wire.initStopRun().initRun(), stop.m_run);
+  }
+
+  void operator()(const RunnerStatus& status) {
+    auto wire = m_wire.initRunnerStatus();
+    wire.setAgentClockUs(ToWire(status.m_agent_clock));
+    wire.setSequence(status.m_sequence);
+    wire.setIsAccepting(status.m_is_accepting);
+    wire.setService(Text(status.m_service));
+    wire.setZone(Text(status.m_zone));
+    auto labels = wire.initLabels(status.m_labels.size());
+    for (size_t i = 0; i < status.m_labels.size(); ++i) {
+      labels.set(i, Text(status.m_labels[i]));
+    }
+    Write(wire.initCapacity(), status.m_capacity);
+    Write(wire.initFree(), status.m_free);
+    wire.setSlowness(status.m_slowness);
+    wire.setRunnerBornMs(status.m_runner_born_ms);
+  }
+
+  void operator()(const RunReport& report) {
+    auto wire = m_wire.initRunReport();
+    Write(wire.initRun(), report.m_run);
+    wire.setOutcome(static_cast<uint8_t>(report.m_outcome));
+    wire.setHasRun(report.m_has_run);
+    wire.setRunTimeUs(report.m_run_time.count());
+  }
+
+  void operator()(const Document& document) {
+    auto wire = m_wire.initDocument();
+    wire.setKey(Text(document.m_key));
+    wire.setRevision(document.m_revision);
+    wire.setBytes(kj::ArrayPtr<const kj::byte>(
+        reinterpret_cast<const kj::byte*>(document.m_bytes.data()),
+        document.m_bytes.size()));
+  }
+
+ private:
+  link_wire::Message::Builder m_wire;
+  MonoTime m_now;
+};
+
+StartRun ReadStartRun(link_wire::StartRun::Reader wire, MonoTime now) {
+  StartRun start;
+  start.m_run = Read(wire.getRun());
+  start.m_sequence = wire.getSequence();
+  start.m_service = ToString(wire.getService());
+  start.m_payload = ToString(wire.getPayload());
+  start.m_demand = Read(wire.getDemand());
+  start.m_expected = Microseconds(wire.getExpectedUs());
+  start.m_urgency = wire.getUrgency();
+  start.m_abandon_at = now + Microseconds(wire.getAbandonInUs());
+  start.m_queue_until = now + Microseconds(wire.getQueueForUs());
+  return start;
+}
+
+RunnerStatus ReadRunnerStatus(link_wire::RunnerStatus::Reader wire) {
+  RunnerStatus status;
+  status.m_agent_clock = FromWire(wire.getAgentClockUs());
+  status.m_sequence = wire.getSequence();
+  status.m_is_accepting = wire.getIsAccepting();
+  status.m_service = ToString(wire.getService());
+  status.m_zone = ToString(wire.getZone());
+  for (const auto label : wire.getLabels()) {
+    status.m_labels.push_back(ToString(label));
+  }
+  status.m_capacity = Read(wire.getCapacity());
+  status.m_free = Read(wire.getFree());
+  status.m_slowness = wire.getSlowness();
+  status.m_runner_born_ms = wire.getRunnerBornMs();
+  return status;
+}
+
+RunReport ReadRunReport(link_wire::RunReport::Reader wire) {
+  KJ_REQUIRE(wire.getOutcome() <= static_cast<uint8_t>(RunOutcome::kNotStarted),
+             "unknown outcome of a run");
+  return {Read(wire.getRun()), static_cast<RunOutcome>(wire.getOutcome()),
+          wire.getHasRun(), Microseconds(wire.getRunTimeUs())};
+}
+
+Document ReadDocument(link_wire::Document::Reader wire) {
+  const auto bytes = wire.getBytes();
+  return {
+      ToString(wire.getKey()), wire.getRevision(),
+      std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size())};
+}
+
+LinkMessage ReadMessage(link_wire::Message::Reader wire, MonoTime now) {
+  switch (wire.which()) {
+    case link_wire::Message::HELLO:
+      return Hello{{ToString(wire.getHello().getEntry()),
+                    wire.getHello().getIncarnation()}};
+    case link_wire::Message::WELCOME:
+      return Welcome{{ToString(wire.getWelcome().getAgent()),
+                      wire.getWelcome().getIncarnation()}};
+    case link_wire::Message::CLAIM:
+      return Claim{FromWire(wire.getClaim().getAgentClockUs())};
+    case link_wire::Message::START_RUN:
+      return ReadStartRun(wire.getStartRun(), now);
+    case link_wire::Message::STOP_RUN:
+      return StopRun{Read(wire.getStopRun().getRun())};
+    case link_wire::Message::RUNNER_STATUS:
+      return ReadRunnerStatus(wire.getRunnerStatus());
+    case link_wire::Message::RUN_REPORT:
+      return ReadRunReport(wire.getRunReport());
+    case link_wire::Message::DOCUMENT:
+      return ReadDocument(wire.getDocument());
+  }
+  KJ_FAIL_REQUIRE("unknown kind of message");
+}
+
+void ReadFrame(std::string_view frame,
+               MonoTime now,
+               std::vector<LinkMessage>& messages) {
+  // Frames begin at any byte; Cap'n Proto needs whole, aligned words.
+  std::vector<capnp::word> words(frame.size() / sizeof(capnp::word));
+  std::memcpy(words.data(), frame.data(), words.size() * sizeof(capnp::word));
+  capnp::FlatArrayMessageReader reader(
+      kj::ArrayPtr<const capnp::word>(words.data(), words.size()));
+  for (const auto wire : reader.getRoot<link_wire::Batch>().getMessages()) {
+    messages.push_back(ReadMessage(wire, now));
+  }
+}
+
+}  // namespace
+
+void EncodeBatch(std::span<const LinkMessage> messages,
+                 MonoTime now,
+                 std::string& output) {
+  capnp::MallocMessageBuilder builder;
+  auto list = builder.initRoot<link_wire::Batch>().initMessages(
+      static_cast<unsigned>(messages.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    std::visit(Writer(list[i], now), messages[i]);
+  }
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asBytes();
+  const auto length = static_cast<uint32_t>(bytes.size());
+  for (size_t i = 0; i < kLengthBytes; ++i) {
+    output.push_back(static_cast<char>((length >> (8 * i)) & 0xFF));
+  }
+  output.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+}
+
+std::optional<FrameError> DecodeBatches(std::string& input,
+                                        MonoTime now,
+                                        std::vector<LinkMessage>& messages) {
+  size_t position = 0;
+  std::optional<FrameError> error;
+  while (input.size() - position >= kLengthBytes) {
+    uint32_t length = 0;
+    for (size_t i = 0; i < kLengthBytes; ++i) {
+      length |=
+          static_cast<uint32_t>(static_cast<unsigned char>(input[position + i]))
+          << (8 * i);
+    }
+    if (length > kMaxFrameBytes) {
+      error = FrameError::kTooLarge;
+      break;
+    }
+    if (input.size() - position - kLengthBytes < length) {
+      break;
+    }
+    const auto frame =
+        std::string_view(input).substr(position + kLengthBytes, length);
+    position += kLengthBytes + length;
+    const auto failure =
+        kj::runCatchingExceptions([&]() { ReadFrame(frame, now, messages); });
+    if (failure != nullptr) {
+      error = FrameError::kMalformed;
+      break;
+    }
+  }
+  input.erase(0, position);
+  return error;
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/link/session.cc
@@ -0,0 +1,270 @@
+#include "link/session.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <utility>
+
+#include "link/codec.h"
+#include "logging/logging.h"
+
+namespace comfreyshift {
+
+namespace {
+
+constexpr size_t kReadBytes = size_t{16} * 1024;
+
+// A peer that reads nothing for this long is cut off by its silence anyway;
+// what waits for it need not be kept.
+constexpr size_t kMaxUnwrittenBytes = size_t{8} << 20;
+
+// Returns the address in GLib's form; the caller unrefs it.
+GSocketAddress* ToSocketAddress(const Address& address) {
+  return g_inet_socket_address_new_from_string(address.m_host.c_str(),
+                                               address.m_port);
+}
+
+}  // namespace
+
+LinkSession::LinkSession(MessageFunction on_message, CloseFunction on_close)
+    : m_on_message(std::move(on_message)),
+      m_on_close(std::move(on_close)),
+      m_last_received(BootClock::now()) {}
+
+LinkSession::~LinkSession() {
+  Close();
+}
+
+std::shared_ptr<LinkSession> LinkSession::Connect(const Address& address,
+                                                  MessageFunction on_message,
+                                                  CloseFunction on_close) {
+  const std::shared_ptr<LinkSession> session(
+      new LinkSession(std::move(on_message), std::move(on_close)));
+  GSocketAddress* remote = ToSocketAddress(address);
+  GError* error = nullptr;
+  GSocket* socket =
+      g_socket_new(g_socket_address_get_family(remote), G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_TCP, &error);
+  bool is_started = socket != nullptr;
+  if (is_started) {
+    g_socket_set_blocking(socket, FALSE);
+    is_started = g_socket_connect(socket, remote, nullptr, &error) != FALSE ||
+                 g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING);
+  }
+  if (is_started) {
+    session->Open(socket, /*is_connecting=*/true);
+  } else {
+    LogEvent(LogLevel::kWarning, "link", "connect_failed",
+             {{"address", address.ToString()}, {"reason", error->message}});
+  }
+  g_clear_error(&error);
+  g_clear_object(&socket);
+  g_object_unref(remote);
+  return session;
+}
+
+std::shared_ptr<LinkSession> LinkSession::Accept(GSocketConnection* connection,
+                                                 MessageFunction on_message,
+                                                 CloseFunction on_close) {
+  const std::shared_ptr<LinkSession> session(
+      new LinkSession(std::move(on_message), std::move(on_close)));
+  session->m_connection = G_SOCKET_CONNECTION(g_object_ref(connection));
+  session->Open(g_socket_connection_get_socket(connection),
+                /*is_connecting=*/false);
+  return session;
+}
+
+void LinkSession::Open(GSocket* socket, bool is_connecting) {
+  m_self = shared_from_this();
+  m_socket = G_SOCKET(g_object_ref(socket));
+  m_is_connecting = is_connecting;
+  m_is_waiting_to_write = is_connecting;
+  g_socket_set_blocking(m_socket, FALSE);
+  g_socket_set_option(m_socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  Watch();
+}
+
+void LinkSession::Watch() {
+  if (m_source != nullptr) {
+    g_source_destroy(m_source);
+    g_source_unref(m_source);
+  }
+  const int condition = G_IO_IN | (m_is_waiting_to_write ? G_IO_OUT : 0);
+  m_source = g_socket_create_source(
+      m_socket, static_cast<GIOCondition>(condition), nullptr);
+  g_source_set_callback(m_source, G_SOURCE_FUNC(&LinkSession::OnReady), this,
+                        nullptr);
+  g_source_attach(m_source, g_main_context_get_thread_default());
+}
+
+void LinkSession::Send(LinkMessage message) {
+  if (!is_open()) {
+    return;
+  }
+  m_unsent.push_back(std::move(message));
+  if (m_flush_source == 0) {
+    m_flush_source = g_idle_add_full(G_PRIORITY_DEFAULT, &LinkSession::OnFlush,
+                                     this, nullptr);
+  }
+}
+
+gboolean LinkSession::OnFlush(gpointer self) {
+  const auto session = static_cast<LinkSession*>(self)->shared_from_this();
+  session->m_flush_source = 0;
+  session->Flush();
+  return G_SOURCE_REMOVE;
+}
+
+void LinkSession::Flush() {
+  if (!m_unsent.empty()) {
+    EncodeBatch(m_unsent, BootClock::now(), m_output);
+    m_unsent.clear();
+  }
+  if (m_output.size() - m_written > kMaxUnwrittenBytes || !WriteAll()) {
+    Fail();
+  }
+}
+
+bool LinkSession::WriteAll() {
+  if (m_is_connecting) {
+    return true;
+  }
+  while (m_written < m_output.size()) {
+    GError* error = nullptr;
+    const gssize sent =
+        g_socket_send(m_socket, m_output.data() + m_written,
+                      m_output.size() - m_written, nullptr, &error);
+    if (sent < 0) {
+      const bool would_block =
+          g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+      g_error_free(error);
+      if (would_block && !m_is_waiting_to_write) {
+        m_is_waiting_to_write = true;
+        Watch();
+      }
+      return would_block;
+    }
+    m_written += static_cast<size_t>(sent);
+  }
+  m_output.clear();
+  m_written = 0;
+  if (m_is_waiting_to_write) {
+    m_is_waiting_to_write = false;
+    Watch();
+  }
+  return true;
+}
+
+bool LinkSession::ReadAll() {
+  char buffer[kReadBytes];
+  GError* error = nullptr;
+  const gssize received =
+      g_socket_receive(m_socket, buffer, sizeof(buffer), nullptr, &error);
+  if (received <= 0) {
+    const bool would_block =
+        received < 0 &&
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+    g_clear_error(&error);
+    return would_block;
+  }
+  m_last_received = BootClock::now();
+  m_input.append(buffer, static_cast<size_t>(received));
+  std::vector<LinkMessage> messages;
+  const auto frame_error = DecodeBatches(m_input, m_last_received, messages);
+  for (LinkMessage& message : messages) {
+    if (!is_open()) {
+      return true;
+    }
+    m_on_message(shared_from_this(), std::move(message));
+  }
+  if (frame_error) {
+    LogEvent(LogLevel::kWarning, "link", "malformed_frame", {});
+  }
+  return !frame_error;
+}
+
+gboolean LinkSession::OnReady(GSocket*, GIOCondition, gpointer self) {
+  const auto session = static_cast<LinkSession*>(self)->shared_from_this();
+  if (session->m_is_connecting) {
+    GError* error = nullptr;
+    if (!g_socket_check_connect_result(session->m_socket, &error)) {
+      g_error_free(error);
+      session->Fail();
+      return G_SOURCE_REMOVE;
+    }
+    session->m_is_connecting = false;
+  }
+  const GSource* source = session->m_source;
+  if (!session->WriteAll() || (session->is_open() && !session->ReadAll())) {
+    session->Fail();
+  }
+  return session->m_source == source ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+void LinkSession::Fail() {
+  const auto keep = shared_from_this();
+  const CloseFunction on_close = std::exchange(m_on_close, nullptr);
+  Close();
+  if (on_close) {
+    on_close(keep);
+  }
+}
+
+void LinkSession::Close() {
+  if (m_source != nullptr) {
+    g_source_destroy(m_source);
+    g_source_unref(std::exchange(m_source, nullptr));
+  }
+  if (m_flush_source != 0) {
+    g_source_remove(std::exchange(m_flush_source, 0));
+  }
+  if (m_socket != nullptr) {
+    g_socket_close(m_socket, nullptr);
+    g_clear_object(&m_socket);
+  }
+  g_clear_object(&m_connection);
+  m_on_close = nullptr;
+  // Last: this may be the only reference.
+  const auto keep = std::exchange(m_self, nullptr);
+}
+
+LinkListener::LinkListener(AcceptFunction on_accept)
+    : m_service(g_socket_service_new()), m_on_accept(std::move(on_accept)) {}
+
+LinkListener::~LinkListener() {
+  g_socket_service_stop(m_service);
+  g_socket_listener_close(G_SOCKET_LISTENER(m_service));
+  g_object_unref(m_service);
+}
+
+std::unique_ptr<LinkListener> LinkListener::Listen(const Address& address,
+                                                   AcceptFunction on_accept) {
+  std::unique_ptr<LinkListener> listener(
+      new LinkListener(std::move(on_accept)));
+  GSocketAddress* local = ToSocketAddress(address);
+  GError* error = nullptr;
+  const bool is_listening = g_socket_listener_add_address(
+      G_SOCKET_LISTENER(listener->m_service), local, G_SOCKET_TYPE_STREAM,
+      G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &error);
+  g_object_unref(local);
+  if (!is_listening) {
+    LogEvent(LogLevel::kError, "link", "listen_failed",
+             {{"address", address.ToString()}, {"reason", error->message}});
+    g_error_free(error);
+    return nullptr;
+  }
+  g_signal_connect(listener->m_service, "incoming",
+                   G_CALLBACK(&LinkListener::OnIncoming), listener.get());
+  g_socket_service_start(listener->m_service);
+  return listener;
+}
+
+gboolean LinkListener::OnIncoming(GSocketService*,
+                                  GSocketConnection* connection,
+                                  GObject*,
+                                  LinkListener* self) {
+  self->m_on_accept(connection);
+  return TRUE;
+}
+
+}  // namespace comfreyshift
--- a/main/main.cc
+++ b/main/main.cc
@@ -6,6 +6,7 @@
 
 #include "cli/cli.h"
 #include "main/roles.h"
+#include "platform/platform.h"
 
 namespace comfreyshift {
 namespace {
@@ -14,6 +15,10 @@
   std::vector<Command> commands = {
       {"entry", "serve callers and operators", &RunEntry},
       {"agent", "start tasks on a target", &RunAgent},
+      {"platform-entry", "serve clients on the users' platform",
+       &platform::RunPlatformEntry},
+      {"platform-agent", "run tasks beside a runner of the users' platform",
+       &platform::RunPlatformAgent},
   };
   for (const auto& group :
        {CallerCommands(), LoadCommands(), OperatorCommands()}) {
--- a/main/roles.cc
+++ b/main/roles.cc
@@ -1,7 +1,5 @@
 #include "main/roles.h"
 
-#include <glib-unix.h>
-
 #include <fstream>
 #include <memory>
 #include <optional>
@@ -12,6 +10,7 @@
 
 #include "agent/agent.h"
 #include "entry/entry.h"
+#include "fleet/fleet.h"
 #include "http/http.h"
 #include "logging/logging.h"
 #include "main/health_routes.h"
@@ -102,38 +101,6 @@
   return config;
 }
 
-// Runs the main loop until the first SIGTERM or SIGINT, then until `stop` calls
-// its argument.
-class StopSignal {
- public:
-  using StopFunction = std::function<void(std::function<void()> stopped)>;
-
-  explicit StopSignal(StopFunction stop)
-      : m_stop(std::move(stop)), m_loop(g_main_loop_new(nullptr, FALSE)) {
-    g_unix_signal_add(SIGTERM, &StopSignal::OnSignal, this);
-    g_unix_signal_add(SIGINT, &StopSignal::OnSignal, this);
-  }
-  ~StopSignal() { g_main_loop_unref(m_loop); }
-  StopSignal(const StopSignal&) = delete;
-  StopSignal& operator=(const StopSignal&) = delete;
-
-  void Run() { g_main_loop_run(m_loop); }
-
- private:
-  static gboolean OnSignal(gpointer self) {
-    auto* signal = static_cast<StopSignal*>(self);
-    if (signal->m_stop) {
-      LogEvent(LogLevel::kInfo, "main", "stopping");
-      const auto stop = std::exchange(signal->m_stop, nullptr);
-      stop([signal]() { g_main_loop_quit(signal->m_loop); });
-    }
-    return G_SOURCE_CONTINUE;
-  }
-
-  StopFunction m_stop;
-  GMainLoop* m_loop;
-};
-
 // Starts an HTTP listener, with TLS when a certificate is set. Logs and returns
 // false when it cannot.
 bool Listen(HttpServer& server,
--- /dev/null
+++ b/scheduler/agent_table.h
@@ -0,0 +1,75 @@
+#ifndef SCHEDULER_AGENT_TABLE_H_
+#define SCHEDULER_AGENT_TABLE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/core.h"
+#include "jobs/jobs.h"
+#include "link/link.h"
+
+namespace comfreyshift {
+
+// What an entry knows of one agent and its runner.
+struct AgentView {
+  bool m_is_connected = false;
+  // The incarnation of the last connection; 0 before the first.
+  uint64_t m_incarnation = 0;
+  // When anything last arrived from it.
+  MonoTime m_last_received;
+  // Its clock in the newest status.
+  MonoTime m_agent_clock;
+  // The newest status of this connection.
+  std::optional<RunnerStatus> m_status;
+  // Number of the last StartRun sent on this connection.
+  uint64_t m_sequence = 0;
+  // Demand of StartRuns by their number, which no status accounts for yet.
+  std::map<uint64_t, Resources> m_unseen;
+};
+
+// What a task asks of the runner it is placed on.
+struct PlacementNeeds {
+  std::string m_service;
+  Resources m_demand;
+  std::string m_required_label;
+  std::string m_data_rack;
+  Microseconds m_expected{0};
+  // The job's objective.
+  MonoTime m_due_at;
+};
+
+// The agents that an entry knows, and the choice between them.
+class AgentTable {
+ public:
+  AgentView& operator[](const std::string& name) { return m_agents[name]; }
+  AgentView* Find(const std::string& name);
+  void Remove(const std::string& name) { m_agents.erase(name); }
+  void SetClosedZones(const ClosedZones& zones) { m_closed_zones = zones; }
+
+  // Takes over a status and forgets the demand it accounts for.
+  void ApplyStatus(AgentView& agent, const RunnerStatus& status);
+
+  // Room that nothing has been sent to yet.
+  static Resources FreeRoom(const AgentView& agent);
+
+  // Returns the agent on which a task is best started now, or nothing if all
+  // are full.
+  std::optional<std::string> Choose(const PlacementNeeds& needs,
+                                    MonoTime now) const;
+
+  // Whether any runner that is in use could ever run such a task.
+  bool CouldEverRun(const PlacementNeeds& needs) const;
+
+  const std::map<std::string, AgentView>& agents() const { return m_agents; }
+
+ private:
+  bool IsUsable(const AgentView& agent, const PlacementNeeds& needs) const;
+
+  std::map<std::string, AgentView> m_agents;
+  ClosedZones m_closed_zones;
+};
+
+}  // namespace comfreyshift
+
+#endif  // SCHEDULER_AGENT_TABLE_H_
--- /dev/null
+++ b/scheduler/job_scheduler.cc
@@ -0,0 +1,397 @@
+#include "scheduler/job_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyshift {
+
+namespace {
+
+// Claims go out this often, well below kClaimTimeout.
+constexpr Milliseconds kClaimInterval{100};
+// A gap between ticks that outlasts the claims: agents have stopped our runs.
+constexpr Milliseconds kFreezeGap = kClaimTimeout;
+// A job waits this part of its objective for its first task to start.
+constexpr double kMaxWaitShare = 0.25;
+// A run may wait this long for room at an agent that another entry filled.
+constexpr Milliseconds kAgentQueueTime{60};
+constexpr Milliseconds kMinRetryAfter{1000};
+
+// After the last word from an agent it has stopped our runs by then, or its
+// runner has killed them: the claim runs out, then the lease.
+constexpr Microseconds kLostAgentTimeout =
+    kClaimTimeout +
+    std::chrono::duration_cast<Microseconds>(kLease * kRunnerClockError) +
+    2 * kStopTime;
+
+Microseconds Scale(Microseconds time, double factor) {
+  return Microseconds(
+      static_cast<int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+}  // namespace
+
+JobHandle JobScheduler::Submit(JobRequest request,
+                               const QueueConfig& queue,
+                               MonoTime now) {
+  const JobHandle handle = m_next_job++;
+  Job& job = m_jobs[handle];
+  job.m_request = std::move(request);
+  job.m_queue = queue;
+  job.m_received_at = now;
+  for (size_t step = 0; step < job.m_request.m_steps.size(); ++step) {
+    const Step& spec = job.m_request.m_steps[step];
+    job.m_expected =
+        std::max(job.m_expected,
+                 m_run_times.Expect(queue.m_name, spec.m_estimated_run_time));
+    for (uint32_t index = 0; index < spec.m_count; ++index) {
+      Task task;
+      task.m_step = static_cast<uint32_t>(step);
+      task.m_index = index;
+      job.m_tasks.push_back(std::move(task));
+    }
+  }
+  const Microseconds objective =
+      Scale(job.m_expected, queue.m_stretch) + queue.m_target_latency;
+  job.m_due_at = now + objective;
+  job.m_refuse_at = now + Scale(objective, kMaxWaitShare);
+  if (m_is_draining) {
+    EndJob(handle, JobRefused{RefusalReason::kStopping, now + kMinRetryAfter});
+  }
+  return handle;
+}
+
+void JobScheduler::Cancel(JobHandle handle, MonoTime) {
+  if (m_jobs.contains(handle)) {
+    StopRuns(handle);
+    m_jobs.erase(handle);
+  }
+}
+
+void JobScheduler::Drain() {
+  m_is_draining = true;
+}
+
+void JobScheduler::EndJob(JobHandle handle, JobResult outcome) {
+  StopRuns(handle);
+  m_jobs.erase(handle);
+  m_actions.push_back(AnswerJob{handle, outcome});
+}
+
+void JobScheduler::StopRuns(JobHandle handle) {
+  for (const Task& task : m_jobs[handle].m_tasks) {
+    if (task.m_state != TaskState::kPlaced) {
+      continue;
+    }
+    Placement& placement = m_placements[task.m_run];
+    placement.m_job = 0;
+    m_actions.push_back(SendToAgent{placement.m_agent, StopRun{task.m_run}});
+  }
+}
+
+void JobScheduler::OnAgentConnected(const std::string& name,
+                                    const ProcessId& agent,
+                                    MonoTime now) {
+  AgentView& view = m_agents[name];
+  view.m_is_connected = true;
+  view.m_incarnation = agent.m_incarnation;
+  view.m_last_received = now;
+  view.m_status.reset();
+  view.m_sequence = 0;
+  view.m_unseen.clear();
+  for (auto& [run, placement] : m_placements) {
+    if (placement.m_agent != name ||
+        placement.m_incarnation != view.m_incarnation) {
+      continue;
+    }
+    if (placement.m_job == 0) {
+      m_actions.push_back(SendToAgent{name, StopRun{run}});
+      continue;
+    }
+    const Job& job = m_jobs.at(placement.m_job);
+    const Task& task = job.m_tasks[placement.m_task];
+    StartRun start = MakeStart(job, task, now);
+    placement.m_sequence = ++view.m_sequence;
+    start.m_sequence = view.m_sequence;
+    view.m_unseen[view.m_sequence] = start.m_demand;
+    m_actions.push_back(SendToAgent{name, std::move(start)});
+  }
+}
+
+void JobScheduler::OnAgentDisconnected(const std::string& name, MonoTime) {
+  if (AgentView* agent = m_agents.Find(name)) {
+    agent->m_is_connected = false;
+  }
+}
+
+void JobScheduler::OnAgentRemoved(const std::string& name) {
+  const bool is_used = std::ranges::any_of(m_placements, [&](const auto& item) {
+    return item.second.m_agent == name;
+  });
+  if (!is_used) {
+    m_agents.Remove(name);
+  }
+}
+
+void JobScheduler::OnStatus(const std::string& name,
+                            const RunnerStatus& status,
+                            MonoTime now) {
+  AgentView& agent = m_agents[name];
+  agent.m_last_received = now;
+  if (agent.m_status && status.m_sequence > agent.m_sequence) {
+    return;
+  }
+  m_agents.ApplyStatus(agent, status);
+}
+
+void JobScheduler::OnReport(const std::string& name,
+                            const RunReport& report,
+                            MonoTime now) {
+  m_agents[name].m_last_received = now;
+  const auto found = m_placements.find(report.m_run);
+  if (found == m_placements.end() || found->second.m_agent != name) {
+    return;
+  }
+  const Placement placement = found->second;
+  const AgentView& agent = m_agents[name];
+  if (report.m_outcome == RunOutcome::kDone && placement.m_job != 0) {
+    const Job& job = m_jobs.at(placement.m_job);
+    const Step& step =
+        job.m_request.m_steps[job.m_tasks[placement.m_task].m_step];
+    const double slowness = agent.m_status ? agent.m_status->m_slowness : 1.0;
+    m_run_times.Learn(job.m_queue.m_name, step.m_estimated_run_time,
+                      Scale(report.m_run_time, 1.0 / slowness));
+  }
+  m_placements.erase(found);
+  SettleRun(report.m_run, placement, report.m_outcome, now);
+}
+
+void JobScheduler::SettleRun(const RunKey&,
+                             const Placement& placement,
+                             RunOutcome outcome,
+                             MonoTime) {
+  const auto found = m_jobs.find(placement.m_job);
+  if (found == m_jobs.end()) {
+    return;
+  }
+  Job& job = found->second;
+  Task& task = job.m_tasks[placement.m_task];
+  task.m_state = TaskState::kWaiting;
+  --job.m_placed;
+  job.m_has_run |= outcome != RunOutcome::kNotStarted;
+  if (outcome == RunOutcome::kDone) {
+    task.m_state = TaskState::kDone;
+    ++job.m_done;
+    if (job.m_done == job.m_tasks.size()) {
+      EndJob(found->first, JobTasksDone{});
+    }
+    return;
+  }
+  if (outcome == RunOutcome::kFailed &&
+      ++task.m_failures >= job.m_queue.m_max_attempts) {
+    EndJob(found->first, JobTasksFailed{});
+  }
+}
+
+uint64_t JobScheduler::NextRunNumber(const TaskKey&) {
+  const auto now = static_cast<uint64_t>(WallNow().time_since_epoch().count());
+  m_last_run_number = std::max(m_last_run_number + 1, now);
+  return m_last_run_number;
+}
+
+bool JobScheduler::HasUnsettledRun(const TaskKey& task) const {
+  const auto found = m_placements.lower_bound(RunKey{task, 0});
+  return found != m_placements.end() && found->first.m_task == task;
+}
+
+PlacementNeeds JobScheduler::NeedsOf(const Job& job, const Task& task) const {
+  const Step& step = job.m_request.m_steps[task.m_step];
+  return {job.m_queue.m_service, step.m_demand,  step.m_required_label,
+          step.m_data_rack,      job.m_expected, job.m_due_at};
+}
+
+StartRun JobScheduler::MakeStart(const Job& job,
+                                 const Task& task,
+                                 MonoTime now) const {
+  StartRun start;
+  start.m_run = task.m_run;
+  start.m_service = job.m_queue.m_service;
+  start.m_payload = job.m_request.m_payload;
+  start.m_demand = job.m_request.m_steps[task.m_step].m_demand;
+  start.m_expected = job.m_expected;
+  // Ordered by objective; agents compare urgencies of all entries.
+  start.m_urgency = (job.m_due_at - now).count();
+  start.m_abandon_at = job.m_request.m_give_up_at;
+  start.m_queue_until = now + kAgentQueueTime;
+  return start;
+}
+
+bool JobScheduler::PlaceTask(JobHandle handle,
+                             Job& job,
+                             size_t index,
+                             MonoTime now) {
+  Task& task = job.m_tasks[index];
+  const TaskKey key{job.m_request.m_id, task.m_step, task.m_index};
+  if (HasUnsettledRun(key)) {
+    return false;
+  }
+  const auto chosen = m_agents.Choose(NeedsOf(job, task), now);
+  if (!chosen) {
+    return false;
+  }
+  AgentView& agent = m_agents[*chosen];
+  task.m_run = {key, NextRunNumber(key)};
+  task.m_state = TaskState::kPlaced;
+  ++job.m_placed;
+  StartRun start = MakeStart(job, task, now);
+  start.m_sequence = ++agent.m_sequence;
+  agent.m_unseen[agent.m_sequence] = start.m_demand;
+  m_placements[task.m_run] = {*chosen, agent.m_incarnation, handle, index,
+                              agent.m_sequence};
+  m_actions.push_back(SendToAgent{*chosen, std::move(start)});
+  return true;
+}
+
+std::vector<JobHandle> JobScheduler::WaitingInOrder() const {
+  std::vector<JobHandle> waiting;
+  for (const auto& [handle, job] : m_jobs) {
+    const bool is_waiting = std::ranges::any_of(
+        job.m_tasks,
+        [](const Task& task) { return task.m_state == TaskState::kWaiting; });
+    if (is_waiting) {
+      waiting.push_back(handle);
+    }
+  }
+  // Jobs that have begun go first: their work is lost unless it is completed.
+  std::ranges::sort(waiting, {}, [this](JobHandle handle) {
+    const Job& job = m_jobs.at(handle);
+    return std::tuple(!job.has_started(), job.m_due_at, handle);
+  });
+  return waiting;
+}
+
+size_t JobScheduler::WaitingJobs(const std::string& queue) const {
+  return static_cast<size_t>(
+      std::ranges::count_if(m_jobs, [&](const auto& item) {
+        return item.second.m_queue.m_name == queue &&
+               !item.second.has_started();
+      }));
+}
+
+void JobScheduler::PlaceWaiting(MonoTime now) {
+  for (const JobHandle handle : WaitingInOrder()) {
+    Job& job = m_jobs.at(handle);
+    for (size_t index = 0; index < job.m_tasks.size(); ++index) {
+      if (job.m_tasks[index].m_state == TaskState::kWaiting &&
+          !PlaceTask(handle, job, index, now)) {
+        break;
+      }
+    }
+  }
+}
+
+void JobScheduler::SettleLostAgents(MonoTime now) {
+  std::vector<RunKey> settled;
+  for (const auto& [run, placement] : m_placements) {
+    const AgentView* agent = m_agents.Find(placement.m_agent);
+    const bool is_lost =
+        agent == nullptr || now >= agent->m_last_received + kLostAgentTimeout;
+    // A new incarnation accepts work once nothing of the earlier one runs.
+    const bool is_replaced = agent != nullptr &&
+                             agent->m_incarnation != placement.m_incarnation &&
+                             agent->m_status && agent->m_status->m_is_accepting;
+    if (is_lost || is_replaced) {
+      settled.push_back(run);
+    }
+  }
+  for (const RunKey& run : settled) {
+    const auto found = m_placements.find(run);
+    const Placement placement = found->second;
+    m_placements.erase(found);
+    SettleRun(run, placement, RunOutcome::kStopped, now);
+  }
+}
+
+void JobScheduler::RefuseLate(MonoTime now) {
+  std::vector<JobHandle> refused;
+  for (const auto& [handle, job] : m_jobs) {
+    if (!job.has_started() && job.m_refuse_at <= now) {
+      refused.push_back(handle);
+    }
+  }
+  for (const JobHandle handle : refused) {
+    const Job& job = m_jobs.at(handle);
+    const bool has_runner =
+        std::ranges::any_of(job.m_tasks, [&](const Task& task) {
+          return m_agents.CouldEverRun(NeedsOf(job, task));
+        });
+    EndJob(handle, JobRefused{has_runner ? RefusalReason::kOverloaded
+                                         : RefusalReason::kNoRunner,
+                              now + kMinRetryAfter});
+  }
+}
+
+void JobScheduler::EndExpired(MonoTime now) {
+  std::vector<JobHandle> expired;
+  for (const auto& [handle, job] : m_jobs) {
+    if (job.m_request.m_give_up_at <= now) {
+      expired.push_back(handle);
+    }
+  }
+  for (const JobHandle handle : expired) {
+    EndJob(handle, JobLost{});
+  }
+}
+
+// After a freeze the client may have given up and sent the job again, and its
+// connection's end may still wait to be read. Nothing of it is started again.
+void JobScheduler::DropAfterFreeze(MonoTime now) {
+  if (!m_last_tick || now < *m_last_tick + kFreezeGap) {
+    return;
+  }
+  std::vector<JobHandle> lost;
+  for (const auto& [handle, job] : m_jobs) {
+    if (job.has_started()) {
+      lost.push_back(handle);
+    }
+  }
+  for (const JobHandle handle : lost) {
+    EndJob(handle, JobLost{});
+  }
+}
+
+void JobScheduler::SendClaims(MonoTime now) {
+  if (now < m_next_claims_at) {
+    return;
+  }
+  m_next_claims_at = now + kClaimInterval;
+  for (const auto& [name, agent] : m_agents.agents()) {
+    if (agent.m_is_connected) {
+      m_actions.push_back(SendToAgent{name, Claim{agent.m_agent_clock}});
+    }
+  }
+}
+
+std::vector<SchedulerAction> JobScheduler::Tick(MonoTime now) {
+  DropAfterFreeze(now);
+  m_last_tick = now;
+  EndExpired(now);
+  SettleLostAgents(now);
+  PlaceWaiting(now);
+  RefuseLate(now);
+  SendClaims(now);
+  return std::exchange(m_actions, {});
+}
+
+MonoTime JobScheduler::NextDeadline(MonoTime) const {
+  MonoTime next = m_next_claims_at;
+  for (const auto& [handle, job] : m_jobs) {
+    next = std::min(next, job.m_request.m_give_up_at);
+    if (!job.has_started()) {
+      next = std::min(next, job.m_refuse_at);
+    }
+  }
+  return next;
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/scheduler/run_time_model.cc
@@ -0,0 +1,59 @@
+#include "scheduler/run_time_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace comfreyshift {
+
+namespace {
+
+// Without an estimate and without experience.
+constexpr Microseconds kUnknownRunTime{500'000};
+// The mean moves by at least this part with each sample, so it follows change.
+constexpr double kMinSampleWeight = 0.01;
+// The estimate and the queue's mean each have errors of about the same size.
+constexpr double kEstimateWeight = 0.5;
+constexpr uint64_t kMinSamples = 3;
+
+double Log(Microseconds time) {
+  return std::log(std::max(1.0, static_cast<double>(time.count())));
+}
+
+}  // namespace
+
+Microseconds RunTimeModel::Expect(const std::string& queue,
+                                  Milliseconds estimate) const {
+  const auto found = m_queues.find(queue);
+  const bool is_known =
+      found != m_queues.end() && found->second.m_samples >= kMinSamples;
+  if (estimate <= Milliseconds(0)) {
+    return is_known ? Microseconds(
+                          std::llround(std::exp(found->second.m_log_run_time)))
+                    : kUnknownRunTime;
+  }
+  if (!is_known) {
+    return estimate;
+  }
+  const QueueModel& model = found->second;
+  const double by_estimate = Log(estimate) + model.m_log_bias;
+  return Microseconds(
+      std::llround(std::exp(kEstimateWeight * by_estimate +
+                            (1.0 - kEstimateWeight) * model.m_log_run_time)));
+}
+
+void RunTimeModel::Learn(const std::string& queue,
+                         Milliseconds estimate,
+                         Microseconds run_time) {
+  QueueModel& model = m_queues[queue];
+  ++model.m_samples;
+  const double weight =
+      std::max(kMinSampleWeight, 1.0 / static_cast<double>(model.m_samples));
+  const double log_time = Log(run_time);
+  model.m_log_run_time += weight * (log_time - model.m_log_run_time);
+  if (estimate > Milliseconds(0)) {
+    const double bias = log_time - Log(estimate);
+    model.m_log_bias += weight * (bias - model.m_log_bias);
+  }
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/scheduler/scheduler.h
@@ -0,0 +1,10 @@
+#ifndef SCHEDULER_SCHEDULER_H_
+#define SCHEDULER_SCHEDULER_H_
+
+// Public header of the scheduler library: the decisions of an entry about its
+// clients' jobs. It does no I/O.
+
+#include "scheduler/actions.h"
+#include "scheduler/job_scheduler.h"
+
+#endif  // SCHEDULER_SCHEDULER_H_
