Add an emulator of entries, agents and runners under a virtual clock, with a load replay and a test of the promises

Ruled out: the older test world, which knows partitions and targets only. The stateful test draws kills, freezes, cuts, crashes, lost and late orders, hanging and failing runners. Run numbers now come from a clock that is handed in, so the scheduler reads none itself.

--- /dev/null
+++ b/bench/load_replay.cc
@@ -0,0 +1,149 @@
+// Plays a load pattern against the decision code under a virtual clock and
+// prints what became of the jobs.
+// usage: load_replay [--rate FACTOR] [--seconds N] [--seed N] [--scenario NAME]
+
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "emulator/emulator.h"
+
+namespace comfreyshift {
+namespace {
+
+struct ReplayOptions {
+  double m_rate = 1.0;
+  int64_t m_seconds = 20;
+  uint64_t m_seed = 1;
+  std::string m_scenario = "calm";
+};
+
+// Eleven runners of three speeds, a third of them half again as large.
+FleetOptions TodaysFleet(uint64_t seed) {
+  FleetOptions fleet;
+  fleet.m_seed = seed;
+  constexpr double kSlowness[] = {1.0, 1.0 / 1.6, 1.0 / 0.6};
+  for (size_t i = 0; i < 11; ++i) {
+    fleet.m_runner_cpus.push_back(i % 3 == 2 ? 96 : 64);
+    fleet.m_runner_slowness.push_back(kSlowness[(i / 3) % 3]);
+  }
+  return fleet;
+}
+
+using Scenario = std::function<void(FleetEmulation&, LoadPattern&)>;
+
+void Print(const FleetEmulation& fleet, const std::string& kind) {
+  const LoadSummary sum = fleet.Summarize(kind);
+  std::printf(
+      "%-12s asked %6llu  in objective %6llu  late %5llu  refused %5llu  "
+      "failed %4llu  worth %.3f\n",
+      kind.empty() ? "all" : kind.c_str(),
+      static_cast<unsigned long long>(sum.m_asked),
+      static_cast<unsigned long long>(sum.m_in_objective),
+      static_cast<unsigned long long>(sum.m_late),
+      static_cast<unsigned long long>(sum.m_refused),
+      static_cast<unsigned long long>(sum.m_failed),
+      sum.m_worth_asked > 0 ? sum.m_worth_earned / sum.m_worth_asked : 0.0);
+}
+
+// Changes the load before it is drawn.
+void ShapeLoad(const std::string& scenario, LoadPattern& pattern) {
+  const Microseconds third = pattern.m_length / 3;
+  if (scenario == "burst") {
+    pattern.m_phases.push_back({third, 2 * third, 1.8, ""});
+  } else if (scenario == "burst-long") {
+    pattern.m_phases.push_back({third, 2 * third, 2.5, "long"});
+  } else if (scenario == "burst-small") {
+    pattern.m_phases.push_back({third, 2 * third, 2.5, "small"});
+  }
+}
+
+// Adds faults at a third of the time, until two thirds.
+bool AddFaults(const std::string& scenario,
+               Microseconds third,
+               FleetEmulation& fleet) {
+  const std::map<std::string, std::function<void()>> begin = {
+      {"calm", []() {}},
+      {"burst", []() {}},
+      {"burst-long", []() {}},
+      {"burst-small", []() {}},
+      {"fails",
+       [&]() {
+         fleet.runner(0).set_fails_all(true);
+         fleet.runner(4).set_fails_all(true);
+       }},
+      {"hangs", [&]() { fleet.runner(0).set_hangs(true, fleet.now()); }},
+      {"slow",
+       [&]() {
+         fleet.runner(0).set_slowness(6.5, fleet.now());
+         fleet.runner(4).set_slowness(6.5, fleet.now());
+       }},
+      {"half",
+       [&]() {
+         for (size_t i = 0; i < 5; ++i) {
+           fleet.DrainRunner(i);
+         }
+       }},
+      {"late-orders", [&]() { fleet.LoseOrders(0.06, third); }},
+  };
+  const auto found = begin.find(scenario);
+  if (found == begin.end()) {
+    return false;
+  }
+  fleet.At(third, found->second);
+  fleet.At(2 * third, [&fleet]() {
+    fleet.runner(0).set_fails_all(false);
+    fleet.runner(4).set_fails_all(false);
+    fleet.runner(0).set_hangs(false, fleet.now());
+  });
+  return true;
+}
+
+int Replay(const ReplayOptions& options) {
+  LoadPattern pattern = TodaysLoad(options.m_rate);
+  pattern.m_length = std::chrono::seconds(options.m_seconds);
+  ShapeLoad(options.m_scenario, pattern);
+  FleetEmulation fleet(TodaysFleet(options.m_seed), pattern);
+  const bool is_known =
+      AddFaults(options.m_scenario, pattern.m_length / 3, fleet);
+  if (!is_known) {
+    std::fprintf(stderr, "unknown scenario %s\n", options.m_scenario.c_str());
+    return 2;
+  }
+  // The fleet connects first.
+  fleet.RunUntil(Milliseconds(10));
+  fleet.AddLoad();
+  fleet.RunUntil(pattern.m_length + std::chrono::seconds(5));
+  for (const JobKind& kind : pattern.m_kinds) {
+    Print(fleet, kind.m_name);
+  }
+  Print(fleet, "");
+  std::printf("double runs %llu, overloads %llu, false refusals %llu\n",
+              static_cast<unsigned long long>(fleet.double_runs()),
+              static_cast<unsigned long long>(fleet.overloads()),
+              static_cast<unsigned long long>(fleet.false_refusals()));
+  return 0;
+}
+
+}  // namespace
+}  // namespace comfreyshift
+
+int main(int argc, char** argv) {
+  comfreyshift::ReplayOptions options;
+  for (int i = 1; i + 1 < argc; i += 2) {
+    const std::string name = argv[i];
+    if (name == "--rate") {
+      options.m_rate = std::strtod(argv[i + 1], nullptr);
+    } else if (name == "--seconds") {
+      options.m_seconds = std::strtoll(argv[i + 1], nullptr, 10);
+    } else if (name == "--seed") {
+      options.m_seed = std::strtoull(argv[i + 1], nullptr, 10);
+    } else if (name == "--scenario") {
+      options.m_scenario = argv[i + 1];
+    }
+  }
+  return comfreyshift::Replay(options);
+}
--- /dev/null
+++ b/cmake/emulator.cmake
@@ -0,0 +1,5 @@
+comfreyshift_library(emulator core jobs link scheduler executor)
+comfreyshift_tests(emulator emulator)
+add_executable(load_replay ${CMAKE_SOURCE_DIR}/bench/load_replay.cc)
+target_compile_options(load_replay PRIVATE -Wall -Wextra -Werror)
+target_link_libraries(load_replay PRIVATE emulator)
--- /dev/null
+++ b/emulator/fleet_emulation.h
@@ -0,0 +1,171 @@
+#ifndef EMULATOR_FLEET_EMULATION_H_
+#define EMULATOR_FLEET_EMULATION_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "emulator/load.h"
+#include "emulator/runner_emulation.h"
+#include "executor/executor.h"
+#include "scheduler/scheduler.h"
+
+namespace comfreyshift {
+
+struct FleetOptions {
+  size_t m_entries = 4;
+  // One runner beside each agent; its capacity in processors and its slowness.
+  std::vector<int64_t> m_runner_cpus;
+  std::vector<double> m_runner_slowness;
+  Microseconds m_link_delay{1400};
+  Microseconds m_order_delay{500};
+  uint64_t m_seed = 1;
+};
+
+// How a client's job ended.
+enum class ClientResult : uint8_t {
+  kInProgress,
+  kCompleted,
+  kFailed,
+  kRefused,
+  kLost,
+};
+
+// What the emulation saw of one job.
+struct JobRecord {
+  Arrival m_arrival;
+  ClientResult m_result = ClientResult::kInProgress;
+  MonoTime m_sent_at;
+  MonoTime m_answered_at;
+  // Sendings whose connection broke or that were answered as lost.
+  uint64_t m_lost_sendings = 0;
+};
+
+// Sums over one kind of job, or all.
+struct LoadSummary {
+  uint64_t m_asked = 0;
+  uint64_t m_in_objective = 0;
+  uint64_t m_late = 0;
+  uint64_t m_refused = 0;
+  uint64_t m_failed = 0;
+  double m_worth_asked = 0.0;
+  double m_worth_earned = 0.0;
+};
+
+// Entries, agents, runners and clients under one virtual clock.
+class FleetEmulation {
+ public:
+  FleetEmulation(const FleetOptions& options, const LoadPattern& pattern);
+  ~FleetEmulation();
+  FleetEmulation(const FleetEmulation&) = delete;
+  FleetEmulation& operator=(const FleetEmulation&) = delete;
+
+  // Calls `action` at the time since the start.
+  void At(Microseconds at, std::function<void()> action);
+  // Draws the arrivals of the pattern and adds them.
+  void AddLoad();
+  // Adds one job by hand.
+  void AddJob(Arrival arrival);
+  // Runs until the time since the start.
+  void RunUntil(Microseconds until);
+
+  // Faults. Entries, agents and runners are numbered from 0.
+  void KillEntry(size_t entry);
+  void KillAgent(size_t agent);
+  // The process stands still, and its messages wait.
+  void FreezeEntry(size_t entry, Microseconds length);
+  void FreezeAgent(size_t agent, Microseconds length);
+  // Messages between the two are lost, and neither side is told.
+  void CutLink(size_t entry, size_t agent, Microseconds length);
+  void CrashRunner(size_t agent);
+  // Share of orders that get no answer and are carried out 2 to 8 s later.
+  void LoseOrders(double share, Microseconds length);
+  void DrainRunner(size_t agent);
+  void CloseZone(const std::string& zone);
+
+  RunnerEmulation& runner(size_t agent);
+  MonoTime now() const { return m_now; }
+  const std::vector<JobRecord>& jobs() const { return m_jobs; }
+  // Moments at which two runs of one task were at work.
+  uint64_t double_runs() const { return m_double_runs; }
+  // Starts that brought a runner over its capacity.
+  uint64_t overloads() const;
+  // Jobs of which every sending was refused although a task was started.
+  uint64_t false_refusals() const;
+  // Summary of one kind, or of all if it is empty.
+  LoadSummary Summarize(const std::string& kind = "") const;
+
+ private:
+  struct Entry;
+  struct Agent;
+  struct Event {
+    MonoTime m_at;
+    uint64_t m_order;
+    std::function<void()> m_action;
+  };
+  struct Later {
+    bool operator()(const Event& left, const Event& right) const {
+      return std::tie(left.m_at, left.m_order) >
+             std::tie(right.m_at, right.m_order);
+    }
+  };
+
+  void Post(MonoTime at, std::function<void()> action);
+  void Submit(size_t job, size_t entry_index);
+  void Finish(size_t job, const JobResult& result);
+  void StartEntry(size_t index);
+  void StartAgent(size_t index);
+  void Connect(size_t entry, size_t agent);
+  bool IsCut(size_t entry, size_t agent) const;
+  void SendToAgentLater(size_t entry, size_t agent, LinkMessage message);
+  void SendToEntryLater(size_t agent, size_t entry, LinkMessage message);
+  void DeliverToAgent(size_t entry,
+                      uint64_t entry_life,
+                      size_t agent,
+                      const LinkMessage& message);
+  void DeliverToEntry(size_t agent,
+                      uint64_t agent_life,
+                      size_t entry,
+                      const LinkMessage& message);
+  void TickEntry(size_t index);
+  void TickAgent(size_t index);
+  void WakeEntry(size_t index);
+  void WakeAgent(size_t index);
+  void SendHeartbeat(size_t index);
+  void Order(size_t agent, const OrderStart& order);
+  void Order(size_t agent, const OrderStop& order);
+  void Order(size_t agent, const OrderLook& order);
+  void AnswerLook(size_t agent, uint64_t life, const OrderLook& order);
+  void WatchRunner(size_t agent);
+  void CheckDoubleRuns();
+  bool IsOrderLost();
+  Microseconds LateDelay();
+
+  FleetOptions m_options;
+  LoadPattern m_pattern;
+  std::mt19937_64 m_random;
+  MonoTime m_start;
+  MonoTime m_now;
+  uint64_t m_next_order = 0;
+  std::priority_queue<Event, std::vector<Event>, Later> m_events;
+  std::vector<std::unique_ptr<Entry>> m_entries;
+  std::vector<std::unique_ptr<Agent>> m_agents;
+  RunnerEmulation::Behaviours m_behaviours;
+  std::vector<JobRecord> m_jobs;
+  std::map<std::pair<size_t, size_t>, MonoTime> m_cuts;
+  double m_order_loss = 0.0;
+  MonoTime m_order_loss_until;
+  ClosedZones m_closed_zones;
+  uint64_t m_double_runs = 0;
+};
+
+}  // namespace comfreyshift
+
+#endif  // EMULATOR_FLEET_EMULATION_H_
--- /dev/null
+++ b/emulator/load.cc
@@ -0,0 +1,133 @@
+#include "emulator/load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace comfreyshift {
+
+namespace {
+
+// Spread of sizes between jobs, and between the tasks of one job.
+constexpr double kJobSpread = 0.4;
+constexpr double kTaskSpread = 0.15;
+constexpr double kCpuSpread = 0.2;
+// Largest run time, as a multiple of the mean.
+constexpr double kMaxWork = 4.0;
+// A job's worth grows with its work up to this multiple of the mean.
+constexpr double kMaxWorthFactor = 4.0;
+constexpr double kFixedWorthShare = 0.3;
+
+double DrawLogNormal(double mean, double spread, std::mt19937_64& random) {
+  std::lognormal_distribution<double> draw(
+      std::log(mean) - spread * spread / 2.0, spread);
+  return draw(random);
+}
+
+double RateFactor(const LoadPattern& pattern,
+                  const JobKind& kind,
+                  Microseconds at) {
+  double factor = 1.0;
+  for (const LoadPhase& phase : pattern.m_phases) {
+    const bool concerns = phase.m_kind.empty() || phase.m_kind == kind.m_name;
+    if (concerns && at >= phase.m_from && at < phase.m_until) {
+      factor *= phase.m_rate_factor;
+    }
+  }
+  return factor;
+}
+
+std::string JobId(uint64_t number) {
+  std::string id(16, '0');
+  for (size_t i = id.size(); i-- > 0; number >>= 4) {
+    id[i] = "0123456789abcdef"[number & 0xF];
+  }
+  return id;
+}
+
+Arrival DrawJob(const LoadPattern& pattern,
+                const JobKind& kind,
+                std::mt19937_64& random) {
+  Arrival arrival;
+  const double tasks = DrawLogNormal(kind.m_mean_tasks, kJobSpread, random);
+  const auto count = static_cast<uint32_t>(std::clamp(
+      std::round(tasks), 1.0, static_cast<double>(kind.m_max_tasks)));
+  const auto mean_work = static_cast<double>(kind.m_mean_work.count());
+  const double work = std::min(kMaxWork * mean_work,
+                               DrawLogNormal(mean_work, kJobSpread, random));
+  Step step;
+  step.m_count = count;
+  step.m_demand.m_cpu_millis = static_cast<int64_t>(
+      DrawLogNormal(kind.m_mean_cpu_millis, kCpuSpread, random));
+  step.m_demand.m_memory_mb = 64;
+  step.m_estimated_run_time = Milliseconds(std::max<int64_t>(
+      1, std::llround(
+             DrawLogNormal(work / 1000.0, pattern.m_estimate_spread, random))));
+  double total = 0.0;
+  for (uint32_t index = 0; index < count; ++index) {
+    TaskBehaviour task;
+    task.m_demand = step.m_demand;
+    task.m_work =
+        Microseconds(std::llround(DrawLogNormal(work, kTaskSpread, random)));
+    arrival.m_longest = std::max(arrival.m_longest, task.m_work);
+    total += static_cast<double>(task.m_work.count()) *
+             static_cast<double>(step.m_demand.m_cpu_millis);
+    arrival.m_tasks.push_back(task);
+  }
+  const double mean_total =
+      kind.m_mean_tasks * mean_work * kind.m_mean_cpu_millis;
+  arrival.m_worth =
+      kind.m_worth *
+      std::min(kMaxWorthFactor, kFixedWorthShare + (1.0 - kFixedWorthShare) *
+                                                       total / mean_total);
+  arrival.m_request.m_queue = kind.m_name;
+  arrival.m_request.m_payload = "work";
+  arrival.m_request.m_steps = {step};
+  return arrival;
+}
+
+}  // namespace
+
+std::vector<Arrival> DrawArrivals(const LoadPattern& pattern,
+                                  size_t entries,
+                                  std::mt19937_64& random) {
+  std::vector<Arrival> arrivals;
+  std::uniform_int_distribution<size_t> draw_entry(0, entries - 1);
+  for (size_t index = 0; index < pattern.m_kinds.size(); ++index) {
+    const JobKind& kind = pattern.m_kinds[index];
+    Microseconds at{0};
+    while (true) {
+      const double rate =
+          kind.m_jobs_per_second * RateFactor(pattern, kind, at);
+      std::exponential_distribution<double> draw_gap(rate / 1e6);
+      at += Microseconds(1 + std::llround(draw_gap(random)));
+      if (at >= pattern.m_length) {
+        break;
+      }
+      Arrival arrival = DrawJob(pattern, kind, random);
+      arrival.m_at = at;
+      arrival.m_kind = index;
+      arrival.m_entry = draw_entry(random);
+      arrivals.push_back(std::move(arrival));
+    }
+  }
+  std::ranges::sort(arrivals, {}, &Arrival::m_at);
+  for (size_t i = 0; i < arrivals.size(); ++i) {
+    arrivals[i].m_request.m_id = JobId(i + 1);
+  }
+  return arrivals;
+}
+
+LoadPattern TodaysLoad(double rate_factor) {
+  LoadPattern pattern;
+  pattern.m_kinds = {
+      {"short-wide", 0, 3, 34.4, 8.0, 32, 6200.0, Microseconds(60'000), 0.0291},
+      {"long", 2, 4, 6.25, 4.0, 16, 6200.0, Microseconds(900'000), 0.16},
+      {"small", 1, 2, 100.0, 2.0, 8, 6200.0, Microseconds(200'000), 0.01},
+  };
+  for (JobKind& kind : pattern.m_kinds) {
+    kind.m_jobs_per_second *= rate_factor;
+  }
+  return pattern;
+}
+
+}  // namespace comfreyshift
--- /dev/null
+++ b/emulator/load.h
@@ -0,0 +1,72 @@
+#ifndef EMULATOR_LOAD_H_
+#define EMULATOR_LOAD_H_
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "emulator/runner_emulation.h"
+#include "jobs/jobs.h"
+
+namespace comfreyshift {
+
+// One kind of job in a load pattern. Sizes follow lognormal distributions with
+// the given means and spreads (sigma of the logarithm).
+struct JobKind {
+  std::string m_name;
+  int32_t m_priority = 0;
+  uint32_t m_max_attempts = 3;
+  double m_jobs_per_second = 1.0;
+  double m_mean_tasks = 1.0;
+  uint32_t m_max_tasks = 1;
+  double m_mean_cpu_millis = 1000.0;
+  Microseconds m_mean_work{100'000};
+  // Of a mean job.
+  double m_worth = 1.0;
+};
+
+// A time in which jobs come more often, or the fleet is smaller.
+struct LoadPhase {
+  Microseconds m_from{0};
+  Microseconds m_until{0};
+  double m_rate_factor = 1.0;
+  // The kind concerned; empty for all.
+  std::string m_kind;
+};
+
+struct LoadPattern {
+  std::vector<JobKind> m_kinds;
+  std::vector<LoadPhase> m_phases;
+  Microseconds m_length{20'000'000};
+  double m_stretch = 1.6;
+  Milliseconds m_target_latency{60};
+  // Errors of clients' estimates, sigma of the logarithm.
+  double m_estimate_spread = 0.4;
+  Milliseconds m_client_patience{2500};
+};
+
+// One arrival of a load pattern.
+struct Arrival {
+  Microseconds m_at{0};
+  size_t m_kind = 0;
+  size_t m_entry = 0;
+  JobRequest m_request;
+  // By index of the task.
+  std::vector<TaskBehaviour> m_tasks;
+  Microseconds m_longest{0};
+  double m_worth = 0.0;
+};
+
+// Draws the arrivals of a pattern, in order of time.
+std::vector<Arrival> DrawArrivals(const LoadPattern& pattern,
+                                  size_t entries,
+                                  std::mt19937_64& random);
+
+// The three kinds of job of today's deployments, whose tasks take about a
+// tenth of a runner.
+LoadPattern TodaysLoad(double rate_factor);
+
+}  // namespace comfreyshift
+
+#endif  // EMULATOR_LOAD_H_
--- /dev/null
+++ b/emulator/runner_emulation.h
@@ -0,0 +1,108 @@
+#ifndef EMULATOR_RUNNER_EMULATION_H_
+#define EMULATOR_RUNNER_EMULATION_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "executor/executor.h"
+#include "jobs/jobs.h"
+
+namespace comfreyshift {
+
+// What an emulated runner does with a task, looked up by its key.
+struct TaskBehaviour {
+  Resources m_demand;
+  // Run time on a runner of usual speed.
+  Microseconds m_work{0};
+  // Every run of it fails.
+  bool m_always_fails = false;
+};
+
+// A runner as the platform's protocol describes it: it starts whatever it is
+// told to, and keeps leases, fencing tokens, run numbers and lists of ends. It
+// records each start that breaks a promise.
+class RunnerEmulation {
+ public:
+  using Behaviours = std::map<TaskKey, TaskBehaviour>;
+
+  RunnerEmulation(RunnerLife life,
+                  Resources capacity,
+                  double slowness,
+                  const Behaviours& behaviours);
+
+  StartAnswer Start(const OrderStart& order, MonoTime now);
+  StopAnswer Stop(const OrderStop& order, MonoTime now);
+  std::variant<RunnerLists, LookFailure> Look(const OrderLook& order,
+                                              MonoTime now);
+  // Ends what is due by `now`.
+  void Advance(MonoTime now);
+  // When the next run ends, far in the future if none runs.
+  MonoTime NextEnd() const;
+  // Whether an end is listed that has not been acknowledged.
+  bool has_news() const { return !m_ended.empty(); }
+  // Everything it runs ends unseen, and it begins a new life.
+  void Restart(MonoTime now);
+
+  void set_slowness(double slowness, MonoTime now);
+  void set_fails_all(bool fails) { m_fails_all = fails; }
+  void set_hangs(bool hangs, MonoTime now);
+
+  // Keys of the tasks at work.
+  std::vector<TaskKey> Working() const;
+  Resources UsedRoom() const;
+  // Ids of all jobs of which a task has started in any life.
+  const std::set<std::string>& StartedJobs() const { return m_started_jobs; }
+  const Resources& capacity() const { return m_capacity; }
+  const RunnerLife& life() const { return m_life; }
+  uint64_t starts() const { return m_starts; }
+  double lost_core_seconds() const { return m_lost_core_seconds; }
+  // Starts that brought it over its capacity.
+  uint64_t overloads() const { return m_overloads; }
+
+ private:
+  struct Running {
+    Resources m_demand;
+    MonoTime m_started_at;
+    // Work left at m_measured_at, at usual speed.
+    Microseconds m_left{0};
+    Microseconds m_work{0};
+    MonoTime m_measured_at;
+    bool m_fails = false;
+  };
+  using RunTable = std::map<RunKey, Running>;
+
+  bool IsFenced(uint64_t token);
+  void Renew(RunnerTime until);
+  RunnerTime Clock(MonoTime now) const;
+  void Measure(MonoTime now);
+  MonoTime EndOf(const Running& run) const;
+  void End(const RunKey& key, RunOutcome outcome);
+
+  RunnerLife m_life;
+  Resources m_capacity;
+  double m_slowness;
+  const Behaviours& m_behaviours;
+  bool m_fails_all = false;
+  bool m_hangs = false;
+  uint64_t m_token = 0;
+  MonoTime m_born_at;
+  RunnerTime m_lease_until{0};
+  RunTable m_running;
+  std::vector<EndedRow> m_ended;
+  uint64_t m_last_end = 0;
+  // Highest run number of each task that was stopped or has ended.
+  std::map<TaskKey, uint64_t> m_closed_numbers;
+  std::set<std::string> m_started_jobs;
+  uint64_t m_starts = 0;
+  uint64_t m_overloads = 0;
+  double m_lost_core_seconds = 0.0;
+};
+
+}  // namespace comfreyshift
+
+#endif  // EMULATOR_RUNNER_EMULATION_H_
--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -26,6 +26,8 @@
 
 EntryNode::EntryNode(ProcessId self)
     : m_self(std::move(self)),
+      m_scheduler(static_cast<uint64_t>(WallNow().time_since_epoch().count()),
+                  BootClock::now()),
       m_ticker([this](MonoTime now) { return Tick(now); }) {}
 
 EntryNode::~EntryNode() {
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -31,6 +31,9 @@
 
 }  // namespace
 
+JobScheduler::JobScheduler(uint64_t first_run_number, MonoTime now)
+    : m_first_run_number(first_run_number), m_created_at(now) {}
+
 JobHandle JobScheduler::Submit(JobRequest request,
                                const QueueConfig& queue,
                                MonoTime now) {
@@ -193,9 +196,11 @@
   }
 }
 
-uint64_t JobScheduler::NextRunNumber(const TaskKey&) {
-  const auto now = static_cast<uint64_t>(WallNow().time_since_epoch().count());
-  m_last_run_number = std::max(m_last_run_number + 1, now);
+uint64_t JobScheduler::NextRunNumber(MonoTime now) {
+  const auto age = std::chrono::duration_cast<Milliseconds>(now - m_created_at);
+  m_last_run_number =
+      std::max(m_last_run_number + 1,
+               m_first_run_number + static_cast<uint64_t>(age.count()));
   return m_last_run_number;
 }
 
@@ -240,7 +245,7 @@
     return false;
   }
   AgentView& agent = m_agents[*chosen];
-  task.m_run = {key, NextRunNumber(key)};
+  task.m_run = {key, NextRunNumber(now)};
   task.m_state = TaskState::kPlaced;
   ++job.m_placed;
   StartRun start = MakeStart(job, task, now);
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -21,7 +21,10 @@
 // refused, and on which agent each task runs.
 class JobScheduler {
  public:
-  JobScheduler() = default;
+  // Numbers of runs begin at `first_run_number` and rise by one a millisecond,
+  // so that those of an entry that starts later, or gets a job again, are
+  // higher. It is the Unix time in milliseconds at `now`.
+  JobScheduler(uint64_t first_run_number, MonoTime now);
 
   // A client has sent a job. Its answer comes out of a later Tick.
   JobHandle Submit(JobRequest request, const QueueConfig& queue, MonoTime now);
@@ -118,7 +121,7 @@
   void EndExpired(MonoTime now);
   void DropAfterFreeze(MonoTime now);
   void SendClaims(MonoTime now);
-  uint64_t NextRunNumber(const TaskKey& task);
+  uint64_t NextRunNumber(MonoTime now);
   bool HasUnsettledRun(const TaskKey& task) const;
 
   AgentTable m_agents;
@@ -126,6 +129,8 @@
   JobTable m_jobs;
   std::map<RunKey, Placement> m_placements;
   JobHandle m_next_job = 1;
+  uint64_t m_first_run_number;
+  MonoTime m_created_at;
   uint64_t m_last_run_number = 0;
   bool m_is_draining = false;
   std::optional<MonoTime> m_last_tick;
