Recover faster from restarts: remembered runners, connections that end with their answers, exit without static destructors

Ruled out: refusals by placement (no log line of the scheduler in those seconds). Change: answers of a stopping entry end their connections, and it serves until idle; the process ends without static destructors; an agent writes its runner's report into its registration when it changes and reads it at start.

--- a/http/server.cc
+++ b/http/server.cc
@@ -329,7 +329,7 @@
       return;
     }
     const std::shared_ptr<HttpRequest> request = found->second;
-    request->m_closes_connection = self->m_is_stopping;
+    request->m_closes_connection = self->m_ends_connections;
     self->Dispatch(request);
     if (!request->is_answered() && request->m_message != nullptr) {
       request->Pause();
@@ -452,6 +452,7 @@
   guint m_done_source = 0;
   guint m_reap_source = 0;
   bool m_is_stopping = false;
+  bool m_ends_connections = false;
 };
 
 HttpServer::HttpServer(uint64_t max_body_bytes)
@@ -507,13 +508,18 @@
   m_impl->m_default_handler = std::move(handler);
 }
 
+void HttpServer::EndConnections() {
+  m_impl->m_ends_connections = true;
+  for (auto& [message, request] : m_impl->m_pending) {
+    request->m_closes_connection = true;
+  }
+}
+
 void HttpServer::Stop(std::function<void()> done) {
   m_impl->CloseListener();
   m_impl->m_is_stopping = true;
   m_impl->m_done = std::move(done);
-  for (auto& [message, request] : m_impl->m_pending) {
-    request->m_closes_connection = true;
-  }
+  EndConnections();
   m_impl->FinishStop();
 }
 
--- a/http/server.h
+++ b/http/server.h
@@ -48,6 +48,10 @@
   // Calls `handler`, open to anyone, for requests that fit no route.
   void SetDefaultHandler(HttpHandler handler);
 
+  // From now on each answer ends its connection, so that clients move to other
+  // servers. Requests are served as before.
+  void EndConnections();
+
   // Refuses new connections, answers new requests on open ones with 503, and
   // calls `done` once when the answers to all others are written; never from
   // within Stop. The caller limits how long it waits.
--- a/main/main.cc
+++ b/main/main.cc
@@ -1,5 +1,6 @@
 #include <unistd.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -34,6 +35,11 @@
   const comfreyshift::Terminal terminal{std::cout, std::cerr,
                                         isatty(STDERR_FILENO) == 1};
   const std::vector<std::string> arguments(argv + 1, argv + argc);
-  return static_cast<int>(comfreyshift::RunCommand(comfreyshift::AllCommands(),
-                                                   arguments, terminal));
+  const auto exit_code = static_cast<int>(comfreyshift::RunCommand(
+      comfreyshift::AllCommands(), arguments, terminal));
+  // Ends without static destructors: log4cplus joins its threads there, which
+  // kept stopped processes alive until they were killed.
+  std::cout.flush();
+  std::cerr.flush();
+  std::_Exit(exit_code);
 }
--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -19,6 +19,9 @@
 // for one that meets the objective only if it does so with that much in hand.
 constexpr double kPredictionMargin = 1.25;
 
+// Below this share of free processors runners are chosen sparingly.
+constexpr double kBusyFreeShare = 0.4;
+
 double DistanceFactor(const RunnerStatus& status, const PlacementNeeds& needs) {
   return HasLabel(status, needs.m_data_rack) ? 1.0 : kRemoteFactor;
 }
@@ -74,8 +77,22 @@
          HasLabel(*agent.m_status, needs.m_required_label);
 }
 
+bool AgentTable::IsBusy(const PlacementNeeds& needs) const {
+  int64_t free = 0;
+  int64_t capacity = 0;
+  for (const auto& [name, agent] : m_agents) {
+    if (IsUsable(agent, needs)) {
+      free += FreeRoom(agent).m_cpu_millis;
+      capacity += agent.m_status->m_capacity.m_cpu_millis;
+    }
+  }
+  return static_cast<double>(free) <
+         kBusyFreeShare * static_cast<double>(capacity);
+}
+
 std::optional<std::string> AgentTable::Choose(const PlacementNeeds& needs,
                                               MonoTime now) const {
+  const bool is_busy = IsBusy(needs);
   std::optional<std::string> best;
   double best_cost = 0.0;
   for (const auto& [name, agent] : m_agents) {
@@ -91,10 +108,11 @@
     if (is_late && !needs.m_may_be_late) {
       continue;
     }
-    // The slowest runner that meets the objective, so that faster ones stay
-    // free for tasks that need them; otherwise the fastest.
+    // A busy fleet takes the slowest runner that meets the objective, so that
+    // faster ones stay free for tasks that need them; otherwise the fastest.
     constexpr double kLateCost = 100.0;
-    const double cost = is_late ? kLateCost + factor : -factor;
+    const double speed_cost = is_busy ? -factor : factor;
+    const double cost = is_late ? kLateCost + factor : speed_cost;
     if (!best || cost < best_cost) {
       best = name;
       best_cost = cost;
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -72,6 +72,8 @@
 
  private:
   void UpdateUsualSlowness();
+  // Whether little room is free on the runners that a task may use.
+  bool IsBusy(const PlacementNeeds& needs) const;
   bool IsUsable(const AgentView& agent, const PlacementNeeds& needs) const;
 
   std::map<std::string, AgentView> m_agents;
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -148,6 +148,22 @@
   EXPECT_FALSE(DecodeRange("{}"));
 }
 
+// After a restart an agent must not wait for the runner's next report.
+TEST(WireTest, AgentRecordsKeepTheRunnersReport) {
+  const Address address{"10.1.0.14", 7720};
+  const auto record =
+      DecodeAgentRecord(EncodeAgentRecord(address, "i-1", kHeartbeat));
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record.value().m_address, address);
+  ASSERT_TRUE(record.value().m_runner);
+  EXPECT_EQ(record.value().m_runner->m_life,
+            (RunnerLife{"i-1", 1789171779000}));
+  const auto without = DecodeAgentRecord(EncodeAgentRecord(address, "", ""));
+  ASSERT_TRUE(without);
+  EXPECT_FALSE(without.value().m_runner);
+  EXPECT_FALSE(DecodeAgentRecord("10.1.0.14:7720"));
+}
+
 TEST(WireTest, WritesOrders) {
   OrderLook look;
   look.m_fencing_token = 7;
