Log one line a job with what its answer rested on; bound and never block logs; serve metrics

Cause: a refused or late job could not be explained from logs. Ruled out: lines for each task (500 a second today). Change: job_completed and job_not_completed carry the request's id, queue, configuration version, waits, agents, free processors and the age of what the entry knew; agents log runs that are not done and when their runner is accepted or not. Each kind of event has a token bucket and says how many lines it left out; a full pipe loses lines and counts them. Metrics are served at the port of the deploy file.

--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -64,6 +64,7 @@
   bool is_accepting(MonoTime now) const;
   Resources FreeRoom() const;
   const std::optional<RunnerReport>& runner() const { return m_runner; }
+  const RunnerHealth& health() const { return m_health; }
 
  private:
   enum class RunState : uint8_t {
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -15,9 +15,13 @@
 
 }  // namespace
 
-AgentNode::AgentNode(ProcessId self, uint64_t token, RunnerCalls calls)
+AgentNode::AgentNode(ProcessId self,
+                     uint64_t token,
+                     RunnerCalls calls,
+                     NodeMetrics& metrics)
     : m_executor(std::move(self), token),
       m_calls(std::move(calls)),
+      m_metrics(metrics),
       m_ticker([this](MonoTime now) { return Tick(now); }) {}
 
 AgentNode::~AgentNode() {
@@ -55,9 +59,51 @@
   for (const ExecutorAction& action : m_executor.Tick(now)) {
     Perform(action);
   }
+  NoteAccepting(now);
   return std::min(m_executor.NextDeadline(now), now + kSilenceLimit);
 }
 
+void AgentNode::NoteAccepting(MonoTime now) {
+  const bool is_accepting = m_executor.is_accepting(now);
+  if (is_accepting == m_was_accepting) {
+    return;
+  }
+  m_was_accepting = is_accepting;
+  const auto& runner = m_executor.runner();
+  LogEvent(LogLevel::kInfo, "fleet",
+           is_accepting ? "runner_accepting" : "runner_not_accepting",
+           {{"runner", runner ? runner->m_life.m_id : ""},
+            {"born_ms", runner ? runner->m_life.m_born_ms : 0},
+            {"draining", runner && runner->m_is_draining},
+            {"paused", !m_executor.health().IsUsable(now)},
+            {"free_cpu_millis", m_executor.FreeRoom().m_cpu_millis},
+            {"slowness", m_executor.health().slowness()}});
+}
+
+void AgentNode::UpdateMetrics() {
+  m_metrics.Set("runner_accepting", m_was_accepting ? 1.0 : 0.0);
+  m_metrics.Set("runner_slowness", m_executor.health().slowness());
+  m_metrics.Set("runner_free_cpu_millis",
+                static_cast<double>(m_executor.FreeRoom().m_cpu_millis));
+  m_metrics.Set("entries_connected", static_cast<double>(m_sessions.size()));
+}
+
+void AgentNode::NoteReport(const ProcessId& entry, const RunReport& report) {
+  m_metrics.CountRun(report.m_outcome, report.m_run_time);
+  if (report.m_outcome == RunOutcome::kDone) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "fleet", "run_not_done",
+           {{"job", report.m_run.m_task.m_job},
+            {"index", uint64_t{report.m_run.m_task.m_index}},
+            {"run", report.m_run.m_number},
+            {"entry", entry.m_name},
+            {"outcome", std::string(ToString(report.m_outcome))},
+            {"run_time_us", report.m_run_time.count()},
+            {"accepting", m_was_accepting},
+            {"free_cpu_millis", m_executor.FreeRoom().m_cpu_millis}});
+}
+
 void AgentNode::CloseSilent(MonoTime now) {
   std::vector<SessionPointer> silent;
   for (const auto& [entry, session] : m_sessions) {
@@ -139,6 +185,9 @@
 
 void AgentNode::Perform(const ExecutorAction& action) {
   if (const auto* send = std::get_if<SendToEntry>(&action)) {
+    if (const auto* report = std::get_if<RunReport>(&send->m_message)) {
+      NoteReport(send->m_entry, *report);
+    }
     const auto found = m_sessions.find(send->m_entry);
     if (found != m_sessions.end()) {
       found->second->Send(send->m_message);
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -9,6 +9,7 @@
 
 #include "core/core.h"
 #include "executor/executor.h"
+#include "fleet/node_metrics.h"
 #include "fleet/ticker.h"
 #include "link/link.h"
 
@@ -29,7 +30,10 @@
 class AgentNode {
  public:
   // `token` fences orders of earlier runs of this agent.
-  AgentNode(ProcessId self, uint64_t token, RunnerCalls calls);
+  AgentNode(ProcessId self,
+            uint64_t token,
+            RunnerCalls calls,
+            NodeMetrics& metrics);
   ~AgentNode();
   AgentNode(const AgentNode&) = delete;
   AgentNode& operator=(const AgentNode&) = delete;
@@ -43,6 +47,8 @@
   void Drain();
 
   bool has_runs() const { return m_executor.has_runs(); }
+  // Puts the present room and pace into the metrics.
+  void UpdateMetrics();
 
  private:
   using SessionPointer = std::shared_ptr<LinkSession>;
@@ -56,13 +62,17 @@
   // Returns the entry at the other end, or null before its Hello.
   const ProcessId* EntryOf(const SessionPointer& session) const;
   void Perform(const ExecutorAction& action);
+  void NoteReport(const ProcessId& entry, const RunReport& report);
+  void NoteAccepting(MonoTime now);
   void Order(const OrderStart& order);
   void Order(const OrderStop& order);
   void Order(const OrderLook& order);
 
   RunExecutor m_executor;
   RunnerCalls m_calls;
+  NodeMetrics& m_metrics;
   std::unique_ptr<LinkListener> m_listener;
+  bool m_was_accepting = false;
   // Entries whose Hello has arrived.
   std::map<ProcessId, SessionPointer> m_sessions;
   // Cleared on destruction; answers that arrive later are dropped.
--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -182,7 +182,7 @@
   if (found != m_answers.end()) {
     const AnswerFunction on_answer = std::move(found->second);
     m_answers.erase(found);
-    on_answer(answer.m_outcome);
+    on_answer(answer.m_outcome, answer.m_trace);
   }
 }
 
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -16,7 +16,7 @@
 // An entry as it runs: a scheduler with a connection to each agent.
 class EntryNode {
  public:
-  using AnswerFunction = std::function<void(const JobResult&)>;
+  using AnswerFunction = std::function<void(const JobResult&, const JobTrace&)>;
 
   explicit EntryNode(ProcessId self);
   ~EntryNode();
--- a/logging/log.cc
+++ b/logging/log.cc
@@ -1,16 +1,21 @@
 #include "logging/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <chrono>
+#include <climits>
 #include <ctime>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "logging/event_limiter.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -67,15 +72,40 @@
   return text;
 }
 
-// Writes the message as it is: LogEvent has already made the whole line.
-// log4cplus has no JSON layout of its own.
-class JsonLineLayout : public log4cplus::Layout {
+uint64_t& DroppedLines() {
+  static uint64_t lines = 0;
+  return lines;
+}
+
+EventLimiter& Limiter() {
+  static EventLimiter limiter;
+  return limiter;
+}
+
+// Writes each message as it is: LogEvent has already made the whole line.
+// log4cplus' own console appender blocks while the reader of a pipe stands
+// still.
+class LineAppender : public log4cplus::Appender {
  public:
-  void formatAndAppend(
-      log4cplus::tostream& output,
-      const log4cplus::spi::InternalLoggingEvent& event) override {
-    output << event.getMessage() << '\n';
+  explicit LineAppender(int fd) : m_fd(fd) {}
+  ~LineAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    const std::string line = event.getMessage() + '\n';
+    // A pipe that is ready for writing takes PIPE_BUF bytes without blocking.
+    pollfd ready{m_fd, POLLOUT, 0};
+    const bool can_write = line.size() <= PIPE_BUF && poll(&ready, 1, 0) == 1 &&
+                           (ready.revents & POLLOUT) != 0;
+    if (!can_write || write(m_fd, line.data(), line.size()) !=
+                          static_cast<ssize_t>(line.size())) {
+      ++DroppedLines();
+    }
   }
+
+ private:
+  int m_fd;
 };
 
 log4cplus::Logger& EventLogger() {
@@ -96,18 +126,24 @@
   return std::nullopt;
 }
 
-void InitLogging(std::string_view process, LogLevel level) {
+void InitLogging(std::string_view process, LogLevel level, LogOutput output) {
   ProcessName() = process;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                     /*immediateFlush=*/true));
-  appender->setLayout(std::make_unique<JsonLineLayout>());
+  log4cplus::SharedAppenderPtr appender(new LineAppender(
+      output == LogOutput::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO));
   EventLogger().removeAllAppenders();
   EventLogger().setAdditivity(false);
   EventLogger().addAppender(appender);
   EventLogger().setLogLevel(ToLibraryLevel(level));
 }
 
+uint64_t DroppedLogLines() {
+  return DroppedLines();
+}
+
+uint64_t SuppressedLogLines() {
+  return Limiter().suppressed();
+}
+
 void LogEvent(LogLevel level,
               std::string_view component,
               std::string_view event,
@@ -116,6 +152,10 @@
   if (!EventLogger().isEnabledFor(library_level)) {
     return;
   }
+  const auto suppressed = Limiter().Admit(event, BootClock::now());
+  if (!suppressed) {
+    return;
+  }
   Json line;
   line["time"] = TimeText();
   line["level"] = LevelName(level);
@@ -127,6 +167,9 @@
         [&](const auto& value) { line[std::string(field.m_name)] = value; },
         field.m_value);
   }
+  if (*suppressed > 0) {
+    line["suppressed"] = *suppressed;
+  }
   // Invalid UTF-8 from outside must not lose the line.
   EventLogger().log(library_level,
                     line.dump(-1, ' ', false, Json::error_handler_t::replace));
--- a/logging/log.h
+++ b/logging/log.h
@@ -20,10 +20,20 @@
   std::variant<std::string, int64_t, uint64_t, double, bool> m_value;
 };
 
-// Sends all events of at least `level` to standard error, one JSON object a
-// line with time (RFC 3339, UTC, milliseconds), level, process, component,
-// event and the event's own fields.
-void InitLogging(std::string_view process, LogLevel level);
+enum class LogOutput : uint8_t { kStandardError, kStandardOutput };
+
+// Sends all events of at least `level` to `output`, one JSON object a line with
+// time (RFC 3339, UTC, milliseconds), level, process, component, event and the
+// event's own fields. Never blocks: lines that a full pipe cannot take are lost
+// and counted. Too many lines of one event are left out; the next one says how
+// many in `suppressed`.
+void InitLogging(std::string_view process,
+                 LogLevel level,
+                 LogOutput output = LogOutput::kStandardError);
+
+// Lines lost on a full pipe, and lines left out as too many, since the start.
+uint64_t DroppedLogLines();
+uint64_t SuppressedLogLines();
 
 // Logs one event. `component` and `event` are fixed snake_case names, so that
 // programs can select by them; everything that varies goes into fields.
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -39,10 +39,31 @@
   LinkMessage m_message;
 };
 
+// What a decision about a job rested on, for the logs.
+struct JobTrace {
+  size_t m_tasks = 0;
+  size_t m_done = 0;
+  // Runs that agents were told to start.
+  size_t m_placements = 0;
+  // The agents told, in order, without repetitions in a row.
+  std::string m_agents;
+  // From the arrival to the first such order; 0 without one.
+  Microseconds m_waited{0};
+  Microseconds m_expected{0};
+  // Agents that accept work for the job's service, the processors free on
+  // them, and the age of the oldest of their statuses.
+  size_t m_usable_agents = 0;
+  int64_t m_free_cpu_millis = 0;
+  Microseconds m_oldest_status{0};
+  // Jobs at this entry.
+  size_t m_jobs = 0;
+};
+
 // The final answer of a job.
 struct AnswerJob {
   JobHandle m_job = 0;
   JobResult m_outcome;
+  JobTrace m_trace;
 };
 
 using SchedulerAction = std::variant<SendToAgent, AnswerJob>;
--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -68,12 +68,17 @@
   return room;
 }
 
-bool AgentTable::IsUsable(const AgentView& agent,
-                          const PlacementNeeds& needs) const {
+bool AgentTable::IsAccepting(const AgentView& agent,
+                             const std::string& service) const {
   return agent.m_is_connected && agent.m_status &&
          agent.m_status->m_is_accepting &&
-         agent.m_status->m_service == needs.m_service &&
-         !m_closed_zones.contains(agent.m_status->m_zone) &&
+         agent.m_status->m_service == service &&
+         !m_closed_zones.contains(agent.m_status->m_zone);
+}
+
+bool AgentTable::IsUsable(const AgentView& agent,
+                          const PlacementNeeds& needs) const {
+  return IsAccepting(agent, needs.m_service) &&
          HasLabel(*agent.m_status, needs.m_required_label);
 }
 
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -55,6 +55,9 @@
   // Room that nothing has been sent to yet.
   static Resources FreeRoom(const AgentView& agent);
 
+  // Whether an agent takes work of a service, in a zone that is open.
+  bool IsAccepting(const AgentView& agent, const std::string& service) const;
+
   // Returns the agent on which a task is best started now, or nothing if all
   // are full.
   std::optional<std::string> Choose(const PlacementNeeds& needs,
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -59,7 +59,8 @@
   job.m_due_at = now + objective;
   job.m_refuse_at = now + Scale(objective, kMaxWaitShare);
   if (m_is_draining) {
-    EndJob(handle, JobRefused{RefusalReason::kStopping, now + kMinRetryAfter});
+    EndJob(handle, JobRefused{RefusalReason::kStopping, now + kMinRetryAfter},
+           now);
   }
   return handle;
 }
@@ -75,10 +76,42 @@
   m_is_draining = true;
 }
 
-void JobScheduler::EndJob(JobHandle handle, JobResult outcome) {
+void JobScheduler::EndJob(JobHandle handle, JobResult outcome, MonoTime now) {
+  JobTrace trace = TraceOf(m_jobs.at(handle), now);
   StopRuns(handle);
   m_jobs.erase(handle);
-  m_actions.push_back(AnswerJob{handle, outcome});
+  m_actions.push_back(AnswerJob{handle, outcome, std::move(trace)});
+}
+
+JobTrace JobScheduler::TraceOf(const Job& job, MonoTime now) const {
+  JobTrace trace = job.m_trace;
+  trace.m_tasks = job.m_tasks.size();
+  trace.m_done = job.m_done;
+  trace.m_expected = job.m_expected;
+  trace.m_jobs = m_jobs.size();
+  for (const auto& [name, agent] : m_agents.agents()) {
+    if (!m_agents.IsAccepting(agent, job.m_queue.m_service)) {
+      continue;
+    }
+    ++trace.m_usable_agents;
+    trace.m_free_cpu_millis += AgentTable::FreeRoom(agent).m_cpu_millis;
+    trace.m_oldest_status =
+        std::max(trace.m_oldest_status, now - agent.m_last_received);
+  }
+  return trace;
+}
+
+void JobScheduler::NotePlacement(Job& job,
+                                 const std::string& agent,
+                                 MonoTime now) {
+  JobTrace& trace = job.m_trace;
+  if (trace.m_placements == 0) {
+    trace.m_waited = now - job.m_received_at;
+  }
+  ++trace.m_placements;
+  if (!trace.m_agents.ends_with(agent)) {
+    trace.m_agents += (trace.m_agents.empty() ? "" : " ") + agent;
+  }
 }
 
 void JobScheduler::StopRuns(JobHandle handle) {
@@ -172,7 +205,7 @@
 void JobScheduler::SettleRun(const RunKey&,
                              const Placement& placement,
                              RunOutcome outcome,
-                             MonoTime) {
+                             MonoTime now) {
   const auto found = m_jobs.find(placement.m_job);
   if (found == m_jobs.end()) {
     return;
@@ -186,13 +219,13 @@
     task.m_state = TaskState::kDone;
     ++job.m_done;
     if (job.m_done == job.m_tasks.size()) {
-      EndJob(found->first, JobTasksDone{});
+      EndJob(found->first, JobTasksDone{}, now);
     }
     return;
   }
   if (outcome == RunOutcome::kFailed &&
       ++task.m_failures >= job.m_queue.m_max_attempts) {
-    EndJob(found->first, JobTasksFailed{});
+    EndJob(found->first, JobTasksFailed{}, now);
   }
 }
 
@@ -255,6 +288,7 @@
   task.m_run = {key, NextRunNumber(now)};
   task.m_state = TaskState::kPlaced;
   ++job.m_placed;
+  NotePlacement(job, *chosen, now);
   StartRun start = MakeStart(job, task, now);
   start.m_sequence = ++agent.m_sequence;
   agent.m_unseen[agent.m_sequence] = start.m_demand;
@@ -337,9 +371,11 @@
         std::ranges::any_of(job.m_tasks, [&](const Task& task) {
           return m_agents.CouldEverRun(NeedsOf(job, task, now));
         });
-    EndJob(handle, JobRefused{has_runner ? RefusalReason::kOverloaded
-                                         : RefusalReason::kNoRunner,
-                              now + kMinRetryAfter});
+    EndJob(handle,
+           JobRefused{has_runner ? RefusalReason::kOverloaded
+                                 : RefusalReason::kNoRunner,
+                      now + kMinRetryAfter},
+           now);
   }
 }
 
@@ -351,7 +387,7 @@
     }
   }
   for (const JobHandle handle : expired) {
-    EndJob(handle, JobLost{});
+    EndJob(handle, JobLost{}, now);
   }
 }
 
@@ -368,7 +404,7 @@
     }
   }
   for (const JobHandle handle : lost) {
-    EndJob(handle, JobLost{});
+    EndJob(handle, JobLost{}, now);
   }
 }
 
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -87,6 +87,7 @@
     size_t m_placed = 0;
     // Whether any run has ended that was started.
     bool m_has_run = false;
+    JobTrace m_trace;
 
     // Whether anything of the job has run or still may.
     bool has_started() const { return m_placed > 0 || m_has_run; }
@@ -110,7 +111,9 @@
   bool PlaceTask(JobHandle handle, Job& job, size_t index, MonoTime now);
   void PlaceWaiting(MonoTime now);
   std::vector<JobHandle> WaitingInOrder() const;
-  void EndJob(JobHandle handle, JobResult outcome);
+  void EndJob(JobHandle handle, JobResult outcome, MonoTime now);
+  JobTrace TraceOf(const Job& job, MonoTime now) const;
+  static void NotePlacement(Job& job, const std::string& agent, MonoTime now);
   void StopRuns(JobHandle handle);
   void SettleRun(const RunKey& run,
                  const Placement& placement,
--- a/tests/logging/log_test.cc
+++ b/tests/logging/log_test.cc
@@ -1,6 +1,8 @@
 #include "logging/log.h"
+#include "logging/event_limiter.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <rapidcheck/gtest.h>
 #include <cmath>
@@ -108,5 +110,41 @@
   RC_ASSERT(line["event"] == "e");
 }
 
+// A reader that stands still must not stop the process that logs.
+TEST(LogTest, AFullPipeLosesLinesInsteadOfBlocking) {
+  int pipe_ends[2] = {};
+  ASSERT_EQ(pipe(pipe_ends), 0);
+  const int saved = dup(STDERR_FILENO);
+  dup2(pipe_ends[1], STDERR_FILENO);
+  InitLogging("entry-1", LogLevel::kInfo);
+  const uint64_t dropped_before = DroppedLogLines();
+  // Each kind of event has its own limit; together they exceed the pipe.
+  const std::string filler(2000, 'x');
+  for (int i = 0; i < 100; ++i) {
+    LogEvent(LogLevel::kInfo, "test", "flood_" + std::to_string(i),
+             {{"filler", filler}});
+  }
+  dup2(saved, STDERR_FILENO);
+  close(saved);
+  close(pipe_ends[0]);
+  close(pipe_ends[1]);
+  EXPECT_GT(DroppedLogLines(), dropped_before);
+}
+
+// Logs must not grow with the load, and must say what is missing.
+TEST(EventLimiterTest, FrequentEventsAreLeftOutAndCounted) {
+  EventLimiter limiter;
+  const MonoTime start{std::chrono::hours(1)};
+  int admitted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    admitted += limiter.Admit("frequent", start) ? 1 : 0;
+  }
+  EXPECT_LT(admitted, 400);
+  EXPECT_EQ(limiter.suppressed(), 1000U - static_cast<uint64_t>(admitted));
+  EXPECT_EQ(limiter.Admit("rare", start), 0U);
+  EXPECT_EQ(limiter.Admit("frequent", start + Milliseconds(100)),
+            1000U - static_cast<uint64_t>(admitted));
+}
+
 }  // namespace
 }  // namespace comfreyshift
