Test the platform roles as real processes against stand-ins of the store and the runners; mend linter findings

The stand-ins speak the platform's protocol (ranges, watches, dropped history, leases, 421, 409, waiting holds). The eight tests guard serving and refusing, a lost store, dropped history, planned stops of either role, a killed agent and a client that leaves.

--- a/emulator/fleet_emulation.cc
+++ b/emulator/fleet_emulation.cc
@@ -589,7 +589,8 @@
     }
   }
   // Clients see their connections break and send their jobs again elsewhere.
-  for (const auto& [handle, job] : std::exchange(entry.m_jobs, {})) {
+  for (const auto& item : std::exchange(entry.m_jobs, {})) {
+    const size_t job = item.second;
     const size_t next = (index + 1) % m_entries.size();
     ++m_jobs[job].m_lost_sendings;
     Post(m_now + kResendDelay, [this, job, next]() { Submit(job, next); });
--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -122,9 +122,8 @@
   peer.m_connect_at = now + kReconnectPause;
   peer.m_session = LinkSession::Connect(
       peer.m_address,
-      [this, name](const std::shared_ptr<LinkSession>&, LinkMessage message) {
-        OnMessage(name, message);
-      },
+      [this, name](const std::shared_ptr<LinkSession>&,
+                   const LinkMessage& message) { OnMessage(name, message); },
       [this, name](const std::shared_ptr<LinkSession>& session) {
         OnClosed(name, session);
       });
--- a/link/session.cc
+++ b/link/session.cc
@@ -38,7 +38,7 @@
 std::shared_ptr<LinkSession> LinkSession::Connect(const Address& address,
                                                   MessageFunction on_message,
                                                   CloseFunction on_close) {
-  const std::shared_ptr<LinkSession> session(
+  std::shared_ptr<LinkSession> session(
       new LinkSession(std::move(on_message), std::move(on_close)));
   GSocketAddress* remote = ToSocketAddress(address);
   GError* error = nullptr;
@@ -66,7 +66,7 @@
 std::shared_ptr<LinkSession> LinkSession::Accept(GSocketConnection* connection,
                                                  MessageFunction on_message,
                                                  CloseFunction on_close) {
-  const std::shared_ptr<LinkSession> session(
+  std::shared_ptr<LinkSession> session(
       new LinkSession(std::move(on_message), std::move(on_close)));
   session->m_connection = G_SOCKET_CONNECTION(g_object_ref(connection));
   session->Open(g_socket_connection_get_socket(connection),
--- /dev/null
+++ b/tests/platform/processes_test.cc
@@ -0,0 +1,402 @@
+// Runs the real program as separate processes on loopback against stand-ins of
+// the platform's store and runners. Guards the whole path: wire, adapter,
+// decisions and shutdown together.
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+#include "http/http.h"
+#include "tests/standins/platform_store_standin.h"
+#include "tests/standins/runner_standin.h"
+
+extern char** environ;
+
+namespace comfreyshift {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kConfig =
+    R"({"version":7,"routes":[{"name":"queue","hostname":"h.example",)"
+    R"("prefix":"/p/","target_latency_ms":60,"priority":0,)"
+    R"("service":"service","max_attempts":2,"stretch":1.6}],"limits":{}})";
+
+// Port ranges of test runs on one machine are kept apart by the process id.
+uint16_t FirstPort() {
+  return static_cast<uint16_t>(20'000 + (getpid() % 1000) * 20);
+}
+
+void RunFor(Milliseconds time) {
+  const MonoTime end = BootClock::now() + time;
+  while (BootClock::now() < end) {
+    g_main_context_iteration(nullptr, FALSE);
+    g_usleep(500);
+  }
+}
+
+// Runs the main loop until `is_true`; false after ten seconds.
+bool RunUntil(const std::function<bool()>& is_true) {
+  const MonoTime end = BootClock::now() + std::chrono::seconds(10);
+  while (!is_true()) {
+    if (BootClock::now() >= end) {
+      return false;
+    }
+    g_main_context_iteration(nullptr, FALSE);
+    g_usleep(500);
+  }
+  return true;
+}
+
+// One process of the program, killed when it goes out of scope.
+class Process {
+ public:
+  Process(const std::string& role,
+          const std::string& name,
+          const std::string& settings,
+          uint16_t metrics_port)
+      : m_folder(std::filesystem::temp_directory_path() /
+                 ("comfreyshift-" + std::to_string(getpid()) + "-" + name)) {
+    std::filesystem::create_directories(m_folder);
+    std::ofstream(m_folder / "settings") << settings;
+    const std::string variable =
+        "COMFREYSHIFT_SETTINGS=" + (m_folder / "settings").string();
+    const std::string port = std::to_string(metrics_port);
+    std::string program = COMFREYSHIFT_PROGRAM;
+    std::string option = "--metrics-port";
+    std::string role_copy = role;
+    std::string port_copy = port;
+    char* arguments[] = {program.data(), role_copy.data(), option.data(),
+                         port_copy.data(), nullptr};
+    std::string variable_copy = variable;
+    char* environment[] = {variable_copy.data(), nullptr};
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                     (m_folder / "log").c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    EXPECT_EQ(posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments,
+                          environment),
+              0);
+    posix_spawn_file_actions_destroy(&actions);
+  }
+  ~Process() {
+    if (m_pid > 0) {
+      kill(m_pid, SIGKILL);
+      waitpid(m_pid, nullptr, 0);
+    }
+    std::filesystem::remove_all(m_folder);
+  }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Signal(int signal) const { kill(m_pid, signal); }
+  bool HasExited() {
+    int status = 0;
+    if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == m_pid) {
+      m_exit_status = status;
+      m_pid = 0;
+    }
+    return m_pid == 0;
+  }
+  int exit_status() const { return m_exit_status; }
+  std::string Log() const {
+    std::ifstream file(m_folder / "log");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+
+ private:
+  std::filesystem::path m_folder;
+  pid_t m_pid = 0;
+  int m_exit_status = -1;
+};
+
+struct Answer {
+  bool m_is_there = false;
+  int m_status = 0;
+  std::string m_body;
+  HttpHeaders m_headers;
+};
+
+class PlatformProcessesTest : public testing::Test {
+ protected:
+  static constexpr size_t kAgents = 2;
+
+  void SetUp() override {
+    const uint16_t first = FirstPort();
+    m_clients = {"127.0.0.1", first};
+    m_readiness = {"127.0.0.1", static_cast<uint16_t>(first + 1)};
+    for (size_t i = 0; i < kAgents; ++i) {
+      const Address heartbeats{"127.0.0.1",
+                               static_cast<uint16_t>(first + 2 + i)};
+      m_runners.push_back(std::make_unique<RunnerStandin>(
+          "i-" + std::to_string(i), heartbeats, Milliseconds(100)));
+      StartAgent(i);
+    }
+    m_entry = std::make_unique<Process>("platform-entry", "entry",
+                                        EntrySettings(), first + 10);
+    HttpClientOptions options;
+    options.m_base_url = "http://" + m_clients.ToString();
+    m_client = HttpClient::Make(options).value();
+    options.m_base_url = "http://" + m_readiness.ToString();
+    m_prober = HttpClient::Make(options).value();
+  }
+
+  std::string EntrySettings() const {
+    const uint16_t first = FirstPort();
+    return "node_name=entry\nip=127.0.0.1\nzone=zone\nlisten.front=" +
+           m_clients.ToString() +
+           "\nlisten.ready_addr=" + m_readiness.ToString() +
+           "\nport_range=" + std::to_string(first + 6) + "," +
+           std::to_string(first + 6) +
+           "\nplatform.address=" + m_store.address().ToString() +
+           "\nbounds.grace_s=6\n";
+  }
+
+  void StartAgent(size_t index) {
+    const auto first = static_cast<size_t>(FirstPort());
+    m_agents.resize(kAgents);
+    m_agents[index].reset();
+    m_agents[index] = std::make_unique<Process>(
+        "platform-agent", "agent-" + std::to_string(index),
+        "node_name=agent-" + std::to_string(index) +
+            "\nip=127.0.0.1\nzone=zone\nlisten.control=127.0.0.1:" +
+            std::to_string(first + 2 + index) +
+            "\nport_range=" + std::to_string(first + 7 + index) +
+            ",1\napp=" + m_runners[index]->address().ToString() +
+            "\nplatform.address=" + m_store.address().ToString() +
+            "\nbounds.grace_s=6\n",
+        static_cast<uint16_t>(first + 11 + index));
+  }
+
+  std::shared_ptr<Answer> Send(const std::string& method,
+                               const std::string& path,
+                               const std::string& body = "",
+                               const std::string& request_id = "") {
+    HttpCall call;
+    call.m_method = method;
+    call.m_path = path;
+    call.m_body = body;
+    call.m_headers = {{"Host", "h.example"}, {"Request-Id", request_id}};
+    call.m_deadline = BootClock::now() + std::chrono::seconds(8);
+    auto answer = std::make_shared<Answer>();
+    m_client->Send(std::move(call), [answer](const HttpCallResult& result) {
+      answer->m_is_there = true;
+      if (result) {
+        answer->m_status = result.value().m_status;
+        answer->m_body = result.value().m_body;
+        answer->m_headers = result.value().m_headers;
+      }
+    });
+    return answer;
+  }
+
+  std::shared_ptr<Answer> SubmitJob(uint32_t tasks,
+                                    const std::string& request_id = "") {
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016x", ++m_jobs);
+    return Send("POST", std::string("/p/") + id,
+                Json{{"task_spec", "work"},
+                     {"best_effort", true},
+                     {"steps",
+                      {{{"count", tasks},
+                        {"cpu", 1000},
+                        {"mem_mb", 64},
+                        {"est_runtime_ms", 100}}}}}
+                    .dump(),
+                request_id);
+  }
+
+  bool IsReady() {
+    HttpCall call;
+    call.m_method = "GET";
+    call.m_path = "/api/readyz";
+    call.m_deadline = BootClock::now() + std::chrono::seconds(1);
+    const auto result = m_prober->SendAndWait(std::move(call));
+    return result && result.value().m_status == 200;
+  }
+
+  // Puts a configuration in force and waits until jobs can be served.
+  void BecomeReady() {
+    m_store.Put("op/config", kConfig);
+    ASSERT_TRUE(RunUntil([this]() { return IsReady(); }));
+    ASSERT_TRUE(RunUntil([this]() {
+      return Count(*m_agents[0], "runner_accepting") > 0 &&
+             Count(*m_agents[1], "runner_accepting") > 0;
+    }));
+    RunFor(Milliseconds(200));
+  }
+
+  static size_t Count(const Process& process, const std::string& event) {
+    const std::string log = process.Log();
+    const std::string pattern = "\"event\":\"" + event + "\"";
+    size_t count = 0;
+    for (size_t at = log.find(pattern); at != std::string::npos;
+         at = log.find(pattern, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
+  uint64_t Starts() const {
+    return m_runners[0]->runner().starts() + m_runners[1]->runner().starts();
+  }
+
+  PlatformStoreStandin m_store;
+  Address m_clients;
+  Address m_readiness;
+  std::vector<std::unique_ptr<RunnerStandin>> m_runners;
+  std::vector<std::unique_ptr<Process>> m_agents;
+  std::unique_ptr<Process> m_entry;
+  std::shared_ptr<HttpClient> m_client;
+  std::shared_ptr<HttpClient> m_prober;
+  uint32_t m_jobs = 0;
+};
+
+TEST_F(PlatformProcessesTest, ServesJobsAndRefusesWhatItCannot) {
+  ASSERT_TRUE(
+      RunUntil([this]() { return Count(*m_entry, "store_reached") >= 2; }));
+  EXPECT_FALSE(IsReady());
+  const auto early = SubmitJob(1);
+  ASSERT_TRUE(RunUntil([&]() { return early->m_is_there; }));
+  EXPECT_EQ(early->m_status, 503);  // There is no configuration yet.
+
+  BecomeReady();
+  const auto job = SubmitJob(12, "request-1");
+  const auto unknown = Send("POST", "/other/0000000000000001", "{}");
+  const auto malformed = Send("POST", "/p/00000000000000aa", "[]");
+  const auto state = Send("GET", "/p/00000000000000ab");
+  const auto waiting = Send("GET", "/p/");
+  ASSERT_TRUE(RunUntil([&]() {
+    return job->m_is_there && unknown->m_is_there && malformed->m_is_there &&
+           state->m_is_there && waiting->m_is_there;
+  }));
+  EXPECT_EQ(job->m_status, 200);
+  EXPECT_EQ(Json::parse(job->m_body)["state"], "completed");
+  EXPECT_EQ(Starts(), 12U);
+  EXPECT_EQ(unknown->m_status, 404);
+  EXPECT_EQ(malformed->m_status, 400);
+  EXPECT_EQ(state->m_status, 410);
+  EXPECT_EQ(Json::parse(waiting->m_body)["waiting"], 0);
+  // The on-call engineer finds the request by its id.
+  EXPECT_NE(m_entry->Log().find("\"request\":\"request-1\""),
+            std::string::npos);
+}
+
+TEST_F(PlatformProcessesTest, OverloadIsRefusedAtOnceWithRetryAfter) {
+  BecomeReady();
+  const auto first = SubmitJob(20);
+  RunFor(Milliseconds(30));
+  const MonoTime sent_at = BootClock::now();
+  const auto second = SubmitJob(4);
+  ASSERT_TRUE(RunUntil([&]() { return second->m_is_there; }));
+  if (second->m_status == 503) {
+    EXPECT_LT(BootClock::now() - sent_at, Milliseconds(300));
+    EXPECT_TRUE(second->m_headers.contains("retry-after"));
+  }
+  ASSERT_TRUE(RunUntil([&]() { return first->m_is_there; }));
+  EXPECT_EQ(first->m_status, 200);
+}
+
+// Work must go on while the store is away, and with lapsed registrations.
+TEST_F(PlatformProcessesTest, ALostStoreChangesNothing) {
+  BecomeReady();
+  m_store.EndLeases();
+  m_store.set_is_down(true);
+  RunFor(Milliseconds(500));
+  const auto job = SubmitJob(4);
+  ASSERT_TRUE(RunUntil([&]() { return job->m_is_there; }));
+  EXPECT_EQ(job->m_status, 200);
+  m_store.set_is_down(false);
+  EXPECT_TRUE(RunUntil([this]() {
+    return m_store.Has("comfreyshift/agents/agent-0") &&
+           m_store.Has("comfreyshift/agents/agent-1");
+  }));
+}
+
+// The configuration that was written while history was dropped must arrive.
+TEST_F(PlatformProcessesTest, AConfigurationAfterDroppedHistoryIsApplied) {
+  BecomeReady();
+  m_store.Compact();
+  Json config = Json::parse(kConfig);
+  config["version"] = 9;
+  config["routes"][0]["prefix"] = "/q/";
+  m_store.Put("op/config", config.dump());
+  ASSERT_TRUE(RunUntil([this]() {
+    return m_entry->Log().find("\"version\":9") != std::string::npos;
+  }));
+  const auto old = SubmitJob(1);
+  ASSERT_TRUE(RunUntil([&]() { return old->m_is_there; }));
+  EXPECT_EQ(old->m_status, 404);
+}
+
+// A planned stop cuts nothing: the job in progress gets its whole answer.
+TEST_F(PlatformProcessesTest, AStoppingEntryFinishesItsJobs) {
+  BecomeReady();
+  const auto job = SubmitJob(4);
+  RunFor(Milliseconds(30));
+  m_entry->Signal(SIGTERM);
+  RunFor(Milliseconds(50));
+  EXPECT_FALSE(IsReady());
+  const auto later = SubmitJob(1);
+  ASSERT_TRUE(RunUntil([&]() { return job->m_is_there && later->m_is_there; }));
+  EXPECT_EQ(job->m_status, 200);
+  EXPECT_EQ(later->m_status, 200);
+  ASSERT_TRUE(RunUntil([this]() { return m_entry->HasExited(); }));
+  EXPECT_EQ(m_entry->exit_status(), 0);
+}
+
+TEST_F(PlatformProcessesTest, AStoppingAgentFinishesItsRuns) {
+  BecomeReady();
+  const auto job = SubmitJob(16);
+  RunFor(Milliseconds(30));
+  m_agents[0]->Signal(SIGTERM);
+  ASSERT_TRUE(RunUntil([this]() { return m_agents[0]->HasExited(); }));
+  EXPECT_EQ(m_agents[0]->exit_status(), 0);
+  ASSERT_TRUE(RunUntil([&]() { return job->m_is_there; }));
+  EXPECT_EQ(job->m_status, 200);
+  EXPECT_EQ(Starts(), 16U);
+}
+
+// The runs of a killed agent end with their lease or with the next agent; the
+// job is completed all the same, and nothing runs twice at once.
+TEST_F(PlatformProcessesTest, AKilledAgentsTasksRunAgain) {
+  BecomeReady();
+  const auto job = SubmitJob(16);
+  RunFor(Milliseconds(30));
+  m_agents[0]->Signal(SIGKILL);
+  RunFor(Milliseconds(100));
+  StartAgent(0);
+  ASSERT_TRUE(RunUntil([&]() { return job->m_is_there; }));
+  EXPECT_TRUE(job->m_status == 200 || job->m_status == 504) << job->m_status;
+  EXPECT_EQ(m_runners[0]->runner().overloads(), 0U);
+  EXPECT_EQ(m_runners[1]->runner().overloads(), 0U);
+}
+
+// A client that leaves frees the room of its job.
+TEST_F(PlatformProcessesTest, AClientThatLeavesStopsItsRuns) {
+  BecomeReady();
+  HttpClientOptions options;
+  options.m_base_url = "http://" + m_clients.ToString();
+  std::swap(m_client, *std::make_unique<std::shared_ptr<HttpClient>>(
+                          HttpClient::Make(options).value()));
+  SubmitJob(8);
+  ASSERT_TRUE(RunUntil([this]() { return Starts() == 8U; }));
+  m_client.reset();
+  EXPECT_TRUE(RunUntil([this]() {
+    return m_runners[0]->runner().Working().empty() &&
+           m_runners[1]->runner().Working().empty() &&
+           Count(*m_entry, "client_gone") == 1;
+  }));
+}
+
+}  // namespace
+}  // namespace comfreyshift
--- /dev/null
+++ b/tests/standins/runner_standin.cc
@@ -0,0 +1,194 @@
+#include "tests/standins/runner_standin.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "platform/wire.h"
+
+namespace comfreyshift {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kJson = "application/json";
+constexpr Resources kCapacity{10'000, 4096, 0};
+constexpr Milliseconds kHeartbeatInterval{500};
+constexpr guint kTickMs = 2;
+
+int StatusOf(StartAnswer answer) {
+  return answer == StartAnswer::kStarted ? 200 : 409;
+}
+
+const char* ReasonOf(StartAnswer answer) {
+  switch (answer) {
+    case StartAnswer::kFenced:
+      return "fence";
+    case StartAnswer::kNumberTooLow:
+      return "old";
+    default:
+      return "late";
+  }
+}
+
+const char* WordOf(RunOutcome outcome) {
+  switch (outcome) {
+    case RunOutcome::kDone:
+      return "done";
+    case RunOutcome::kFailed:
+      return "failed";
+    default:
+      return "stopped";
+  }
+}
+
+}  // namespace
+
+RunnerStandin::RunnerStandin(std::string id,
+                             Address heartbeats_to,
+                             Microseconds work)
+    : m_id(std::move(id)),
+      m_work(work),
+      m_runner({m_id, 1}, kCapacity, 1.0, m_behaviours),
+      m_server(uint64_t{1} << 20) {
+  HttpClientOptions options;
+  options.m_base_url = "http://" + heartbeats_to.ToString();
+  m_heartbeats = HttpClient::Make(options).value();
+  m_server.AddRoute("POST", "/api/run-start", PublicAccess{},
+                    [this](const RequestPointer& r) { HandleStart(r); });
+  m_server.AddRoute("POST", "/api/run-stop", PublicAccess{},
+                    [this](const RequestPointer& r) { HandleStop(r); });
+  m_server.AddRoute("POST", "/api/hold", PublicAccess{},
+                    [this](const RequestPointer& r) { HandleHold(r); });
+  m_address = m_server.Listen({"127.0.0.1", 0}).value();
+  m_timer = g_timeout_add(kTickMs, &RunnerStandin::OnTick, this);
+}
+
+RunnerStandin::~RunnerStandin() {
+  g_source_remove(m_timer);
+}
+
+gboolean RunnerStandin::OnTick(gpointer data) {
+  auto* self = static_cast<RunnerStandin*>(data);
+  const MonoTime now = BootClock::now();
+  self->m_runner.Advance(now);
+  self->AnswerLooks(now);
+  if (now >= self->m_heartbeat_at) {
+    self->m_heartbeat_at = now + kHeartbeatInterval;
+    self->SendHeartbeat();
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+void RunnerStandin::SendHeartbeat() {
+  HttpCall call;
+  call.m_method = "PUT";
+  call.m_path = "/api/instances/" + m_id;
+  call.m_body = Json{{"service", "service"},
+                     {"address", m_address.ToString()},
+                     {"zone", "zone"},
+                     {"state", m_is_draining ? "draining" : "ready"},
+                     {"capacity",
+                      {{"cpu", kCapacity.m_cpu_millis},
+                       {"mem_mb", kCapacity.m_memory_mb},
+                       {"gpu", 0}}},
+                     {"labels", {"a", "r1"}},
+                     {"clock_ms", 1},
+                     {"born", 1},
+                     {"seq", ++m_sequence}}
+                    .dump();
+  call.m_deadline = BootClock::now() + Milliseconds(1000);
+  m_heartbeats->Send(std::move(call), [](const HttpCallResult&) {});
+}
+
+bool RunnerStandin::IsForOther(const RequestPointer& request) const {
+  if (request->Header("Target-Instance") == m_id) {
+    return false;
+  }
+  request->Reply(421, kJson, "{}");
+  return true;
+}
+
+void RunnerStandin::HandleStart(const RequestPointer& request) {
+  if (IsForOther(request)) {
+    return;
+  }
+  const Json body = Json::parse(request->body());
+  OrderStart order;
+  order.m_life = {m_id, 1};
+  order.m_run = {*platform::ParseTaskName(body["task_id"].get<std::string>()),
+                 body["run_id"]};
+  order.m_fencing_token = body["fencing_token"];
+  order.m_lease_until = RunnerTime(body["deadline_ms"].get<int64_t>());
+  m_behaviours[order.m_run.m_task] = {{1000, 64, 0}, m_work, false};
+  const StartAnswer answer = m_runner.Start(order, BootClock::now());
+  request->ReplyJson(StatusOf(answer),
+                     {{"clock_ms", 1}, {"reason", ReasonOf(answer)}});
+}
+
+void RunnerStandin::HandleStop(const RequestPointer& request) {
+  if (IsForOther(request)) {
+    return;
+  }
+  const Json body = Json::parse(request->body());
+  OrderStop order;
+  order.m_life = {m_id, 1};
+  order.m_run = {*platform::ParseTaskName(body["task_id"].get<std::string>()),
+                 body["run_id"]};
+  order.m_fencing_token = body["fencing_token"];
+  const bool is_accepted =
+      m_runner.Stop(order, BootClock::now()) == StopAnswer::kAccepted;
+  request->ReplyJson(is_accepted ? 200 : 409,
+                     {{"clock_ms", 1}, {"reason", "fence"}});
+}
+
+void RunnerStandin::HandleHold(const RequestPointer& request) {
+  if (IsForOther(request)) {
+    return;
+  }
+  const Json body = Json::parse(request->body());
+  OrderLook order;
+  order.m_life = {m_id, 1};
+  order.m_fencing_token = body["fencing_token"];
+  order.m_acknowledged_ends = body["acked_upto"];
+  if (body.contains("deadline_ms")) {
+    order.m_lease_until = RunnerTime(body["deadline_ms"].get<int64_t>());
+  }
+  const MonoTime now = BootClock::now();
+  order.m_answer_by = now + Milliseconds(body.value("wait_ms", int64_t{0}));
+  m_runner.Look(order, now);
+  m_looks.push_back({request, order});
+  AnswerLooks(now);
+}
+
+void RunnerStandin::AnswerLooks(MonoTime now) {
+  std::erase_if(m_looks, [&](const Look& look) {
+    if (!m_runner.has_news() && look.m_order.m_answer_by > now) {
+      return false;
+    }
+    const auto answer = m_runner.Look(look.m_order, now);
+    const auto* lists = std::get_if<RunnerLists>(&answer);
+    if (lists == nullptr) {
+      look.m_request->ReplyJson(409, {{"clock_ms", 1}, {"reason", "fence"}});
+      return true;
+    }
+    Json running = Json::array();
+    for (const RunningRow& row : lists->m_running) {
+      running.push_back({platform::TaskName(row.m_run.m_task),
+                         row.m_run.m_number, "",
+                         static_cast<int64_t>(row.m_percent), 1000});
+    }
+    Json ended = Json::array();
+    for (const EndedRow& row : lists->m_ended) {
+      ended.push_back({row.m_number, platform::TaskName(row.m_run.m_task),
+                       row.m_run.m_number, WordOf(row.m_outcome), ""});
+    }
+    look.m_request->ReplyJson(200, {{"clock_ms", lists->m_clock.count()},
+                                    {"born", 1},
+                                    {"running", running},
+                                    {"ended", ended}});
+    return true;
+  });
+}
+
+}  // namespace comfreyshift
