--- a/http/server.cc
+++ b/http/server.cc
@@ -23,6 +23,9 @@
 constexpr uint64_t kCutOffFactor = 2;
 constexpr uint64_t kCutOffBytes = 1 << 20;
 
+// Idle connections are looked for this many times within the timeout.
+constexpr int64_t kIdleChecks = 3;
+
 // Connections that may wait to be accepted; GLib's default of 10 refuses
 // bursts.
 constexpr int kBacklog = 1024;
@@ -138,21 +141,28 @@
   GSource* m_source;
   // The request in progress, or null.
   std::shared_ptr<HttpRequest> m_request;
+  // When it was accepted, or its last answer was written.
+  MonoTime m_idle_since = BootClock::now();
   bool m_is_gone = false;
 };
 
 }  // namespace
 
 struct HttpServer::Impl {
-  explicit Impl(uint64_t max_body_bytes)
-      : m_service(g_socket_service_new()), m_max_body_bytes(max_body_bytes) {
+  Impl(uint64_t max_body_bytes, Milliseconds idle_timeout)
+      : m_service(g_socket_service_new()),
+        m_max_body_bytes(max_body_bytes),
+        m_idle_timeout(idle_timeout) {
     g_socket_listener_set_backlog(G_SOCKET_LISTENER(m_service), kBacklog);
     g_signal_connect(m_service, "incoming", G_CALLBACK(&Impl::OnIncoming),
                      this);
+    m_idle_source =
+        g_timeout_add(static_cast<guint>(idle_timeout.count() / kIdleChecks),
+                      &Impl::OnIdleCheck, this);
   }
 
   ~Impl() {
-    for (const guint source : {m_done_source, m_reap_source}) {
+    for (const guint source : {m_done_source, m_reap_source, m_idle_source}) {
       if (source != 0) {
         g_source_remove(source);
       }
@@ -261,6 +271,20 @@
     return G_SOURCE_REMOVE;
   }
 
+  // Ends connections on which no request has begun for too long. Whoever holds
+  // many of them would otherwise use up the descriptors.
+  static gboolean OnIdleCheck(gpointer data) {
+    auto* self = static_cast<Impl*>(data);
+    const MonoTime now = BootClock::now();
+    for (auto& [socket, connection] : self->m_connections) {
+      if (connection->m_request == nullptr &&
+          now >= connection->m_idle_since + self->m_idle_timeout) {
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+      }
+    }
+    return G_SOURCE_CONTINUE;
+  }
+
   // Returns the connection of a message, or null.
   ServerConnection* ConnectionOf(SoupServerMessage* message) {
     const auto found = m_connections.find(SocketOf(message));
@@ -292,6 +316,7 @@
     g_signal_connect(message, "finished", G_CALLBACK(&Impl::OnFinished), self);
     if (length > 0 && static_cast<uint64_t>(length) > self->m_max_body_bytes) {
       self->DropBody(*request);
+      self->RefuseFromHead(*request);
     }
   }
 
@@ -349,6 +374,7 @@
     request->HandleDisconnect();
     if (ServerConnection* connection = self->ConnectionOf(message)) {
       connection->m_request = nullptr;
+      connection->m_idle_since = BootClock::now();
       if (connection->m_is_gone) {
         self->ReapLater();
       }
@@ -374,6 +400,28 @@
     soup_message_body_truncate(body);
   }
 
+  // libsoup answers only when the whole body is read, so this answer goes to
+  // the socket below it. On TLS connections the body is dropped as it comes.
+  void RefuseFromHead(HttpRequest& request) const {
+    GSocket* socket = SocketOf(request.m_message);
+    if (socket == nullptr || m_certificate != nullptr) {
+      return;
+    }
+    constexpr std::string_view kAnswer =
+        "HTTP/1.1 413 Payload Too Large\r\nContent-Type: application/json\r\n"
+        "Connection: close\r\nContent-Length: 36\r\n\r\n"
+        R"({"error":{"code":"body_too_large"}})"
+        "\n";
+    g_socket_send(socket, kAnswer.data(), kAnswer.size(), nullptr, nullptr);
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+  }
+
+  void ReplyTooLarge(HttpRequest& request) const {
+    request.ReplyError(SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "body_too_large",
+                       "the body may have at most " +
+                           std::to_string(m_max_body_bytes) + " bytes");
+  }
+
   void Dispatch(const std::shared_ptr<HttpRequest>& request) {
     if (m_is_stopping) {
       request->ReplyError(SOUP_STATUS_SERVICE_UNAVAILABLE, "stopping",
@@ -420,10 +468,7 @@
       return;
     }
     if (request->m_is_too_large) {
-      request->ReplyError(SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
-                          "body_too_large",
-                          "the body may have at most " +
-                              std::to_string(m_max_body_bytes) + " bytes");
+      ReplyTooLarge(*request);
       return;
     }
     request->m_client = std::move(*client);
@@ -442,6 +487,7 @@
   GSocketService* m_service;
   GTlsCertificate* m_certificate = nullptr;
   uint64_t m_max_body_bytes;
+  Milliseconds m_idle_timeout;
   std::vector<Route> m_routes;
   HttpHandler m_default_handler;
   // Declared before the connections, which count in them.
@@ -451,12 +497,13 @@
   std::function<void()> m_done;
   guint m_done_source = 0;
   guint m_reap_source = 0;
+  guint m_idle_source = 0;
   bool m_is_stopping = false;
   bool m_ends_connections = false;
 };
 
-HttpServer::HttpServer(uint64_t max_body_bytes)
-    : m_impl(std::make_unique<Impl>(max_body_bytes)) {}
+HttpServer::HttpServer(uint64_t max_body_bytes, Milliseconds idle_timeout)
+    : m_impl(std::make_unique<Impl>(max_body_bytes, idle_timeout)) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/http/server.h
+++ b/http/server.h
@@ -15,6 +15,9 @@
 
 namespace comfreyshift {
 
+// Idle connections hold descriptors that others need.
+inline constexpr Milliseconds kDefaultIdleTimeout{15'000};
+
 using HttpHandler = std::function<void(const std::shared_ptr<HttpRequest>&)>;
 
 // An HTTP/1.1 server with asynchronous handlers. It answers by itself: 404
@@ -22,8 +25,10 @@
 // and, after Stop, 503 `stopping`.
 class HttpServer {
  public:
-  // Larger bodies are answered with 413 and not kept.
-  explicit HttpServer(uint64_t max_body_bytes);
+  // Larger bodies are answered with 413 and not kept. Connections that carry no
+  // request for `idle_timeout` are closed.
+  explicit HttpServer(uint64_t max_body_bytes,
+                      Milliseconds idle_timeout = kDefaultIdleTimeout);
 
   // Breaks the connections of requests in progress; see Stop.
   ~HttpServer();
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -232,6 +232,28 @@
   EXPECT_NE(client.Read().find("413"), std::string::npos);
 }
 
+// The head of a request says that its body is too large; waiting for the body
+// would keep the client and the connection.
+TEST_F(HttpServerTest, RefusesAnAnnouncedBodyFromTheHead) {
+  RawClient client(m_address);
+  client.Write(
+      "POST /v1/echo HTTP/1.1\r\nHost: a\r\nContent-Length: "
+      "99999999999\r\n\r\n");
+  EXPECT_NE(client.Read().find("413"), std::string::npos);
+}
+
+// Connections without requests use up the descriptors.
+TEST_F(HttpServerTest, ClosesIdleConnections) {
+  HttpServer server(kMaxBody, 300ms);
+  const Address address = server.Listen({"127.0.0.1", 0}).value();
+  RawClient client(address);
+  ASSERT_TRUE(client.is_connected());
+  const MonoTime opened_at = BootClock::now();
+  EXPECT_EQ(client.Read(), "");
+  EXPECT_GE(BootClock::now(), opened_at + 250ms);
+  EXPECT_LT(BootClock::now(), opened_at + 1500ms);
+}
+
 // An endless body must not keep a connection forever.
 TEST_F(HttpServerTest, CutsOffEndlessBodies) {
   RawClient client(m_address);
