--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -112,6 +112,8 @@
   EntryState& state = m_entries[entry];
   state.m_is_connected = true;
   state.m_sequence = 0;
+  state.m_is_status_due = true;
+  state.m_next_status_at = now;
   state.m_claimed_until = now + kClaimTimeout;
   m_actions.push_back(SendToEntry{entry, Welcome{m_self}});
   m_is_status_due = true;
@@ -131,6 +133,7 @@
   if (found == m_entries.end() || claim.m_agent_clock > now) {
     return;
   }
+  found->second.m_status_interval = claim.m_status_interval;
   MonoTime& until = found->second.m_claimed_until;
   until = std::max(until, claim.m_agent_clock + kClaimTimeout);
 }
@@ -556,13 +559,7 @@
   m_actions.push_back(look);
 }
 
-void RunExecutor::SendStatus(MonoTime now) {
-  if (now < (m_is_status_due ? m_next_status_at : m_status_repeat_at)) {
-    return;
-  }
-  m_is_status_due = false;
-  m_next_status_at = now + kStatusPause;
-  m_status_repeat_at = now + kStatusRepeat;
+RunnerStatus RunExecutor::MakeStatus(MonoTime now) const {
   RunnerStatus status;
   status.m_agent_clock = now;
   status.m_is_accepting = is_accepting(now);
@@ -575,11 +572,28 @@
     status.m_capacity = m_runner->m_capacity;
     status.m_runner_born_ms = m_runner->m_life.m_born_ms;
   }
-  for (const auto& [entry, state] : m_entries) {
-    if (state.m_is_connected) {
-      status.m_sequence = state.m_sequence;
-      m_actions.push_back(SendToEntry{entry, status});
+  return status;
+}
+
+void RunExecutor::SendStatuses(MonoTime now) {
+  const bool has_changed = std::exchange(m_is_status_due, false);
+  std::optional<RunnerStatus> status;
+  for (auto& [id, entry] : m_entries) {
+    entry.m_is_status_due |= has_changed;
+    const MonoTime due = entry.m_is_status_due ? entry.m_next_status_at
+                                               : entry.m_status_repeat_at;
+    if (!entry.m_is_connected || now < due) {
+      continue;
+    }
+    if (!status) {
+      status = MakeStatus(now);
     }
+    status->m_sequence = entry.m_sequence;
+    entry.m_is_status_due = false;
+    entry.m_next_status_at =
+        now + std::max<Microseconds>(kStatusPause, entry.m_status_interval);
+    entry.m_status_repeat_at = now + kStatusRepeat;
+    m_actions.push_back(SendToEntry{id, *status});
   }
 }
 
@@ -590,12 +604,12 @@
   StartWaiting(now);
   SendStops(now);
   Look(now);
-  SendStatus(now);
+  SendStatuses(now);
   return std::exchange(m_actions, {});
 }
 
 MonoTime RunExecutor::NextDeadline(MonoTime now) const {
-  MonoTime next = m_is_status_due ? m_next_status_at : m_status_repeat_at;
+  MonoTime next = now + kStatusRepeat;
   if (m_runner && !m_is_looking) {
     const bool is_idle = m_is_listed && m_strays.empty() && m_runs.empty();
     const MonoTime idle_look = m_last_list_at + kUnreachableAfter / 2;
@@ -617,6 +631,10 @@
     if (state.m_claimed_until > now) {
       next = std::min(next, state.m_claimed_until);
     }
+    if (state.m_is_connected) {
+      next = std::min(next, state.m_is_status_due ? state.m_next_status_at
+                                                  : state.m_status_repeat_at);
+    }
   }
   if (m_health.retry_at() > now) {
     next = std::min(next, m_health.retry_at());
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -99,6 +99,11 @@
   struct EntryState {
     bool m_is_connected = false;
     uint64_t m_sequence = 0;
+    // Statuses to this entry are at least this far apart.
+    Microseconds m_status_interval{0};
+    bool m_is_status_due = true;
+    MonoTime m_next_status_at;
+    MonoTime m_status_repeat_at;
     // The entry's runs are stopped then.
     MonoTime m_claimed_until;
   };
@@ -130,7 +135,8 @@
   void SendStops(MonoTime now);
   void LapseUnreachable(MonoTime now);
   void Look(MonoTime now);
-  void SendStatus(MonoTime now);
+  void SendStatuses(MonoTime now);
+  RunnerStatus MakeStatus(MonoTime now) const;
   bool MustRenew() const;
   RunnerTime RunnerNow(MonoTime now) const;
 
@@ -162,9 +168,8 @@
   // Usual time from an order to its answer.
   Microseconds m_order_latency{0};
 
+  // The status has changed since statuses were last considered.
   bool m_is_status_due = false;
-  MonoTime m_next_status_at;
-  MonoTime m_status_repeat_at;
   std::vector<ExecutorAction> m_actions;
 };
 
--- a/link/codec.cc
+++ b/link/codec.cc
@@ -72,7 +72,9 @@
   }
 
   void operator()(const Claim& claim) {
-    m_wire.initClaim().setAgentClockUs(ToWire(claim.m_agent_clock));
+    auto wire = m_wire.initClaim();
+    wire.setAgentClockUs(ToWire(claim.m_agent_clock));
+    wire.setStatusIntervalUs(claim.m_status_interval.count());
   }
 
   void operator()(const StartRun& start) {
@@ -185,7 +187,8 @@
       return Welcome{{ToString(wire.getWelcome().getAgent()),
                       wire.getWelcome().getIncarnation()}};
     case link_wire::Message::CLAIM:
-      return Claim{FromWire(wire.getClaim().getAgentClockUs())};
+      return Claim{FromWire(wire.getClaim().getAgentClockUs()),
+                   Microseconds(wire.getClaim().getStatusIntervalUs())};
     case link_wire::Message::START_RUN:
       return ReadStartRun(wire.getStartRun(), now);
     case link_wire::Message::STOP_RUN:
--- a/link/link.capnp
+++ b/link/link.capnp
@@ -34,6 +34,7 @@
 
 struct Claim {
   agentClockUs @0 :Int64;
+  statusIntervalUs @1 :Int64;
 }
 
 struct Run {
--- a/link/link.capnp.h
+++ b/link/link.capnp.h
@@ -113,7 +113,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a1acd6811185348c, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a1acd6811185348c, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -668,6 +668,8 @@
 
   inline  ::int64_t getAgentClockUs() const;
 
+  inline  ::int64_t getStatusIntervalUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -699,6 +701,9 @@
   inline  ::int64_t getAgentClockUs();
   inline void setAgentClockUs( ::int64_t value);
 
+  inline  ::int64_t getStatusIntervalUs();
+  inline void setStatusIntervalUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2056,6 +2061,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Claim::Reader::getStatusIntervalUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Claim::Builder::getStatusIntervalUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setStatusIntervalUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Run::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/link/messages.h
+++ b/link/messages.h
@@ -26,6 +26,9 @@
 // was certainly alive, however long this message was under way.
 struct Claim {
   MonoTime m_agent_clock;
+  // The entry wants statuses at most this often; entries with many agents could
+  // not read them otherwise.
+  Microseconds m_status_interval{0};
 };
 
 // Entry to agent: start a run. Sending it again for the same run is harmless.
--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -35,6 +35,7 @@
 
 void AgentTable::ApplyStatus(AgentView& agent, const RunnerStatus& status) {
   agent.m_status = status;
+  agent.m_released = {};
   agent.m_agent_clock = std::max(agent.m_agent_clock, status.m_agent_clock);
   agent.m_unseen.erase(agent.m_unseen.begin(),
                        agent.m_unseen.upper_bound(status.m_sequence));
@@ -62,6 +63,7 @@
 
 Resources AgentTable::FreeRoom(const AgentView& agent) {
   Resources room = agent.m_status ? agent.m_status->m_free : Resources{};
+  room += agent.m_released;
   for (const auto& [sequence, demand] : agent.m_unseen) {
     room -= demand;
   }
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -26,6 +26,8 @@
   uint64_t m_sequence = 0;
   // Demand of StartRuns by their number, which no status accounts for yet.
   std::map<uint64_t, Resources> m_unseen;
+  // Demand of runs that have ended since the newest status.
+  Resources m_released;
 };
 
 // What a task asks of the runner it is placed on.
@@ -52,6 +54,11 @@
   // Takes over a status and forgets the demand it accounts for.
   void ApplyStatus(AgentView& agent, const RunnerStatus& status);
 
+  // A run of this entry has ended on the agent's runner.
+  static void Release(AgentView& agent, const Resources& demand) {
+    agent.m_released += demand;
+  }
+
   // Room that nothing has been sent to yet.
   static Resources FreeRoom(const AgentView& agent);
 
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -9,6 +9,8 @@
 
 // Claims go out this often, well below kClaimTimeout.
 constexpr Milliseconds kClaimInterval{100};
+// Statuses of all agents together come at most once in this time.
+constexpr Microseconds kStatusCost{700};
 // A gap between ticks that outlasts the claims: agents have stopped our runs.
 constexpr Milliseconds kFreezeGap = kClaimTimeout;
 // A job waits this part of its objective for its first task to start.
@@ -189,7 +191,11 @@
     return;
   }
   const Placement placement = found->second;
-  const AgentView& agent = m_agents[name];
+  AgentView& agent = m_agents[name];
+  // The newest status accounts for the run if it counted the run's start.
+  if (agent.m_unseen.erase(placement.m_sequence) == 0) {
+    AgentTable::Release(agent, placement.m_demand);
+  }
   if (report.m_outcome == RunOutcome::kDone && placement.m_job != 0) {
     const Job& job = m_jobs.at(placement.m_job);
     const Step& step =
@@ -292,8 +298,8 @@
   StartRun start = MakeStart(job, task, now);
   start.m_sequence = ++agent.m_sequence;
   agent.m_unseen[agent.m_sequence] = start.m_demand;
-  m_placements[task.m_run] = {*chosen, agent.m_incarnation, handle, index,
-                              agent.m_sequence};
+  m_placements[task.m_run] = {*chosen, agent.m_incarnation, handle,
+                              index,   agent.m_sequence,    start.m_demand};
   m_actions.push_back(SendToAgent{*chosen, std::move(start)});
   return true;
 }
@@ -413,9 +419,12 @@
     return;
   }
   m_next_claims_at = now + kClaimInterval;
+  const Microseconds interval =
+      kStatusCost * static_cast<int64_t>(m_agents.agents().size());
   for (const auto& [name, agent] : m_agents.agents()) {
     if (agent.m_is_connected) {
-      m_actions.push_back(SendToAgent{name, Claim{agent.m_agent_clock}});
+      m_actions.push_back(
+          SendToAgent{name, Claim{agent.m_agent_clock, interval}});
     }
   }
 }
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -102,6 +102,7 @@
     JobHandle m_job = 0;
     size_t m_task = 0;
     uint64_t m_sequence = 0;
+    Resources m_demand;
   };
 
   using JobTable = std::map<JobHandle, Job>;
