Try a failed task on another runner

Change: the agent of a task's last run that was not done is chosen only if no other can take the task. The test failed first.

--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -119,7 +119,9 @@
     // faster ones stay free for tasks that need them; otherwise the fastest.
     constexpr double kLateCost = 100.0;
     const double speed_cost = is_busy ? -factor : factor;
-    const double cost = is_late ? kLateCost + factor : speed_cost;
+    constexpr double kAvoidedCost = 50.0;
+    const double cost = (is_late ? kLateCost + factor : speed_cost) +
+                        (name == needs.m_avoided_agent ? kAvoidedCost : 0.0);
     if (!best || cost < best_cost) {
       best = name;
       best_cost = cost;
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -41,6 +41,9 @@
   MonoTime m_due_at;
   // Whether runners on which the task would miss the objective may be chosen.
   bool m_may_be_late = false;
+  // The agent of the task's last run that was not done; chosen only if no other
+  // can take the task. Empty for none.
+  std::string m_avoided_agent;
 };
 
 // The agents that an entry knows, and the choice between them.
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -229,6 +229,7 @@
     }
     return;
   }
+  task.m_failed_on = placement.m_agent;
   if (outcome == RunOutcome::kFailed &&
       ++task.m_failures >= job.m_queue.m_max_attempts) {
     EndJob(found->first, JobTasksFailed{}, now);
@@ -258,7 +259,8 @@
           step.m_data_rack,
           job.m_expected,
           job.m_due_at,
-          job.has_started() && now + job.m_expected > job.m_due_at};
+          job.has_started() && now + job.m_expected > job.m_due_at,
+          task.m_failed_on};
 }
 
 StartRun JobScheduler::MakeStart(const Job& job,
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -69,6 +69,8 @@
     TaskState m_state = TaskState::kWaiting;
     uint32_t m_failures = 0;
     RunKey m_run;
+    // Where its last run was not done; empty for none.
+    std::string m_failed_on;
   };
 
   struct Job {
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -192,6 +192,17 @@
   EXPECT_TRUE(IsAnswered<JobTasksFailed>(job));
 }
 
+// A runner that fails everything would use up the attempts of a task by itself.
+TEST_F(JobSchedulerTest, AFailedTaskIsTriedOnAnotherRunner) {
+  AddAgent("fast", 0.5);
+  AddAgent("usual", 1.0);
+  Submit(1);
+  ASSERT_EQ(m_starts[0].m_agent, "fast");
+  ReportRun(0, RunOutcome::kFailed);
+  ASSERT_EQ(m_starts.size(), 2U);
+  EXPECT_EQ(m_starts[1].m_agent, "usual");
+}
+
 // A task must not run twice at once, so a lost agent's tasks wait until its
 // runs have certainly ended.
 TEST_F(JobSchedulerTest, ALostAgentsTasksStartElsewhereOnlyAfterTheBound) {
