Survey the free room once a pass; settle lost agents only when one is suspect; cap the status interval

At 643 agents the status interval would have passed the silence limit. Ruled out: an index of agents by room, for now. Change: the largest free room of a service is taken once a pass, and tasks that need more are not compared; runs are checked only when an agent is disconnected, silent or restarted; the interval is at most 100 ms.

--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -42,6 +42,14 @@
   UpdateUsualSlowness();
 }
 
+void AgentTable::ForgetOrphans() {
+  for (auto& [name, agent] : m_agents) {
+    if (agent.m_status && agent.m_status->m_is_accepting) {
+      agent.m_has_orphans = false;
+    }
+  }
+}
+
 void AgentTable::UpdateUsualSlowness() {
   std::vector<double> all;
   for (const auto& [name, agent] : m_agents) {
@@ -84,22 +92,27 @@
          HasLabel(*agent.m_status, needs.m_required_label);
 }
 
-bool AgentTable::IsBusy(const PlacementNeeds& needs) const {
+RoomSurvey AgentTable::Survey(const std::string& service) const {
+  RoomSurvey survey;
   int64_t free = 0;
   int64_t capacity = 0;
   for (const auto& [name, agent] : m_agents) {
-    if (IsUsable(agent, needs)) {
-      free += FreeRoom(agent).m_cpu_millis;
+    if (IsAccepting(agent, service)) {
+      const int64_t room = FreeRoom(agent).m_cpu_millis;
+      survey.m_largest_free_cpu_millis =
+          std::max(survey.m_largest_free_cpu_millis, room);
+      free += room;
       capacity += agent.m_status->m_capacity.m_cpu_millis;
     }
   }
-  return static_cast<double>(free) <
-         kBusyFreeShare * static_cast<double>(capacity);
+  survey.m_is_busy = static_cast<double>(free) <
+                     kBusyFreeShare * static_cast<double>(capacity);
+  return survey;
 }
 
 std::optional<std::string> AgentTable::Choose(const PlacementNeeds& needs,
+                                              bool is_busy,
                                               MonoTime now) const {
-  const bool is_busy = IsBusy(needs);
   std::optional<std::string> best;
   double best_cost = 0.0;
   for (const auto& [name, agent] : m_agents) {
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -26,6 +26,8 @@
   uint64_t m_sequence = 0;
   // Demand of StartRuns by their number, which no status accounts for yet.
   std::map<uint64_t, Resources> m_unseen;
+  // Runs of an earlier incarnation may still have to be settled.
+  bool m_has_orphans = false;
   // Demand of runs that have ended since the newest status.
   Resources m_released;
 };
@@ -46,6 +48,14 @@
   std::string m_avoided_agent;
 };
 
+// The room on the runners of one service, taken once for many placements.
+struct RoomSurvey {
+  // No task that needs more than this fits anywhere.
+  int64_t m_largest_free_cpu_millis = 0;
+  // Whether little room is free.
+  bool m_is_busy = false;
+};
+
 // The agents that an entry knows, and the choice between them.
 class AgentTable {
  public:
@@ -54,6 +64,9 @@
   void Remove(const std::string& name) { m_agents.erase(name); }
   void SetClosedZones(const ClosedZones& zones) { m_closed_zones = zones; }
 
+  // Runs of earlier incarnations of agents that accept work are settled.
+  void ForgetOrphans();
+
   // Takes over a status and forgets the demand it accounts for.
   void ApplyStatus(AgentView& agent, const RunnerStatus& status);
 
@@ -68,9 +81,12 @@
   // Whether an agent takes work of a service, in a zone that is open.
   bool IsAccepting(const AgentView& agent, const std::string& service) const;
 
+  RoomSurvey Survey(const std::string& service) const;
+
   // Returns the agent on which a task is best started now, or nothing if all
-  // are full.
+  // are full. `is_busy` is that of a survey of the task's service.
   std::optional<std::string> Choose(const PlacementNeeds& needs,
+                                    bool is_busy,
                                     MonoTime now) const;
 
   // Run time on an agent's runner as a multiple of that on the usual runner,
@@ -85,8 +101,6 @@
 
  private:
   void UpdateUsualSlowness();
-  // Whether little room is free on the runners that a task may use.
-  bool IsBusy(const PlacementNeeds& needs) const;
   bool IsUsable(const AgentView& agent, const PlacementNeeds& needs) const;
 
   std::map<std::string, AgentView> m_agents;
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -11,6 +11,8 @@
 constexpr Milliseconds kClaimInterval{100};
 // Statuses of all agents together come at most once in this time.
 constexpr Microseconds kStatusCost{700};
+// A connection without statuses for 450 ms is taken for silent.
+constexpr Milliseconds kMaxStatusInterval{100};
 // A gap between ticks that outlasts the claims: agents have stopped our runs.
 constexpr Milliseconds kFreezeGap = kClaimTimeout;
 // A job waits this part of its objective for its first task to start.
@@ -131,6 +133,7 @@
                                     const ProcessId& agent,
                                     MonoTime now) {
   AgentView& view = m_agents[name];
+  view.m_has_orphans |= view.m_incarnation != agent.m_incarnation;
   view.m_is_connected = true;
   view.m_incarnation = agent.m_incarnation;
   view.m_last_received = now;
@@ -282,13 +285,17 @@
 bool JobScheduler::PlaceTask(JobHandle handle,
                              Job& job,
                              size_t index,
+                             const RoomSurvey& survey,
                              MonoTime now) {
   Task& task = job.m_tasks[index];
   const TaskKey key{job.m_request.m_id, task.m_step, task.m_index};
-  if (HasUnsettledRun(key)) {
+  const Step& step = job.m_request.m_steps[task.m_step];
+  if (step.m_demand.m_cpu_millis > survey.m_largest_free_cpu_millis ||
+      HasUnsettledRun(key)) {
     return false;
   }
-  const auto chosen = m_agents.Choose(NeedsOf(job, task, now), now);
+  const auto chosen =
+      m_agents.Choose(NeedsOf(job, task, now), survey.m_is_busy, now);
   if (!chosen) {
     return false;
   }
@@ -333,11 +340,18 @@
 }
 
 void JobScheduler::PlaceWaiting(MonoTime now) {
+  // Placements only take room, so a survey holds for the whole pass.
+  std::map<std::string, RoomSurvey> surveys;
   for (const JobHandle handle : WaitingInOrder()) {
     Job& job = m_jobs.at(handle);
+    const std::string& service = job.m_queue.m_service;
+    auto survey = surveys.find(service);
+    if (survey == surveys.end()) {
+      survey = surveys.emplace(service, m_agents.Survey(service)).first;
+    }
     for (size_t index = 0; index < job.m_tasks.size(); ++index) {
       if (job.m_tasks[index].m_state == TaskState::kWaiting &&
-          !PlaceTask(handle, job, index, now)) {
+          !PlaceTask(handle, job, index, survey->second, now)) {
         break;
       }
     }
@@ -345,6 +359,15 @@
 }
 
 void JobScheduler::SettleLostAgents(MonoTime now) {
+  const bool has_suspects =
+      std::ranges::any_of(m_agents.agents(), [&](const auto& item) {
+        const AgentView& agent = item.second;
+        return !agent.m_is_connected || agent.m_has_orphans ||
+               now >= agent.m_last_received + kLostAgentTimeout;
+      });
+  if (!has_suspects) {
+    return;
+  }
   std::vector<RunKey> settled;
   for (const auto& [run, placement] : m_placements) {
     const AgentView* agent = m_agents.Find(placement.m_agent);
@@ -364,6 +387,7 @@
     m_placements.erase(found);
     SettleRun(run, placement, RunOutcome::kStopped, now);
   }
+  m_agents.ForgetOrphans();
 }
 
 void JobScheduler::RefuseLate(MonoTime now) {
@@ -421,8 +445,9 @@
     return;
   }
   m_next_claims_at = now + kClaimInterval;
-  const Microseconds interval =
-      kStatusCost * static_cast<int64_t>(m_agents.agents().size());
+  const Microseconds interval = std::min<Microseconds>(
+      kMaxStatusInterval,
+      kStatusCost * static_cast<int64_t>(m_agents.agents().size()));
   for (const auto& [name, agent] : m_agents.agents()) {
     if (agent.m_is_connected) {
       m_actions.push_back(
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -111,7 +111,11 @@
 
   PlacementNeeds NeedsOf(const Job& job, const Task& task, MonoTime now) const;
   StartRun MakeStart(const Job& job, const Task& task, MonoTime now) const;
-  bool PlaceTask(JobHandle handle, Job& job, size_t index, MonoTime now);
+  bool PlaceTask(JobHandle handle,
+                 Job& job,
+                 size_t index,
+                 const RoomSurvey& survey,
+                 MonoTime now);
   void PlaceWaiting(MonoTime now);
   std::vector<JobHandle> WaitingInOrder() const;
   void EndJob(JobHandle handle, JobResult outcome, MonoTime now);
--- a/tests/standins/runner_standin.cc
+++ b/tests/standins/runner_standin.cc
@@ -45,7 +45,7 @@
 }  // namespace
 
 RunnerStandin::RunnerStandin(std::string id,
-                             Address heartbeats_to,
+                             const Address& heartbeats_to,
                              Microseconds work)
     : m_id(std::move(id)),
       m_work(work),
--- a/tests/standins/runner_standin.h
+++ b/tests/standins/runner_standin.h
@@ -17,7 +17,9 @@
 class RunnerStandin {
  public:
   // Every task takes `work`.
-  RunnerStandin(std::string id, Address heartbeats_to, Microseconds work);
+  RunnerStandin(std::string id,
+                const Address& heartbeats_to,
+                Microseconds work);
   ~RunnerStandin();
   RunnerStandin(const RunnerStandin&) = delete;
   RunnerStandin& operator=(const RunnerStandin&) = delete;
