--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -3,7 +3,7 @@
 if(TARGET platform_tests)
   # The process tests run the real program against stand-ins.
   target_sources(platform_tests PRIVATE
-      tests/standins/platform_store_standin.cc tests/standins/runner_standin.cc)
+      tests/standins/platform_store_standin.cc)
   target_include_directories(platform_tests PRIVATE ${CMAKE_SOURCE_DIR})
   target_compile_definitions(platform_tests PRIVATE COMFREYSHIFT_PROGRAM="$<TARGET_FILE:comfreyshift>")
   add_dependencies(platform_tests comfreyshift)
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -15,8 +15,8 @@
 #include <nlohmann/json.hpp>
 
 #include "http/http.h"
+#include "tests/platform/runner_standin.h"
 #include "tests/standins/platform_store_standin.h"
-#include "tests/standins/runner_standin.h"
 
 extern char** environ;
 
--- a/tests/standins/runner_standin.cc
+++ b/tests/platform/runner_standin.cc
@@ -1,4 +1,4 @@
-#include "tests/standins/runner_standin.h"
+#include "tests/platform/runner_standin.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/tests/standins/runner_standin.h
+++ b/tests/platform/runner_standin.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_STANDINS_RUNNER_STANDIN_H_
-#define TESTS_STANDINS_RUNNER_STANDIN_H_
+#ifndef TESTS_PLATFORM_RUNNER_STANDIN_H_
+#define TESTS_PLATFORM_RUNNER_STANDIN_H_
 
 #include <glib.h>
 
@@ -60,4 +60,4 @@
 
 }  // namespace comfreyshift
 
-#endif  // TESTS_STANDINS_RUNNER_STANDIN_H_
+#endif  // TESTS_PLATFORM_RUNNER_STANDIN_H_
