--- a/bench/load_replay.cc
+++ b/bench/load_replay.cc
@@ -1,6 +1,7 @@
 // Plays a load pattern against the decision code under a virtual clock and
 // prints what became of the jobs.
-// usage: load_replay [--rate FACTOR] [--seconds N] [--seed N] [--scenario NAME]
+// usage: load_replay [--fleet today|grown] [--rate FACTOR] [--seconds N]
+//                    [--seed N] [--scenario NAME]
 
 #include <cstdio>
 #include <cstdlib>
@@ -19,20 +20,9 @@
   int64_t m_seconds = 20;
   uint64_t m_seed = 1;
   std::string m_scenario = "calm";
+  bool m_is_grown = false;
 };
 
-// Eleven runners of three speeds, a third of them half again as large.
-FleetOptions TodaysFleet(uint64_t seed) {
-  FleetOptions fleet;
-  fleet.m_seed = seed;
-  constexpr double kSlowness[] = {1.0, 1.0 / 1.6, 1.0 / 0.6};
-  for (size_t i = 0; i < 11; ++i) {
-    fleet.m_runner_cpus.push_back(i % 3 == 2 ? 96 : 64);
-    fleet.m_runner_slowness.push_back(kSlowness[(i / 3) % 3]);
-  }
-  return fleet;
-}
-
 using Scenario = std::function<void(FleetEmulation&, LoadPattern&)>;
 
 void Print(const FleetEmulation& fleet, const std::string& kind) {
@@ -103,10 +93,14 @@
 }
 
 int Replay(const ReplayOptions& options) {
-  LoadPattern pattern = TodaysLoad(options.m_rate);
+  // The grown deployment has six times the runners and the load.
+  const double size = options.m_is_grown ? 6.0 : 1.0;
+  LoadPattern pattern = TodaysLoad(size * options.m_rate);
   pattern.m_length = std::chrono::seconds(options.m_seconds);
   ShapeLoad(options.m_scenario, pattern);
-  FleetEmulation fleet(TodaysFleet(options.m_seed), pattern);
+  FleetEmulation fleet(options.m_is_grown ? GrownFleet(options.m_seed)
+                                          : TodaysFleet(options.m_seed),
+                       pattern);
   const bool is_known =
       AddFaults(options.m_scenario, pattern.m_length / 3, fleet);
   if (!is_known) {
@@ -155,6 +149,8 @@
       options.m_seconds = std::strtoll(argv[i + 1], nullptr, 10);
     } else if (name == "--seed") {
       options.m_seed = std::strtoull(argv[i + 1], nullptr, 10);
+    } else if (name == "--fleet") {
+      options.m_is_grown = std::strcmp(argv[i + 1], "grown") == 0;
     } else if (name == "--scenario") {
       options.m_scenario = argv[i + 1];
     }
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -5,6 +5,7 @@
 // process under a virtual clock, for replays of load and for tests of failures.
 // The decision code is the one that runs in production.
 
+#include "emulator/deployments.h"
 #include "emulator/fleet_emulation.h"
 #include "emulator/load.h"
 #include "emulator/runner_emulation.h"
--- a/emulator/fleet_emulation.cc
+++ b/emulator/fleet_emulation.cc
@@ -11,7 +11,6 @@
 constexpr Milliseconds kHeartbeatInterval{1500};
 constexpr Milliseconds kReconnectPause{100};
 constexpr Milliseconds kRestartDelay{300};
-constexpr Milliseconds kSilenceLimit{450};
 constexpr Milliseconds kResendDelay{1300};
 // Late orders are carried out after this time at least, and twice that at most.
 constexpr Microseconds kMinLateDelay{2'000'000};
@@ -177,7 +176,7 @@
   const auto age = std::chrono::duration_cast<Milliseconds>(m_now - m_start);
   const uint64_t wall = kFirstRunNumber + static_cast<uint64_t>(age.count());
   entry.m_id = {"entry-" + std::to_string(index), wall};
-  entry.m_scheduler = std::make_unique<JobScheduler>(wall, m_now);
+  entry.m_scheduler = std::make_unique<JobScheduler>(wall, index + 1, m_now);
   entry.m_scheduler->OnClosedZones(m_closed_zones);
   entry.m_heard.clear();
   for (size_t agent = 0; agent < m_agents.size(); ++agent) {
@@ -210,7 +209,9 @@
                      !IsCut(entry_index, agent_index) &&
                      agent.m_frozen_until <= m_now;
   const bool is_connected = entry.m_heard.contains(agent_index);
-  if (is_connected && m_now >= entry.m_heard[agent_index] + kSilenceLimit) {
+  if (is_connected &&
+      m_now >= entry.m_scheduler->SilentAt(AgentName(agent_index),
+                                           entry.m_heard[agent_index])) {
     entry.m_heard.erase(agent_index);
     entry.m_scheduler->OnAgentDisconnected(AgentName(agent_index), m_now);
   } else if (!is_connected && is_up && entry.m_frozen_until <= m_now) {
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -29,8 +29,6 @@
 // which also tells entries that this agent lives.
 constexpr Milliseconds kStatusPause{2};
 constexpr Milliseconds kStatusRepeat{150};
-// Reports are kept this long for entries that connect again.
-constexpr Milliseconds kReportMemory{5000};
 // A runner that has seen a higher token than ours saw it from an earlier life
 // of this agent, whose clock ran ahead by less than this.
 constexpr uint64_t kTokenStep = 60'000;
@@ -133,6 +131,11 @@
   if (found == m_entries.end() || claim.m_agent_clock > now) {
     return;
   }
+  if (claim.m_status_interval < found->second.m_status_interval) {
+    found->second.m_is_status_due = true;
+    found->second.m_next_status_at =
+        std::min(found->second.m_next_status_at, now);
+  }
   found->second.m_status_interval = claim.m_status_interval;
   MonoTime& until = found->second.m_claimed_until;
   until = std::max(until, claim.m_agent_clock + kClaimTimeout);
@@ -147,9 +150,8 @@
   }
   known_entry->second.m_sequence = start.m_sequence;
   m_is_status_due = true;
-  const auto ended = m_ended_runs.find(start.m_run);
-  if (ended != m_ended_runs.end()) {
-    m_actions.push_back(SendToEntry{entry, ended->second.m_report});
+  if (const RunReport* ended = m_reports.Find(start.m_run)) {
+    m_actions.push_back(SendToEntry{entry, *ended});
     return;
   }
   const auto [found, is_new] = m_runs.try_emplace(start.m_run);
@@ -186,13 +188,12 @@
   }
   // A stop may overtake nothing on its connection, so the run has ended, or
   // its StartRun was lost with an earlier connection.
-  const auto ended = m_ended_runs.find(stop.m_run);
-  const RunReport report = ended != m_ended_runs.end()
-                               ? ended->second.m_report
-                               : RunReport{stop.m_run, RunOutcome::kNotStarted,
-                                           false, Microseconds(0)};
-  m_ended_runs[stop.m_run] = {report, now + kReportMemory};
-  m_actions.push_back(SendToEntry{entry, report});
+  const RunReport* ended = m_reports.Find(stop.m_run);
+  if (ended == nullptr) {
+    ended = &m_reports.Remember(
+        {stop.m_run, RunOutcome::kNotStarted, false, Microseconds(0)}, now);
+  }
+  m_actions.push_back(SendToEntry{entry, *ended});
 }
 
 void RunExecutor::RequestStop(const RunKey&, Run& run, MonoTime now) {
@@ -372,7 +373,7 @@
       run.m_state != RunState::kWaiting && outcome != RunOutcome::kNotStarted;
   const RunReport report{key, outcome, has_run,
                          has_run ? now - run.m_started_at : Microseconds(0)};
-  m_ended_runs[key] = {report, now + kReportMemory};
+  m_reports.Remember(report, now);
   m_actions.push_back(SendToEntry{run.m_entry, report});
 }
 
@@ -435,9 +436,6 @@
     }
     found = next;
   }
-  std::erase_if(m_ended_runs, [&](const auto& item) {
-    return item.second.m_forget_at <= now;
-  });
 }
 
 bool RunExecutor::HasOtherRun(RunTable::const_iterator found) const {
@@ -513,7 +511,8 @@
 
 // The runner has not answered for so long that all leases have run out: what
 // it ran has ended, although nobody can see it. A run keeps its room until a
-// stop is acknowledged, because its order may still be carried out.
+// stop is acknowledged, because its order may still be carried out; what comes
+// later carries a higher token, so that the runner then rejects that order.
 void RunExecutor::LapseUnreachable(MonoTime now) {
   const auto lapsed_at =
       m_lease_ends_at + std::chrono::duration_cast<Microseconds>(
@@ -522,12 +521,15 @@
       now < lapsed_at) {
     return;
   }
+  bool has_given_up = false;
   for (auto& [key, run] : m_runs) {
     if (HoldsRoom(run)) {
+      has_given_up |= !run.m_is_reported;
       RequestStop(key, run, now);
       Report(key, run, RunOutcome::kStopped, now);
     }
   }
+  m_token += has_given_up ? 1 : 0;
 }
 
 bool RunExecutor::MustRenew() const {
@@ -592,7 +594,8 @@
     entry.m_is_status_due = false;
     entry.m_next_status_at =
         now + std::max<Microseconds>(kStatusPause, entry.m_status_interval);
-    entry.m_status_repeat_at = now + kStatusRepeat;
+    entry.m_status_repeat_at =
+        now + std::max<Microseconds>(kStatusRepeat, entry.m_status_interval);
     m_actions.push_back(SendToEntry{id, *status});
   }
 }
@@ -601,6 +604,7 @@
   StopUnclaimed(now);
   LapseUnreachable(now);
   StopExpired(now);
+  m_reports.Forget(now);
   StartWaiting(now);
   SendStops(now);
   Look(now);
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -10,6 +10,7 @@
 
 #include "core/core.h"
 #include "executor/actions.h"
+#include "executor/report_memory.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
 #include "jobs/jobs.h"
@@ -108,12 +109,6 @@
     MonoTime m_claimed_until;
   };
 
-  // A report that is kept for repeated StartRun messages.
-  struct EndedRun {
-    RunReport m_report;
-    MonoTime m_forget_at;
-  };
-
   using RunTable = std::map<RunKey, Run>;
 
   bool HoldsRoom(const Run& run) const;
@@ -145,7 +140,8 @@
   std::optional<RunnerReport> m_runner;
   RunnerHealth m_health;
   RunTable m_runs;
-  std::map<RunKey, EndedRun> m_ended_runs;
+  // For repeated StartRun messages.
+  ReportMemory m_reports;
   std::map<ProcessId, EntryState> m_entries;
   // Runs found on the runner that nobody claims; they are being stopped.
   std::map<RunKey, MonoTime> m_strays;
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -10,8 +10,9 @@
 
 namespace {
 
-// Entries send a claim every 100 ms.
-constexpr Milliseconds kSilenceLimit = kClaimTimeout;
+// Entries send a claim at least every second. What an entry has stopped
+// claiming is stopped earlier, whether its connection is open or not.
+constexpr Milliseconds kSilenceLimit{2500};
 
 }  // namespace
 
@@ -59,6 +60,7 @@
   for (const ExecutorAction& action : m_executor.Tick(now)) {
     Perform(action);
   }
+  LinkSession::FlushAll();
   NoteAccepting(now);
   return std::min(m_executor.NextDeadline(now), now + kSilenceLimit);
 }
@@ -164,12 +166,34 @@
     m_executor.OnStopRun(*entry, *stop, now);
   } else if (const auto* claim = std::get_if<Claim>(&message)) {
     m_executor.OnClaim(*entry, *claim, now);
+  } else if (const auto* read = std::get_if<RelayRead>(&message)) {
+    OnRelayRead(session, *read);
   } else {
     LogEvent(LogLevel::kWarning, "fleet", "unexpected_message",
              {{"entry", entry->m_name}});
   }
 }
 
+void AgentNode::OnRelayRead(const SessionPointer& session,
+                            const RelayRead& read) {
+  if (!m_store_read) {
+    session->Send(RelayAnswer{read.m_id, false, 0, ""});
+    return;
+  }
+  m_metrics.Count("relayed_reads_total");
+  m_store_read(read.m_request, read.m_give_up_at,
+               [session, id = read.m_id](std::optional<StoreAnswer> answer) {
+                 RelayAnswer relayed;
+                 relayed.m_id = id;
+                 if (answer) {
+                   relayed.m_is_answered = true;
+                   relayed.m_status = answer->m_status;
+                   relayed.m_body = std::move(answer->m_body);
+                 }
+                 session->Send(std::move(relayed));
+               });
+}
+
 void AgentNode::OnClosed(const SessionPointer& session) {
   const auto found = std::ranges::find_if(
       m_sessions, [&](const auto& item) { return item.second == session; });
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -5,11 +5,13 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include "core/core.h"
 #include "executor/executor.h"
 #include "fleet/node_metrics.h"
+#include "fleet/store_relay.h"
 #include "fleet/ticker.h"
 #include "link/link.h"
 
@@ -46,6 +48,9 @@
   void OnRunnerLeft(const std::string& runner_id);
   void Drain();
 
+  // Reads from the store for entries that ask for it.
+  void SetStoreRead(StoreReadFunction read) { m_store_read = std::move(read); }
+
   bool has_runs() const { return m_executor.has_runs(); }
   // Puts the present room and pace into the metrics.
   void UpdateMetrics();
@@ -58,6 +63,7 @@
   void OnAccepted(GSocketConnection* connection);
   void OnMessage(const SessionPointer& session, const LinkMessage& message);
   void OnHello(const SessionPointer& session, const Hello& hello);
+  void OnRelayRead(const SessionPointer& session, const RelayRead& read);
   void OnClosed(const SessionPointer& session);
   // Returns the entry at the other end, or null before its Hello.
   const ProcessId* EntryOf(const SessionPointer& session) const;
@@ -70,6 +76,7 @@
 
   RunExecutor m_executor;
   RunnerCalls m_calls;
+  StoreReadFunction m_store_read;
   NodeMetrics& m_metrics;
   std::unique_ptr<LinkListener> m_listener;
   bool m_was_accepting = false;
--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr Milliseconds kReconnectPause{100};
-// Agents send their status at least every 150 ms. A connection that stays
-// silent is replaced, because it may never break by itself.
-constexpr Milliseconds kSilenceLimit{450};
 
 template <class... Ts>
 struct Overloaded : Ts... {
@@ -27,7 +24,9 @@
 EntryNode::EntryNode(ProcessId self)
     : m_self(std::move(self)),
       m_scheduler(static_cast<uint64_t>(WallNow().time_since_epoch().count()),
+                  std::hash<std::string>()(m_self.m_name),
                   BootClock::now()),
+      m_random(std::hash<std::string>()(m_self.m_name)),
       m_ticker([this](MonoTime now) { return Tick(now); }) {}
 
 EntryNode::~EntryNode() {
@@ -78,6 +77,26 @@
   m_scheduler.Drain();
 }
 
+void EntryNode::ReadThroughAgent(const std::string& request,
+                                 MonoTime give_up_at,
+                                 StoreAnswerFunction on_answer) {
+  std::vector<decltype(m_peers)::const_pointer> connected;
+  for (const auto& peer : m_peers) {
+    const AgentView* agent = m_scheduler.FindAgent(peer.first);
+    if (agent != nullptr && agent->m_is_connected) {
+      connected.push_back(&peer);
+    }
+  }
+  if (connected.empty()) {
+    on_answer(std::nullopt);
+    return;
+  }
+  const auto& [name, peer] = *connected[m_random() % connected.size()];
+  peer.m_session->Send(
+      m_relay.Ask(name, request, give_up_at, std::move(on_answer)));
+  m_ticker.Wake();
+}
+
 size_t EntryNode::connected_agents() const {
   return static_cast<size_t>(std::ranges::count_if(
       m_scheduler.agents().agents(),
@@ -85,6 +104,7 @@
 }
 
 MonoTime EntryNode::Tick(MonoTime now) {
+  m_relay.Expire(now);
   std::erase_if(m_peers, [this](const auto& item) {
     const Peer& peer = item.second;
     const bool is_gone = !peer.m_is_listed && peer.m_session != nullptr &&
@@ -100,17 +120,22 @@
   for (const SchedulerAction& action : m_scheduler.Tick(now)) {
     Perform(action);
   }
-  return std::min(m_scheduler.NextDeadline(now), now + kReconnectPause);
+  LinkSession::FlushAll();
+  return std::min({m_scheduler.NextDeadline(now), m_relay.NextDeadline(),
+                   now + kReconnectPause});
 }
 
 void EntryNode::KeepConnected(const std::string& name,
                               Peer& peer,
                               MonoTime now) {
   const bool is_open = peer.m_session && peer.m_session->is_open();
-  if (is_open && now >= peer.m_session->last_received() + kSilenceLimit) {
+  // It may never break by itself.
+  if (is_open &&
+      now >= m_scheduler.SilentAt(name, peer.m_session->last_received())) {
     LogEvent(LogLevel::kInfo, "fleet", "agent_silent", {{"agent", name}});
     peer.m_session->Close();
     m_scheduler.OnAgentDisconnected(name, now);
+    m_relay.OnAgentLost(name);
   }
   const bool is_closed = !peer.m_session || !peer.m_session->is_open();
   if (is_closed && now >= peer.m_connect_at) {
@@ -145,6 +170,7 @@
                  [&](const RunReport& report) {
                    m_scheduler.OnReport(name, report, now);
                  },
+                 [&](const RelayAnswer& answer) { m_relay.OnAnswer(answer); },
                  [&](const auto&) {
                    LogEvent(LogLevel::kWarning, "fleet", "unexpected_message",
                             {{"agent", name}});
@@ -165,6 +191,7 @@
     LogEvent(LogLevel::kInfo, "fleet", "agent_disconnected", {{"agent", name}});
   }
   m_scheduler.OnAgentDisconnected(name, BootClock::now());
+  m_relay.OnAgentLost(name);
   m_ticker.Wake();
 }
 
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -4,9 +4,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "core/core.h"
+#include "fleet/store_relay.h"
 #include "fleet/ticker.h"
 #include "link/link.h"
 #include "scheduler/scheduler.h"
@@ -36,6 +38,12 @@
   void Cancel(JobHandle job);
   void Drain();
 
+  // Reads from the store through an agent drawn at random, for an entry that
+  // the store turns away. Answers with nothing if no agent is connected.
+  void ReadThroughAgent(const std::string& request,
+                        MonoTime give_up_at,
+                        StoreAnswerFunction on_answer);
+
   // Jobs of a queue of which nothing has started.
   size_t WaitingJobs(const std::string& queue) const {
     return m_scheduler.WaitingJobs(queue);
@@ -64,6 +72,8 @@
   JobScheduler m_scheduler;
   std::map<std::string, Peer> m_peers;
   std::map<JobHandle, AnswerFunction> m_answers;
+  StoreRelay m_relay;
+  std::minstd_rand m_random;
   Ticker m_ticker;
 };
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -8,6 +8,7 @@
 #include "fleet/entry_node.h"
 #include "fleet/node_metrics.h"
 #include "fleet/stop_signal.h"
+#include "fleet/store_relay.h"
 #include "fleet/ticker.h"
 
 #endif  // FLEET_FLEET_H_
--- a/fleet/ticker.cc
+++ b/fleet/ticker.cc
@@ -15,50 +15,44 @@
 
 Ticker::Ticker(std::function<MonoTime(MonoTime)> tick)
     : m_tick(std::move(tick)) {
+  static GSourceFuncs functions = {nullptr, nullptr, &Ticker::OnReady,
+                                   nullptr, nullptr, nullptr};
+  m_source = g_source_new(&functions, sizeof(GSource));
+  // Below the priority of sockets: all input of a turn is taken in first.
+  g_source_set_priority(m_source, G_PRIORITY_DEFAULT + 10);
+  g_source_set_callback(m_source, &Ticker::OnDue, this, nullptr);
+  g_source_attach(m_source, nullptr);
   Wake();
 }
 
 Ticker::~Ticker() {
-  for (const guint source : {m_wake_source, m_timer_source}) {
-    if (source != 0) {
-      g_source_remove(source);
-    }
-  }
+  g_source_destroy(m_source);
+  g_source_unref(m_source);
 }
 
 void Ticker::Wake() {
-  if (m_wake_source == 0) {
-    // Below the priority of sockets: all input of a turn is taken in first.
-    m_wake_source = g_idle_add_full(G_PRIORITY_DEFAULT + 10, &Ticker::OnWake,
-                                    this, nullptr);
-  }
+  g_source_set_ready_time(m_source, 0);
 }
 
-gboolean Ticker::OnWake(gpointer self) {
-  auto* ticker = static_cast<Ticker*>(self);
-  ticker->m_wake_source = 0;
-  ticker->Run();
-  return G_SOURCE_REMOVE;
+gboolean Ticker::OnReady(GSource*, GSourceFunc callback, gpointer data) {
+  return callback(data);
 }
 
-gboolean Ticker::OnTimer(gpointer self) {
-  auto* ticker = static_cast<Ticker*>(self);
-  ticker->m_timer_source = 0;
-  ticker->Run();
-  return G_SOURCE_REMOVE;
+gboolean Ticker::OnDue(gpointer self) {
+  static_cast<Ticker*>(self)->Run();
+  return G_SOURCE_CONTINUE;
 }
 
 void Ticker::Run() {
-  const MonoTime now = BootClock::now();
-  const MonoTime next = m_tick(now);
-  if (m_timer_source != 0) {
-    g_source_remove(std::exchange(m_timer_source, 0));
+  // A call of Wake during the tick must not be lost.
+  g_source_set_ready_time(m_source, -1);
+  const MonoTime next = m_tick(BootClock::now());
+  if (g_source_get_ready_time(m_source) == 0) {
+    return;
   }
   const auto delay =
-      std::clamp(std::chrono::ceil<Milliseconds>(next - BootClock::now()),
-                 kMinDelay, kMaxDelay);
-  m_timer_source =
-      g_timeout_add(static_cast<guint>(delay.count()), &Ticker::OnTimer, this);
+      std::clamp<Microseconds>(next - BootClock::now(), kMinDelay, kMaxDelay);
+  g_source_set_ready_time(m_source, g_get_monotonic_time() + delay.count());
 }
 
 }  // namespace comfreyshift
--- a/fleet/ticker.h
+++ b/fleet/ticker.h
@@ -23,13 +23,12 @@
   void Wake();
 
  private:
-  static gboolean OnWake(gpointer self);
-  static gboolean OnTimer(gpointer self);
+  static gboolean OnReady(GSource* source, GSourceFunc callback, gpointer);
+  static gboolean OnDue(gpointer self);
   void Run();
 
   std::function<MonoTime(MonoTime)> m_tick;
-  guint m_wake_source = 0;
-  guint m_timer_source = 0;
+  GSource* m_source;
 };
 
 }  // namespace comfreyshift
--- a/http/server.cc
+++ b/http/server.cc
@@ -1,18 +1,16 @@
 #include "http/server.h"
 
-#include <fcntl.h>
 #include <libsoup/soup.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 #include <map>
 #include <utility>
 #include <vector>
 
 #include "http/message_socket.h"
+#include "http/server_connection.h"
+#include "http/soup_server.h"
 
 namespace comfreyshift {
 
@@ -76,76 +74,6 @@
   return taken;
 }
 
-// libsoup 3.2 closes each connection after its answer when the server has no
-// listener of its own. Gives it one that never accepts: it is closed at once by
-// replacing its descriptor by one that never becomes ready. libsoup takes only
-// a socket that listens.
-void KeepConnectionsAlive(SoupServer* server) {
-  if (!soup_server_listen_local(server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY,
-                                nullptr)) {
-    return;
-  }
-  GSList* listeners = soup_server_get_listeners(server);
-  const int never_ready = eventfd(0, EFD_CLOEXEC);
-  dup3(never_ready, g_socket_get_fd(G_SOCKET(listeners->data)), O_CLOEXEC);
-  close(never_ready);
-  g_slist_free(listeners);
-}
-
-// libsoup 3.2 keeps a connection that its client closed while it was idle until
-// the server object is destroyed. Each server object therefore takes only this
-// many connections and is destroyed when the last of them is gone.
-constexpr size_t kConnectionsPerServer = 64;
-
-// One server object of libsoup and the number of its open connections.
-struct Generation {
-  explicit Generation(SoupServer* server) : m_server(server) {}
-  ~Generation() {
-    soup_server_disconnect(m_server);
-    g_object_unref(m_server);
-  }
-  Generation(const Generation&) = delete;
-  Generation& operator=(const Generation&) = delete;
-
-  SoupServer* m_server;
-  size_t m_accepted = 0;
-  size_t m_open = 0;
-};
-
-// One accepted connection. Its source fires when the client goes; libsoup does
-// not poll the socket while a request is paused.
-struct ServerConnection {
-  ServerConnection(GSocket* socket, Generation* generation)
-      : m_socket(G_SOCKET(g_object_ref(socket))),
-        m_generation(generation),
-        // POLLRDHUP reports the end of the client's side even behind unread
-        // data; GLib hands conditions to poll() as they are.
-        m_source(g_socket_create_source(
-            socket,
-            static_cast<GIOCondition>(POLLRDHUP | G_IO_HUP | G_IO_ERR),
-            nullptr)) {
-    ++m_generation->m_open;
-  }
-  ~ServerConnection() {
-    g_source_destroy(m_source);
-    g_source_unref(m_source);
-    g_socket_close(m_socket, nullptr);
-    g_object_unref(m_socket);
-    --m_generation->m_open;
-  }
-  ServerConnection(const ServerConnection&) = delete;
-  ServerConnection& operator=(const ServerConnection&) = delete;
-
-  GSocket* m_socket;
-  Generation* m_generation;
-  GSource* m_source;
-  // The request in progress, or null.
-  std::shared_ptr<HttpRequest> m_request;
-  // When it was accepted, or its last answer was written.
-  MonoTime m_idle_since = BootClock::now();
-  bool m_is_gone = false;
-};
-
 }  // namespace
 
 struct HttpServer::Impl {
@@ -188,22 +116,29 @@
     GSocket* socket = g_socket_connection_get_socket(connection);
     // Answers are written at once instead of waiting for more to send.
     g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-    GSocketAddress* local = g_socket_get_local_address(socket, nullptr);
-    GSocketAddress* remote = g_socket_get_remote_address(socket, nullptr);
     GIOStream* stream = self->Wrap(connection);
-    if (stream != nullptr && local != nullptr && remote != nullptr) {
-      AttachSocket(remote, socket);
-      Generation& generation = self->CurrentGeneration();
-      self->AddConnection(socket, generation);
-      soup_server_accept_iostream(generation.m_server, stream, local, remote,
-                                  nullptr);
+    if (stream != nullptr) {
+      self->m_connections[socket] = std::make_shared<ServerConnection>(
+          connection, stream,
+          [self](ServerConnection& ready) { self->Serve(ready); },
+          [self](ServerConnection& gone) { self->OnGone(gone); });
     }
     g_clear_object(&stream);
-    g_clear_object(&local);
-    g_clear_object(&remote);
     return TRUE;
   }
 
+  // Hands a connection to libsoup, which reads the next request.
+  void Serve(ServerConnection& connection) {
+    if (connection.local() == nullptr || connection.remote() == nullptr) {
+      connection.MarkGone();
+      return;
+    }
+    const std::shared_ptr<SoupServerHandle> server = CurrentServer();
+    connection.Begin(server);
+    server->Accept(connection.stream(), connection.local(),
+                   connection.remote());
+  }
+
   // Returns the stream to serve on a connection, which the caller unrefs.
   GIOStream* Wrap(GSocketConnection* connection) const {
     if (m_certificate == nullptr) {
@@ -213,42 +148,23 @@
                                        nullptr);
   }
 
-  // Returns the server object for the next connection.
-  Generation& CurrentGeneration() {
-    if (m_generations.empty() ||
-        m_generations.back()->m_accepted >= kConnectionsPerServer) {
-      SoupServer* server =
-          soup_server_new("server-header", "comfreyshift", nullptr);
-      KeepConnectionsAlive(server);
-      soup_server_add_early_handler(server, nullptr, &Impl::OnHeaders, this,
-                                    nullptr);
-      soup_server_add_handler(server, nullptr, &Impl::OnRequest, this, nullptr);
-      m_generations.push_back(std::make_unique<Generation>(server));
-    }
-    ++m_generations.back()->m_accepted;
-    return *m_generations.back();
-  }
-
-  void AddConnection(GSocket* socket, Generation& generation) {
-    auto connection = std::make_unique<ServerConnection>(socket, &generation);
-    g_source_set_callback(connection->m_source,
-                          G_SOURCE_FUNC(&Impl::OnConnectionEvent), this,
-                          nullptr);
-    g_source_attach(connection->m_source, g_main_context_get_thread_default());
-    m_connections[socket] = std::move(connection);
-  }
-
-  // Called when a client has gone, or libsoup has closed its connection.
-  static gboolean OnConnectionEvent(GSocket* socket, GIOCondition, Impl* self) {
-    const auto found = self->m_connections.find(socket);
-    if (found != self->m_connections.end()) {
-      found->second->m_is_gone = true;
-      self->ReapLater();
-      if (const auto request = found->second->m_request) {
-        request->HandleDisconnect();
-      }
+  // Returns the server object that accepts next.
+  const std::shared_ptr<SoupServerHandle>& CurrentServer() {
+    if (m_server == nullptr || m_server->is_used_up()) {
+      m_server = std::make_shared<SoupServerHandle>();
+      soup_server_add_early_handler(m_server->get(), nullptr, &Impl::OnHeaders,
+                                    this, nullptr);
+      soup_server_add_handler(m_server->get(), nullptr, &Impl::OnRequest, this,
+                              nullptr);
+    }
+    return m_server;
+  }
+
+  void OnGone(ServerConnection& connection) {
+    ReapLater();
+    if (const auto request = connection.request()) {
+      request->HandleDisconnect();
     }
-    return G_SOURCE_REMOVE;
   }
 
   // Closing inside a call of libsoup would pull the connection from under it.
@@ -261,12 +177,9 @@
   static gboolean OnReap(gpointer data) {
     auto* self = static_cast<Impl*>(data);
     self->m_reap_source = 0;
+    self->m_released_servers.clear();
     std::erase_if(self->m_connections, [](const auto& item) {
-      return item.second->m_is_gone && item.second->m_request == nullptr;
-    });
-    std::erase_if(self->m_generations, [](const auto& generation) {
-      return generation->m_open == 0 &&
-             generation->m_accepted >= kConnectionsPerServer;
+      return item.second->is_gone() && item.second->request() == nullptr;
     });
     return G_SOURCE_REMOVE;
   }
@@ -277,9 +190,12 @@
     auto* self = static_cast<Impl*>(data);
     const MonoTime now = BootClock::now();
     for (auto& [socket, connection] : self->m_connections) {
-      if (connection->m_request == nullptr &&
-          now >= connection->m_idle_since + self->m_idle_timeout) {
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+      const bool is_idle =
+          connection->request() == nullptr &&
+          now >= connection->idle_since() + self->m_idle_timeout;
+      // libsoup closes connections with malformed requests by itself.
+      if (is_idle || g_socket_is_closed(socket)) {
+        connection->MarkGone();
       }
     }
     return G_SOURCE_CONTINUE;
@@ -310,9 +226,11 @@
     const goffset length = soup_message_headers_get_content_length(headers);
     self->m_pending[message] = request;
     if (ServerConnection* connection = self->ConnectionOf(message)) {
-      connection->m_request = request;
+      connection->SetRequest(request);
     }
     g_signal_connect(message, "got-chunk", G_CALLBACK(&Impl::OnChunk), self);
+    g_signal_connect(message, "wrote-body", G_CALLBACK(&Impl::OnWroteBody),
+                     self);
     g_signal_connect(message, "finished", G_CALLBACK(&Impl::OnFinished), self);
     if (length > 0 && static_cast<uint64_t>(length) > self->m_max_body_bytes) {
       self->DropBody(*request);
@@ -354,33 +272,84 @@
       return;
     }
     const std::shared_ptr<HttpRequest> request = found->second;
-    request->m_closes_connection = self->m_ends_connections;
+    const ServerConnection* connection = self->ConnectionOf(message);
+    request->m_closes_connection =
+        self->m_ends_connections ||
+        (connection != nullptr && connection->is_used_up());
     self->Dispatch(request);
     if (!request->is_answered() && request->m_message != nullptr) {
       request->Pause();
     }
   }
 
-  // Called by libsoup when an answer is written or its connection is broken.
+  // Called by libsoup when an answer is written. Takes the connection back,
+  // unless it ends.
+  static void OnWroteBody(SoupServerMessage* message, Impl* self) {
+    ServerConnection* connection = self->ConnectionOf(message);
+    if (connection == nullptr || self->m_certificate != nullptr ||
+        connection->is_gone() || !KeepsAlive(message)) {
+      return;
+    }
+    self->EndRequest(message);
+    GIOStream* stream = soup_server_message_steal_connection(message);
+    if (stream == nullptr) {
+      return;
+    }
+    const bool has_input = HasInput(stream);
+    self->m_released_servers.push_back(
+        connection->Rest(has_input ? stream : nullptr));
+    self->ReapLater();
+    g_object_unref(stream);
+    if (has_input) {
+      self->ServeLater(connection->socket());
+    }
+  }
+
+  // Serves what a client has sent ahead of the last answer.
+  void ServeLater(GSocket* socket) {
+    const auto found = m_connections.find(socket);
+    if (found != m_connections.end()) {
+      SocketPoller::Default().CallAfterInput([this, weak = std::weak_ptr(
+                                                        found->second)]() {
+        const auto connection = weak.lock();
+        if (connection && !connection->is_serving() && !connection->is_gone()) {
+          Serve(*connection);
+        }
+      });
+    }
+  }
+
+  // Called by libsoup when an answer is written on a connection that it keeps
+  // or closes, or the connection is broken.
   static void OnFinished(SoupServerMessage* message, Impl* self) {
-    const auto found = self->m_pending.find(message);
-    if (found == self->m_pending.end()) {
+    ServerConnection* connection = self->ConnectionOf(message);
+    self->EndRequest(message);
+    if (connection == nullptr) {
+      return;
+    }
+    if (connection->is_gone()) {
+      self->ReapLater();
+    } else if (self->m_certificate == nullptr || !KeepsAlive(message)) {
+      connection->MarkGone();
+    }
+  }
+
+  // The answer to a message is written, or can't be.
+  void EndRequest(SoupServerMessage* message) {
+    const auto found = m_pending.find(message);
+    if (found == m_pending.end()) {
       return;
     }
     const std::shared_ptr<HttpRequest> request = found->second;
-    self->m_pending.erase(found);
-    g_signal_handlers_disconnect_by_data(message, self);
+    m_pending.erase(found);
+    g_signal_handlers_disconnect_by_data(message, this);
     request->m_is_paused = false;
     request->HandleDisconnect();
-    if (ServerConnection* connection = self->ConnectionOf(message)) {
-      connection->m_request = nullptr;
-      connection->m_idle_since = BootClock::now();
-      if (connection->m_is_gone) {
-        self->ReapLater();
-      }
+    if (ServerConnection* connection = ConnectionOf(message)) {
+      connection->EndRequest();
     }
     request->Close();
-    self->FinishStop();
+    FinishStop();
   }
 
   static gboolean OnDone(gpointer data) {
@@ -490,9 +459,10 @@
   Milliseconds m_idle_timeout;
   std::vector<Route> m_routes;
   HttpHandler m_default_handler;
-  // Declared before the connections, which count in them.
-  std::vector<std::unique_ptr<Generation>> m_generations;
-  std::map<GSocket*, std::unique_ptr<ServerConnection>> m_connections;
+  std::shared_ptr<SoupServerHandle> m_server;
+  // Dropped outside of libsoup's calls.
+  std::vector<std::shared_ptr<void>> m_released_servers;
+  std::map<GSocket*, std::shared_ptr<ServerConnection>> m_connections;
   std::map<SoupServerMessage*, std::shared_ptr<HttpRequest>> m_pending;
   std::function<void()> m_done;
   guint m_done_source = 0;
--- a/link/codec.cc
+++ b/link/codec.cc
@@ -119,13 +119,21 @@
     wire.setRunTimeUs(report.m_run_time.count());
   }
 
-  void operator()(const Document& document) {
-    auto wire = m_wire.initDocument();
-    wire.setKey(Text(document.m_key));
-    wire.setRevision(document.m_revision);
-    wire.setBytes(kj::ArrayPtr<const kj::byte>(
-        reinterpret_cast<const kj::byte*>(document.m_bytes.data()),
-        document.m_bytes.size()));
+  void operator()(const RelayRead& read) {
+    auto wire = m_wire.initRelayRead();
+    wire.setId(read.m_id);
+    wire.setRequest(Text(read.m_request));
+    wire.setGiveUpInUs((read.m_give_up_at - m_now).count());
+  }
+
+  void operator()(const RelayAnswer& answer) {
+    auto wire = m_wire.initRelayAnswer();
+    wire.setId(answer.m_id);
+    wire.setIsAnswered(answer.m_is_answered);
+    wire.setStatus(answer.m_status);
+    wire.setBody(kj::ArrayPtr<const kj::byte>(
+        reinterpret_cast<const kj::byte*>(answer.m_body.data()),
+        answer.m_body.size()));
   }
 
  private:
@@ -171,11 +179,11 @@
           wire.getHasRun(), Microseconds(wire.getRunTimeUs())};
 }
 
-Document ReadDocument(link_wire::Document::Reader wire) {
-  const auto bytes = wire.getBytes();
+RelayAnswer ReadRelayAnswer(link_wire::RelayAnswer::Reader wire) {
+  const auto body = wire.getBody();
   return {
-      ToString(wire.getKey()), wire.getRevision(),
-      std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size())};
+      wire.getId(), wire.getIsAnswered(), wire.getStatus(),
+      std::string(reinterpret_cast<const char*>(body.begin()), body.size())};
 }
 
 LinkMessage ReadMessage(link_wire::Message::Reader wire, MonoTime now) {
@@ -197,8 +205,12 @@
       return ReadRunnerStatus(wire.getRunnerStatus());
     case link_wire::Message::RUN_REPORT:
       return ReadRunReport(wire.getRunReport());
-    case link_wire::Message::DOCUMENT:
-      return ReadDocument(wire.getDocument());
+    case link_wire::Message::RELAY_READ:
+      return RelayRead{wire.getRelayRead().getId(),
+                       ToString(wire.getRelayRead().getRequest()),
+                       now + Microseconds(wire.getRelayRead().getGiveUpInUs())};
+    case link_wire::Message::RELAY_ANSWER:
+      return ReadRelayAnswer(wire.getRelayAnswer());
   }
   KJ_FAIL_REQUIRE("unknown kind of message");
 }
--- a/link/link.capnp
+++ b/link/link.capnp
@@ -18,7 +18,8 @@
     stopRun @4 :StopRun;
     runnerStatus @5 :RunnerStatus;
     runReport @6 :RunReport;
-    document @7 :Document;
+    relayRead @7 :RelayRead;
+    relayAnswer @8 :RelayAnswer;
   }
 }
 
@@ -86,8 +87,15 @@
   runTimeUs @3 :Int64;
 }
 
-struct Document {
-  key @0 :Text;
-  revision @1 :UInt64;
-  bytes @2 :Data;
+struct RelayRead {
+  id @0 :UInt64;
+  request @1 :Text;
+  giveUpInUs @2 :Int64;
+}
+
+struct RelayAnswer {
+  id @0 :UInt64;
+  isAnswered @1 :Bool;
+  status @2 :Int32;
+  body @3 :Data;
 }
--- a/link/link.capnp.h
+++ b/link/link.capnp.h
@@ -27,7 +27,8 @@
 CAPNP_DECLARE_SCHEMA(a3b86b58e1e98f87);
 CAPNP_DECLARE_SCHEMA(9a9a4f2ef47bdb0c);
 CAPNP_DECLARE_SCHEMA(d9f6936b32ccb965);
-CAPNP_DECLARE_SCHEMA(aeb8751d73e358f1);
+CAPNP_DECLARE_SCHEMA(9ba27396a1f66422);
+CAPNP_DECLARE_SCHEMA(db50e8f0cc75d7a8);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -64,7 +65,8 @@
     STOP_RUN,
     RUNNER_STATUS,
     RUN_REPORT,
-    DOCUMENT,
+    RELAY_READ,
+    RELAY_ANSWER,
   };
 
   struct _capnpPrivate {
@@ -210,15 +212,30 @@
   };
 };
 
-struct Document {
-  Document() = delete;
+struct RelayRead {
+  RelayRead() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aeb8751d73e358f1, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9ba27396a1f66422, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayAnswer {
+  RelayAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db50e8f0cc75d7a8, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -354,9 +371,13 @@
   inline bool hasRunReport() const;
   inline  ::comfreyshift::link_wire::RunReport::Reader getRunReport() const;
 
-  inline bool isDocument() const;
-  inline bool hasDocument() const;
-  inline  ::comfreyshift::link_wire::Document::Reader getDocument() const;
+  inline bool isRelayRead() const;
+  inline bool hasRelayRead() const;
+  inline  ::comfreyshift::link_wire::RelayRead::Reader getRelayRead() const;
+
+  inline bool isRelayAnswer() const;
+  inline bool hasRelayAnswer() const;
+  inline  ::comfreyshift::link_wire::RelayAnswer::Reader getRelayAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -443,13 +464,21 @@
   inline void adoptRunReport(::capnp::Orphan< ::comfreyshift::link_wire::RunReport>&& value);
   inline ::capnp::Orphan< ::comfreyshift::link_wire::RunReport> disownRunReport();
 
-  inline bool isDocument();
-  inline bool hasDocument();
-  inline  ::comfreyshift::link_wire::Document::Builder getDocument();
-  inline void setDocument( ::comfreyshift::link_wire::Document::Reader value);
-  inline  ::comfreyshift::link_wire::Document::Builder initDocument();
-  inline void adoptDocument(::capnp::Orphan< ::comfreyshift::link_wire::Document>&& value);
-  inline ::capnp::Orphan< ::comfreyshift::link_wire::Document> disownDocument();
+  inline bool isRelayRead();
+  inline bool hasRelayRead();
+  inline  ::comfreyshift::link_wire::RelayRead::Builder getRelayRead();
+  inline void setRelayRead( ::comfreyshift::link_wire::RelayRead::Reader value);
+  inline  ::comfreyshift::link_wire::RelayRead::Builder initRelayRead();
+  inline void adoptRelayRead(::capnp::Orphan< ::comfreyshift::link_wire::RelayRead>&& value);
+  inline ::capnp::Orphan< ::comfreyshift::link_wire::RelayRead> disownRelayRead();
+
+  inline bool isRelayAnswer();
+  inline bool hasRelayAnswer();
+  inline  ::comfreyshift::link_wire::RelayAnswer::Builder getRelayAnswer();
+  inline void setRelayAnswer( ::comfreyshift::link_wire::RelayAnswer::Reader value);
+  inline  ::comfreyshift::link_wire::RelayAnswer::Builder initRelayAnswer();
+  inline void adoptRelayAnswer(::capnp::Orphan< ::comfreyshift::link_wire::RelayAnswer>&& value);
+  inline ::capnp::Orphan< ::comfreyshift::link_wire::RelayAnswer> disownRelayAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1378,9 +1407,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Document::Reader {
+class RelayRead::Reader {
 public:
-  typedef Document Reads;
+  typedef RelayRead Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1395,13 +1424,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
+  inline  ::uint64_t getId() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
-  inline bool hasBytes() const;
-  inline  ::capnp::Data::Reader getBytes() const;
+  inline  ::int64_t getGiveUpInUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1415,9 +1443,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Document::Builder {
+class RelayRead::Builder {
 public:
-  typedef Document Builds;
+  typedef RelayRead Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1431,22 +1459,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
-  inline bool hasBytes();
-  inline  ::capnp::Data::Builder getBytes();
-  inline void setBytes( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBytes(unsigned int size);
-  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+  inline  ::int64_t getGiveUpInUs();
+  inline void setGiveUpInUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1458,9 +1482,105 @@
 };
 
 #if !CAPNP_LITE
-class Document::Pipeline {
+class RelayRead::Pipeline {
 public:
-  typedef Document Pipelines;
+  typedef RelayRead Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayAnswer::Reader {
+public:
+  typedef RelayAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool getIsAnswered() const;
+
+  inline  ::int32_t getStatus() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayAnswer::Builder {
+public:
+  typedef RelayAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool getIsAnswered();
+  inline void setIsAnswered(bool value);
+
+  inline  ::int32_t getStatus();
+  inline void setStatus( ::int32_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayAnswer::Pipeline {
+public:
+  typedef RelayAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1897,57 +2017,111 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Message::Reader::isDocument() const {
-  return which() == Message::DOCUMENT;
+inline bool Message::Reader::isRelayRead() const {
+  return which() == Message::RELAY_READ;
+}
+inline bool Message::Builder::isRelayRead() {
+  return which() == Message::RELAY_READ;
+}
+inline bool Message::Reader::hasRelayRead() const {
+  if (which() != Message::RELAY_READ) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasRelayRead() {
+  if (which() != Message::RELAY_READ) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::comfreyshift::link_wire::RelayRead::Reader Message::Reader::getRelayRead() const {
+  KJ_IREQUIRE((which() == Message::RELAY_READ),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayRead>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::comfreyshift::link_wire::RelayRead::Builder Message::Builder::getRelayRead() {
+  KJ_IREQUIRE((which() == Message::RELAY_READ),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayRead>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setRelayRead( ::comfreyshift::link_wire::RelayRead::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_READ);
+  ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayRead>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::comfreyshift::link_wire::RelayRead::Builder Message::Builder::initRelayRead() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_READ);
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayRead>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptRelayRead(
+    ::capnp::Orphan< ::comfreyshift::link_wire::RelayRead>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_READ);
+  ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayRead>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::comfreyshift::link_wire::RelayRead> Message::Builder::disownRelayRead() {
+  KJ_IREQUIRE((which() == Message::RELAY_READ),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayRead>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isRelayAnswer() const {
+  return which() == Message::RELAY_ANSWER;
 }
-inline bool Message::Builder::isDocument() {
-  return which() == Message::DOCUMENT;
+inline bool Message::Builder::isRelayAnswer() {
+  return which() == Message::RELAY_ANSWER;
 }
-inline bool Message::Reader::hasDocument() const {
-  if (which() != Message::DOCUMENT) return false;
+inline bool Message::Reader::hasRelayAnswer() const {
+  if (which() != Message::RELAY_ANSWER) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasDocument() {
-  if (which() != Message::DOCUMENT) return false;
+inline bool Message::Builder::hasRelayAnswer() {
+  if (which() != Message::RELAY_ANSWER) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::comfreyshift::link_wire::Document::Reader Message::Reader::getDocument() const {
-  KJ_IREQUIRE((which() == Message::DOCUMENT),
+inline  ::comfreyshift::link_wire::RelayAnswer::Reader Message::Reader::getRelayAnswer() const {
+  KJ_IREQUIRE((which() == Message::RELAY_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::Document>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::comfreyshift::link_wire::Document::Builder Message::Builder::getDocument() {
-  KJ_IREQUIRE((which() == Message::DOCUMENT),
+inline  ::comfreyshift::link_wire::RelayAnswer::Builder Message::Builder::getRelayAnswer() {
+  KJ_IREQUIRE((which() == Message::RELAY_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::Document>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setDocument( ::comfreyshift::link_wire::Document::Reader value) {
+inline void Message::Builder::setRelayAnswer( ::comfreyshift::link_wire::RelayAnswer::Reader value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DOCUMENT);
-  ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::Document>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_ANSWER);
+  ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::comfreyshift::link_wire::Document::Builder Message::Builder::initDocument() {
+inline  ::comfreyshift::link_wire::RelayAnswer::Builder Message::Builder::initRelayAnswer() {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DOCUMENT);
-  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::Document>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_ANSWER);
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayAnswer>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::adoptDocument(
-    ::capnp::Orphan< ::comfreyshift::link_wire::Document>&& value) {
+inline void Message::Builder::adoptRelayAnswer(
+    ::capnp::Orphan< ::comfreyshift::link_wire::RelayAnswer>&& value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DOCUMENT);
-  ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::Document>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_ANSWER);
+  ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::comfreyshift::link_wire::Document> Message::Builder::disownDocument() {
-  KJ_IREQUIRE((which() == Message::DOCUMENT),
+inline ::capnp::Orphan< ::comfreyshift::link_wire::RelayAnswer> Message::Builder::disownRelayAnswer() {
+  KJ_IREQUIRE((which() == Message::RELAY_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::Document>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::RelayAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2783,86 +2957,142 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Document::Reader::hasKey() const {
+inline  ::uint64_t RelayRead::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayRead::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayRead::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayRead::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Document::Builder::hasKey() {
+inline bool RelayRead::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Document::Reader::getKey() const {
+inline  ::capnp::Text::Reader RelayRead::Reader::getRequest() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Document::Builder::getKey() {
+inline  ::capnp::Text::Builder RelayRead::Builder::getRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Document::Builder::setKey( ::capnp::Text::Reader value) {
+inline void RelayRead::Builder::setRequest( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Document::Builder::initKey(unsigned int size) {
+inline  ::capnp::Text::Builder RelayRead::Builder::initRequest(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Document::Builder::adoptKey(
+inline void RelayRead::Builder::adoptRequest(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Document::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Text> RelayRead::Builder::disownRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Document::Reader::getRevision() const {
+inline  ::int64_t RelayRead::Reader::getGiveUpInUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RelayRead::Builder::getGiveUpInUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayRead::Builder::setGiveUpInUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayAnswer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Document::Builder::getRevision() {
+inline  ::uint64_t RelayAnswer::Builder::getId() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Document::Builder::setRevision( ::uint64_t value) {
+inline void RelayAnswer::Builder::setId( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Document::Reader::hasBytes() const {
+inline bool RelayAnswer::Reader::getIsAnswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayAnswer::Builder::getIsAnswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void RelayAnswer::Builder::setIsAnswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t RelayAnswer::Reader::getStatus() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t RelayAnswer::Builder::getStatus() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RelayAnswer::Builder::setStatus( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayAnswer::Reader::hasBody() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Document::Builder::hasBytes() {
+inline bool RelayAnswer::Builder::hasBody() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Document::Reader::getBytes() const {
+inline  ::capnp::Data::Reader RelayAnswer::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Document::Builder::getBytes() {
+inline  ::capnp::Data::Builder RelayAnswer::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Document::Builder::setBytes( ::capnp::Data::Reader value) {
+inline void RelayAnswer::Builder::setBody( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Document::Builder::initBytes(unsigned int size) {
+inline  ::capnp::Data::Builder RelayAnswer::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Document::Builder::adoptBytes(
+inline void RelayAnswer::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Document::Builder::disownBytes() {
+inline ::capnp::Orphan< ::capnp::Data> RelayAnswer::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/link/messages.h
+++ b/link/messages.h
@@ -83,12 +83,23 @@
   Microseconds m_run_time{0};
 };
 
-// Both ways: a value of the platform's store, relayed unread to processes that
-// cannot reach it. The highest revision of a key counts.
-struct Document {
-  std::string m_key;
-  uint64_t m_revision = 0;
-  std::string m_bytes;
+// Entry to agent: read something from the store for an entry that the store
+// turns away. What is read is not known to the link.
+struct RelayRead {
+  // Unique on the connection.
+  uint64_t m_id = 0;
+  std::string m_request;
+  // A length on the wire.
+  MonoTime m_give_up_at;
+};
+
+// Agent to entry: what the store answered.
+struct RelayAnswer {
+  uint64_t m_id = 0;
+  // False if the store did not answer the agent either.
+  bool m_is_answered = false;
+  int32_t m_status = 0;
+  std::string m_body;
 };
 
 using LinkMessage = std::variant<Hello,
@@ -98,7 +109,8 @@
                                  StopRun,
                                  RunnerStatus,
                                  RunReport,
-                                 Document>;
+                                 RelayRead,
+                                 RelayAnswer>;
 
 }  // namespace comfreyshift
 
--- a/link/session.cc
+++ b/link/session.cc
@@ -81,20 +81,15 @@
   m_is_waiting_to_write = is_connecting;
   g_socket_set_blocking(m_socket, FALSE);
   g_socket_set_option(m_socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-  Watch();
+  m_watch = SocketPoller::Default().Add(g_socket_get_fd(m_socket), Interest(),
+                                        [this](SocketEvents) { OnReady(); });
 }
 
-void LinkSession::Watch() {
-  if (m_source != nullptr) {
-    g_source_destroy(m_source);
-    g_source_unref(m_source);
+void LinkSession::SetWaitingToWrite(bool is_waiting) {
+  if (m_is_waiting_to_write != is_waiting) {
+    m_is_waiting_to_write = is_waiting;
+    SocketPoller::Default().SetInterest(m_watch, Interest());
   }
-  const int condition = G_IO_IN | (m_is_waiting_to_write ? G_IO_OUT : 0);
-  m_source = g_socket_create_source(
-      m_socket, static_cast<GIOCondition>(condition), nullptr);
-  g_source_set_callback(m_source, G_SOURCE_FUNC(&LinkSession::OnReady), this,
-                        nullptr);
-  g_source_attach(m_source, g_main_context_get_thread_default());
 }
 
 void LinkSession::Send(LinkMessage message) {
@@ -102,20 +97,17 @@
     return;
   }
   m_unsent.push_back(std::move(message));
-  if (m_flush_source == 0) {
-    m_flush_source = g_idle_add_full(G_PRIORITY_DEFAULT, &LinkSession::OnFlush,
-                                     this, nullptr);
+  if (!std::exchange(m_is_flush_due, true)) {
+    SocketPoller::Default().CallAfterInput(
+        [self = shared_from_this()]() { self->Flush(); });
   }
 }
 
-gboolean LinkSession::OnFlush(gpointer self) {
-  const auto session = static_cast<LinkSession*>(self)->shared_from_this();
-  session->m_flush_source = 0;
-  session->Flush();
-  return G_SOURCE_REMOVE;
-}
-
 void LinkSession::Flush() {
+  m_is_flush_due = false;
+  if (!is_open()) {
+    return;
+  }
   if (!m_unsent.empty()) {
     EncodeBatch(m_unsent, BootClock::now(), m_output);
     m_unsent.clear();
@@ -138,9 +130,8 @@
       const bool would_block =
           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
       g_error_free(error);
-      if (would_block && !m_is_waiting_to_write) {
-        m_is_waiting_to_write = true;
-        Watch();
+      if (would_block) {
+        SetWaitingToWrite(true);
       }
       return would_block;
     }
@@ -148,10 +139,7 @@
   }
   m_output.clear();
   m_written = 0;
-  if (m_is_waiting_to_write) {
-    m_is_waiting_to_write = false;
-    Watch();
-  }
+  SetWaitingToWrite(false);
   return true;
 }
 
@@ -183,22 +171,20 @@
   return !frame_error;
 }
 
-gboolean LinkSession::OnReady(GSocket*, GIOCondition, gpointer self) {
-  const auto session = static_cast<LinkSession*>(self)->shared_from_this();
-  if (session->m_is_connecting) {
+void LinkSession::OnReady() {
+  const auto keep = shared_from_this();
+  if (m_is_connecting) {
     GError* error = nullptr;
-    if (!g_socket_check_connect_result(session->m_socket, &error)) {
+    if (!g_socket_check_connect_result(m_socket, &error)) {
       g_error_free(error);
-      session->Fail();
-      return G_SOURCE_REMOVE;
+      Fail();
+      return;
     }
-    session->m_is_connecting = false;
+    m_is_connecting = false;
   }
-  const GSource* source = session->m_source;
-  if (!session->WriteAll() || (session->is_open() && !session->ReadAll())) {
-    session->Fail();
+  if (!WriteAll() || (is_open() && !ReadAll())) {
+    Fail();
   }
-  return session->m_source == source ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
 void LinkSession::Fail() {
@@ -211,13 +197,7 @@
 }
 
 void LinkSession::Close() {
-  if (m_source != nullptr) {
-    g_source_destroy(m_source);
-    g_source_unref(std::exchange(m_source, nullptr));
-  }
-  if (m_flush_source != 0) {
-    g_source_remove(std::exchange(m_flush_source, 0));
-  }
+  SocketPoller::Default().Remove(std::exchange(m_watch, 0));
   if (m_socket != nullptr) {
     g_socket_close(m_socket, nullptr);
     g_clear_object(&m_socket);
--- a/link/session.h
+++ b/link/session.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "link/messages.h"
+#include "net/net.h"
 
 namespace comfreyshift {
 
@@ -34,7 +35,11 @@
   LinkSession(const LinkSession&) = delete;
   LinkSession& operator=(const LinkSession&) = delete;
 
+  // Queues a message; it is written after this turn's input, or by FlushAll.
   void Send(LinkMessage message);
+  // Writes what has been queued on all connections, without waiting for the
+  // next turn of the main loop.
+  static void FlushAll() { SocketPoller::Default().RunDeferred(); }
   // Closes the connection without calling back.
   void Close();
   bool is_open() const { return m_socket != nullptr; }
@@ -45,13 +50,16 @@
   LinkSession(MessageFunction on_message, CloseFunction on_close);
 
   void Open(GSocket* socket, bool is_connecting);
-  void Watch();
+  SocketInterest Interest() const {
+    return m_is_waiting_to_write ? SocketInterest::kInputAndOutput
+                                 : SocketInterest::kInput;
+  }
+  void SetWaitingToWrite(bool is_waiting);
   void Flush();
   bool ReadAll();
   bool WriteAll();
   void Fail();
-  static gboolean OnReady(GSocket* socket, GIOCondition condition, gpointer);
-  static gboolean OnFlush(gpointer self);
+  void OnReady();
 
   MessageFunction m_on_message;
   CloseFunction m_on_close;
@@ -59,8 +67,8 @@
   // Holds an accepted socket open; null for a connection made here.
   GSocketConnection* m_connection = nullptr;
   GSocket* m_socket = nullptr;
-  GSource* m_source = nullptr;
-  guint m_flush_source = 0;
+  SocketPoller::WatchId m_watch = 0;
+  bool m_is_flush_due = false;
   bool m_is_connecting = false;
   bool m_is_waiting_to_write = false;
   std::vector<LinkMessage> m_unsent;
--- /dev/null
+++ b/net/socket_poller.h
@@ -0,0 +1,77 @@
+#ifndef NET_SOCKET_POLLER_H_
+#define NET_SOCKET_POLLER_H_
+
+#include <glib.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace comfreyshift {
+
+// What is to be known of a socket.
+enum class SocketInterest : uint8_t {
+  // It can be read, as long as it can.
+  kInput,
+  // It can be read or written, as long as it can.
+  kInputAndOutput,
+  // More has arrived, or the peer has closed its side; once for each.
+  kArrivals,
+};
+
+// What has happened on a socket.
+struct SocketEvents {
+  // The peer has closed its side, or the connection is broken. Bytes that
+  // arrived before may still be read.
+  bool m_is_hung_up = false;
+};
+
+// Watches many sockets through one source of the main loop. A turn of GLib's
+// loop visits every source, so one source a connection would make each turn
+// cost as much as there are connections. Use from one thread only.
+class SocketPoller {
+ public:
+  using ReadyFunction = std::function<void(SocketEvents)>;
+  using WatchId = uint64_t;
+
+  // The poller of the default main loop; it lives as long as the process.
+  static SocketPoller& Default();
+
+  SocketPoller(const SocketPoller&) = delete;
+  SocketPoller& operator=(const SocketPoller&) = delete;
+
+  // Calls `on_ready` for what the interest says, and when the connection is
+  // broken. Returns 0 and logs when the socket cannot be watched.
+  WatchId Add(int socket, SocketInterest interest, ReadyFunction on_ready);
+  void SetInterest(WatchId watch, SocketInterest interest);
+  // Call before the socket is closed.
+  void Remove(WatchId watch);
+  // The socket has been closed already; its number may be in use again.
+  void Forget(WatchId watch) { m_watches.erase(watch); }
+
+  // Calls `function` once, after the input of this turn of the loop.
+  void CallAfterInput(std::function<void()> function);
+  // Makes the calls that wait for the end of the input now.
+  void RunDeferred();
+
+ private:
+  struct Watch {
+    int m_socket = -1;
+    ReadyFunction m_on_ready;
+  };
+
+  SocketPoller();
+  static gboolean OnReady(gint descriptor, GIOCondition, gpointer self);
+  static gboolean OnAfterInput(gpointer self);
+
+  int m_epoll;
+  WatchId m_next_watch = 1;
+  std::map<WatchId, Watch> m_watches;
+  std::vector<std::function<void()>> m_after_input;
+  guint m_after_input_source = 0;
+};
+
+}  // namespace comfreyshift
+
+#endif  // NET_SOCKET_POLLER_H_
--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -22,12 +22,35 @@
 // Below this share of free processors runners are chosen sparingly.
 constexpr double kBusyFreeShare = 0.4;
 
+// Nothing is sent to an agent that has been silent for this long: it may take
+// no new claims, and would stop what it is told to start.
+constexpr Milliseconds kFreshTime{350};
+
+// Runners compared for a task. More find better ones, and let entries meet at
+// the same runner more often.
+constexpr size_t kCandidates = 3;
+
 double DistanceFactor(const RunnerStatus& status, const PlacementNeeds& needs) {
   return HasLabel(status, needs.m_data_rack) ? 1.0 : kRemoteFactor;
 }
 
 }  // namespace
 
+AgentView& AgentTable::operator[](const std::string& name) {
+  const auto [found, is_new] = m_agents.try_emplace(name);
+  if (is_new) {
+    m_order.push_back(&*found);
+    std::ranges::shuffle(m_order, m_random);
+  }
+  return found->second;
+}
+
+void AgentTable::Remove(const std::string& name) {
+  std::erase_if(m_order,
+                [&](const auto* agent) { return agent->first == name; });
+  m_agents.erase(name);
+}
+
 AgentView* AgentTable::Find(const std::string& name) {
   const auto found = m_agents.find(name);
   return found == m_agents.end() ? nullptr : &found->second;
@@ -79,25 +102,28 @@
 }
 
 bool AgentTable::IsAccepting(const AgentView& agent,
-                             const std::string& service) const {
+                             const std::string& service,
+                             MonoTime now) const {
   return agent.m_is_connected && agent.m_status &&
+         now < agent.m_last_received + kFreshTime &&
          agent.m_status->m_is_accepting &&
          agent.m_status->m_service == service &&
          !m_closed_zones.contains(agent.m_status->m_zone);
 }
 
 bool AgentTable::IsUsable(const AgentView& agent,
-                          const PlacementNeeds& needs) const {
-  return IsAccepting(agent, needs.m_service) &&
+                          const PlacementNeeds& needs,
+                          MonoTime now) const {
+  return IsAccepting(agent, needs.m_service, now) &&
          HasLabel(*agent.m_status, needs.m_required_label);
 }
 
-RoomSurvey AgentTable::Survey(const std::string& service) const {
+RoomSurvey AgentTable::Survey(const std::string& service, MonoTime now) const {
   RoomSurvey survey;
   int64_t free = 0;
   int64_t capacity = 0;
   for (const auto& [name, agent] : m_agents) {
-    if (IsAccepting(agent, service)) {
+    if (IsAccepting(agent, service, now)) {
       const int64_t room = FreeRoom(agent).m_cpu_millis;
       survey.m_largest_free_cpu_millis =
           std::max(survey.m_largest_free_cpu_millis, room);
@@ -110,37 +136,76 @@
   return survey;
 }
 
+AgentTable::Cost AgentTable::CostOf(const AgentMap::value_type& agent,
+                                    const PlacementNeeds& needs,
+                                    bool is_busy,
+                                    MonoTime now) const {
+  const double factor =
+      SlownessOf(agent.second) * DistanceFactor(*agent.second.m_status, needs);
+  const Microseconds run_time(
+      static_cast<int64_t>(kPredictionMargin * factor *
+                           static_cast<double>(needs.m_expected.count())));
+  Cost cost;
+  cost.m_is_late = now + run_time > needs.m_due_at;
+  cost.m_is_avoided = agent.first == needs.m_avoided_agent;
+  // A busy fleet takes the slowest runner that meets the objective, so that
+  // faster ones stay free for tasks that need them; otherwise the fastest.
+  cost.m_speed = is_busy && !cost.m_is_late ? -factor : factor;
+  return cost;
+}
+
 std::optional<std::string> AgentTable::Choose(const PlacementNeeds& needs,
                                               bool is_busy,
-                                              MonoTime now) const {
-  std::optional<std::string> best;
-  double best_cost = 0.0;
-  for (const auto& [name, agent] : m_agents) {
-    if (!IsUsable(agent, needs) || !needs.m_demand.Fits(FreeRoom(agent))) {
+                                              MonoTime now) {
+  if (m_order.empty()) {
+    return std::nullopt;
+  }
+  const AgentMap::value_type* best = nullptr;
+  Cost best_cost;
+  size_t candidates = 0;
+  const size_t first = m_random() % m_order.size();
+  for (size_t i = 0; i < m_order.size(); ++i) {
+    const auto& agent = *m_order[(first + i) % m_order.size()];
+    if (!IsUsable(agent.second, needs, now) ||
+        !needs.m_demand.Fits(FreeRoom(agent.second))) {
       continue;
     }
-    const double factor =
-        SlownessOf(agent) * DistanceFactor(*agent.m_status, needs);
-    const Microseconds run_time(
-        static_cast<int64_t>(kPredictionMargin * factor *
-                             static_cast<double>(needs.m_expected.count())));
-    const bool is_late = now + run_time > needs.m_due_at;
-    if (is_late && !needs.m_may_be_late) {
+    const Cost cost = CostOf(agent, needs, is_busy, now);
+    if (cost.m_is_late && !needs.m_may_be_late) {
       continue;
     }
-    // A busy fleet takes the slowest runner that meets the objective, so that
-    // faster ones stay free for tasks that need them; otherwise the fastest.
-    constexpr double kLateCost = 100.0;
-    const double speed_cost = is_busy ? -factor : factor;
-    constexpr double kAvoidedCost = 50.0;
-    const double cost = (is_late ? kLateCost + factor : speed_cost) +
-                        (name == needs.m_avoided_agent ? kAvoidedCost : 0.0);
-    if (!best || cost < best_cost) {
-      best = name;
+    if (best == nullptr || cost < best_cost) {
+      best = &agent;
       best_cost = cost;
     }
+    ++candidates;
+    if (candidates >= kCandidates && !best_cost.m_is_late) {
+      break;
+    }
+  }
+  if (best == nullptr) {
+    m_watch_size.OnShortage(now);
+    return std::nullopt;
+  }
+  return best->first;
+}
+
+void AgentTable::UpdateWatched(MonoTime now) {
+  m_watch_size.Relax(now);
+  size_t missing = m_watch_size.Of(m_order.size());
+  for (auto* agent : m_order) {
+    AgentView& view = agent->second;
+    const bool is_watched = missing > 0;
+    if (is_watched && !view.m_is_watched) {
+      view.m_watched_since = now;
+      view.m_claimed_at = MonoTime();
+    }
+    view.m_is_watched = is_watched;
+    // Those that take no work don't count.
+    const bool takes_work =
+        view.m_is_connected && view.m_status && view.m_status->m_is_accepting;
+    missing -= is_watched && takes_work ? 1 : 0;
   }
-  return best;
 }
 
 bool AgentTable::CouldEverRun(const PlacementNeeds& needs) const {
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -3,11 +3,14 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "core/core.h"
 #include "jobs/jobs.h"
 #include "link/link.h"
+#include "scheduler/watch_size.h"
 
 namespace comfreyshift {
 
@@ -30,6 +33,15 @@
   bool m_has_orphans = false;
   // Demand of runs that have ended since the newest status.
   Resources m_released;
+  // Whether it is followed closely, and since when.
+  bool m_is_watched = false;
+  MonoTime m_watched_since;
+  MonoTime m_claimed_at;
+  // Runs it was told to start and has not reported.
+  size_t m_open_runs = 0;
+
+  // Whether its statuses come often.
+  bool is_close() const { return m_is_watched || m_open_runs > 0; }
 };
 
 // What a task asks of the runner it is placed on.
@@ -59,9 +71,13 @@
 // The agents that an entry knows, and the choice between them.
 class AgentTable {
  public:
-  AgentView& operator[](const std::string& name) { return m_agents[name]; }
+  // Entries with different seeds look at the agents in different orders.
+  explicit AgentTable(uint64_t seed) : m_random(seed) {}
+
+  // Returns the view of an agent, which is added if it is new.
+  AgentView& operator[](const std::string& name);
   AgentView* Find(const std::string& name);
-  void Remove(const std::string& name) { m_agents.erase(name); }
+  void Remove(const std::string& name);
   void SetClosedZones(const ClosedZones& zones) { m_closed_zones = zones; }
 
   // Runs of earlier incarnations of agents that accept work are settled.
@@ -78,16 +94,24 @@
   // Room that nothing has been sent to yet.
   static Resources FreeRoom(const AgentView& agent);
 
-  // Whether an agent takes work of a service, in a zone that is open.
-  bool IsAccepting(const AgentView& agent, const std::string& service) const;
+  // Whether an agent takes work of a service, in a zone that is open, as far as
+  // it has said lately.
+  bool IsAccepting(const AgentView& agent,
+                   const std::string& service,
+                   MonoTime now) const;
+
+  RoomSurvey Survey(const std::string& service, MonoTime now) const;
 
-  RoomSurvey Survey(const std::string& service) const;
+  // Adapts which agents are followed closely.
+  void UpdateWatched(MonoTime now);
 
-  // Returns the agent on which a task is best started now, or nothing if all
-  // are full. `is_busy` is that of a survey of the task's service.
+  // Returns an agent on which a task is well started now, or nothing if all
+  // are full: the best of a few drawn at random. If every entry took the best
+  // of all, they would meet at the same runner between two statuses. `is_busy`
+  // is that of a survey of the task's service.
   std::optional<std::string> Choose(const PlacementNeeds& needs,
                                     bool is_busy,
-                                    MonoTime now) const;
+                                    MonoTime now);
 
   // Run time on an agent's runner as a multiple of that on the usual runner,
   // which is the median of all: agents and entries learn from each other, so
@@ -97,13 +121,37 @@
   // Whether any runner that is in use could ever run such a task.
   bool CouldEverRun(const PlacementNeeds& needs) const;
 
+  std::map<std::string, AgentView>& agents() { return m_agents; }
   const std::map<std::string, AgentView>& agents() const { return m_agents; }
 
  private:
-  void UpdateUsualSlowness();
-  bool IsUsable(const AgentView& agent, const PlacementNeeds& needs) const;
+  using AgentMap = std::map<std::string, AgentView>;
 
-  std::map<std::string, AgentView> m_agents;
+  // What speaks against an agent; lower is better.
+  struct Cost {
+    // The objective would be missed.
+    bool m_is_late = false;
+    // The last run of the task was not done there.
+    bool m_is_avoided = false;
+    double m_speed = 0.0;
+
+    auto operator<=>(const Cost&) const = default;
+  };
+
+  void UpdateUsualSlowness();
+  bool IsUsable(const AgentView& agent,
+                const PlacementNeeds& needs,
+                MonoTime now) const;
+  Cost CostOf(const AgentMap::value_type& agent,
+              const PlacementNeeds& needs,
+              bool is_busy,
+              MonoTime now) const;
+
+  AgentMap m_agents;
+  // All agents in random order; the first ones are followed closely.
+  std::vector<AgentMap::value_type*> m_order;
+  WatchSize m_watch_size;
+  std::minstd_rand m_random;
   ClosedZones m_closed_zones;
   double m_usual_slowness = 1.0;
 };
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -9,10 +9,18 @@
 
 // Claims go out this often, well below kClaimTimeout.
 constexpr Milliseconds kClaimInterval{100};
-// Statuses of all agents together come at most once in this time.
-constexpr Microseconds kStatusCost{700};
-// A connection without statuses for 450 ms is taken for silent.
+// Statuses of the agents that are followed come at most once in this time, all
+// together.
+constexpr Microseconds kStatusCost{2000};
 constexpr Milliseconds kMaxStatusInterval{100};
+// Whether claims are due is looked at this often.
+constexpr Milliseconds kClaimRound{20};
+// A connection on which no status arrives may be dead without ever breaking.
+constexpr Milliseconds kSilenceLimit{450};
+// The same for agents that are not followed closely.
+constexpr Milliseconds kIdleClaimInterval{1000};
+constexpr Milliseconds kIdleStatusInterval{1000};
+constexpr Milliseconds kIdleSilenceLimit{2500};
 // A gap between ticks that outlasts the claims: agents have stopped our runs.
 constexpr Milliseconds kFreezeGap = kClaimTimeout;
 // A job waits this part of its objective for its first task to start.
@@ -35,8 +43,10 @@
 
 }  // namespace
 
-JobScheduler::JobScheduler(uint64_t first_run_number, MonoTime now)
-    : m_first_run_number(first_run_number), m_created_at(now) {}
+JobScheduler::JobScheduler(uint64_t first_run_number,
+                           uint64_t seed,
+                           MonoTime now)
+    : m_agents(seed), m_first_run_number(first_run_number), m_created_at(now) {}
 
 JobHandle JobScheduler::Submit(JobRequest request,
                                const QueueConfig& queue,
@@ -94,7 +104,7 @@
   trace.m_expected = job.m_expected;
   trace.m_jobs = m_jobs.size();
   for (const auto& [name, agent] : m_agents.agents()) {
-    if (!m_agents.IsAccepting(agent, job.m_queue.m_service)) {
+    if (!m_agents.IsAccepting(agent, job.m_queue.m_service, now)) {
       continue;
     }
     ++trace.m_usable_agents;
@@ -137,6 +147,7 @@
   view.m_is_connected = true;
   view.m_incarnation = agent.m_incarnation;
   view.m_last_received = now;
+  view.m_claimed_at = MonoTime();
   view.m_status.reset();
   view.m_sequence = 0;
   view.m_unseen.clear();
@@ -195,6 +206,7 @@
   }
   const Placement placement = found->second;
   AgentView& agent = m_agents[name];
+  --agent.m_open_runs;
   // The newest status accounts for the run if it counted the run's start.
   if (agent.m_unseen.erase(placement.m_sequence) == 0) {
     AgentTable::Release(agent, placement.m_demand);
@@ -307,6 +319,11 @@
   StartRun start = MakeStart(job, task, now);
   start.m_sequence = ++agent.m_sequence;
   agent.m_unseen[agent.m_sequence] = start.m_demand;
+  ++agent.m_open_runs;
+  // The agent would stop the run at once if the last claim has run out.
+  if (now >= agent.m_claimed_at + kClaimInterval) {
+    SendClaim(*chosen, agent, now);
+  }
   m_placements[task.m_run] = {*chosen, agent.m_incarnation, handle,
                               index,   agent.m_sequence,    start.m_demand};
   m_actions.push_back(SendToAgent{*chosen, std::move(start)});
@@ -347,7 +364,7 @@
     const std::string& service = job.m_queue.m_service;
     auto survey = surveys.find(service);
     if (survey == surveys.end()) {
-      survey = surveys.emplace(service, m_agents.Survey(service)).first;
+      survey = surveys.emplace(service, m_agents.Survey(service, now)).first;
     }
     for (size_t index = 0; index < job.m_tasks.size(); ++index) {
       if (job.m_tasks[index].m_state == TaskState::kWaiting &&
@@ -385,6 +402,9 @@
     const auto found = m_placements.find(run);
     const Placement placement = found->second;
     m_placements.erase(found);
+    if (AgentView* agent = m_agents.Find(placement.m_agent)) {
+      --agent->m_open_runs;
+    }
     SettleRun(run, placement, RunOutcome::kStopped, now);
   }
   m_agents.ForgetOrphans();
@@ -444,18 +464,40 @@
   if (now < m_next_claims_at) {
     return;
   }
-  m_next_claims_at = now + kClaimInterval;
-  const Microseconds interval = std::min<Microseconds>(
-      kMaxStatusInterval,
-      kStatusCost * static_cast<int64_t>(m_agents.agents().size()));
-  for (const auto& [name, agent] : m_agents.agents()) {
-    if (agent.m_is_connected) {
-      m_actions.push_back(
-          SendToAgent{name, Claim{agent.m_agent_clock, interval}});
+  m_next_claims_at = now + kClaimRound;
+  m_agents.UpdateWatched(now);
+  const auto close = std::ranges::count_if(
+      m_agents.agents(),
+      [](const auto& item) { return item.second.is_close(); });
+  m_status_interval =
+      std::min<Microseconds>(kMaxStatusInterval, kStatusCost * close);
+  for (auto& [name, agent] : m_agents.agents()) {
+    const Microseconds interval =
+        agent.is_close() ? kClaimInterval : kIdleClaimInterval;
+    if (agent.m_is_connected && now >= agent.m_claimed_at + interval) {
+      SendClaim(name, agent, now);
     }
   }
 }
 
+void JobScheduler::SendClaim(const std::string& name,
+                             AgentView& agent,
+                             MonoTime now) {
+  agent.m_claimed_at = now;
+  const Claim claim{agent.m_agent_clock,
+                    agent.is_close() ? m_status_interval : kIdleStatusInterval};
+  m_actions.push_back(SendToAgent{name, claim});
+}
+
+MonoTime JobScheduler::SilentAt(const std::string& name,
+                                MonoTime last_received) const {
+  const auto found = m_agents.agents().find(name);
+  if (found == m_agents.agents().end() || !found->second.is_close()) {
+    return last_received + kIdleSilenceLimit;
+  }
+  return std::max(last_received, found->second.m_watched_since) + kSilenceLimit;
+}
+
 std::vector<SchedulerAction> JobScheduler::Tick(MonoTime now) {
   DropAfterFreeze(now);
   m_last_tick = now;
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -23,8 +23,9 @@
  public:
   // Numbers of runs begin at `first_run_number` and rise by one a millisecond,
   // so that those of an entry that starts later, or gets a job again, are
-  // higher. It is the Unix time in milliseconds at `now`.
-  JobScheduler(uint64_t first_run_number, MonoTime now);
+  // higher. It is the Unix time in milliseconds at `now`. `seed` should differ
+  // between entries.
+  JobScheduler(uint64_t first_run_number, uint64_t seed, MonoTime now);
 
   // A client has sent a job. Its answer comes out of a later Tick.
   JobHandle Submit(JobRequest request, const QueueConfig& queue, MonoTime now);
@@ -51,6 +52,10 @@
   // When Tick must be called next without new input.
   MonoTime NextDeadline(MonoTime now) const;
 
+  // When the connection to an agent counts as silent, if nothing has arrived on
+  // it since `last_received`.
+  MonoTime SilentAt(const std::string& name, MonoTime last_received) const;
+
   // Jobs of a queue of which nothing has started.
   size_t WaitingJobs(const std::string& queue) const;
   size_t job_count() const { return m_jobs.size(); }
@@ -131,6 +136,7 @@
   void EndExpired(MonoTime now);
   void DropAfterFreeze(MonoTime now);
   void SendClaims(MonoTime now);
+  void SendClaim(const std::string& name, AgentView& agent, MonoTime now);
   uint64_t NextRunNumber(MonoTime now);
   bool HasUnsettledRun(const TaskKey& task) const;
 
@@ -145,6 +151,8 @@
   bool m_is_draining = false;
   std::optional<MonoTime> m_last_tick;
   MonoTime m_next_claims_at;
+  // Asked of agents that are followed closely.
+  Microseconds m_status_interval{0};
   std::vector<SchedulerAction> m_actions;
 };
 
--- a/tests/emulator/load_test.cc
+++ b/tests/emulator/load_test.cc
@@ -13,17 +13,6 @@
 constexpr Microseconds kLength{12'000'000};
 constexpr Microseconds kThird = kLength / 3;
 
-// Eleven runners of three speeds, a third of them half again as large.
-FleetOptions TodaysFleet() {
-  FleetOptions fleet;
-  constexpr double kSlowness[] = {1.0, 1.0 / 1.6, 1.0 / 0.6};
-  for (size_t i = 0; i < 11; ++i) {
-    fleet.m_runner_cpus.push_back(i % 3 == 2 ? 96 : 64);
-    fleet.m_runner_slowness.push_back(kSlowness[(i / 3) % 3]);
-  }
-  return fleet;
-}
-
 double WorthOf(const FleetEmulation& fleet) {
   const LoadSummary sum = fleet.Summarize();
   return sum.m_worth_earned / sum.m_worth_asked;
@@ -37,7 +26,7 @@
     LoadPattern pattern = TodaysLoad(1.0);
     pattern.m_length = kLength;
     pattern.m_phases = {phase};
-    FleetEmulation fleet(TodaysFleet(), pattern);
+    FleetEmulation fleet(TodaysFleet(1), pattern);
     fleet.RunUntil(Milliseconds(20));
     fleet.AddLoad();
     prepare(fleet);
@@ -102,5 +91,26 @@
             kTargetWorth);
 }
 
+// Twelve entries that all place on the runner that looks best to them meet
+// there between two statuses; a fleet with two thirds of its room free then
+// refused a twentieth of its jobs.
+TEST(GrownLoadTest, ManyEntriesRefuseNothingWhileRoomIsFree) {
+  LoadPattern pattern = TodaysLoad(6.0 * 0.68);
+  pattern.m_length = Milliseconds(3000);
+  // No client gives up, so nothing is stopped for it.
+  pattern.m_client_patience = Milliseconds(10'000);
+  FleetEmulation fleet(GrownFleet(1), pattern);
+  fleet.RunUntil(Milliseconds(20));
+  fleet.AddLoad();
+  fleet.RunUntil(pattern.m_length + std::chrono::seconds(3));
+  EXPECT_EQ(fleet.Summarize().m_refused, 0U);
+  EXPECT_GE(WorthOf(fleet), kTargetWorth);
+  // Agents stop runs that are not claimed in time: those that an entry has just
+  // begun to follow did so when it did not claim them at once.
+  for (size_t i = 0; i < GrownFleet(1).m_runner_cpus.size(); ++i) {
+    EXPECT_EQ(fleet.runner(i).lost_core_seconds(), 0.0) << i;
+  }
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -175,6 +175,28 @@
   EXPECT_EQ(m_starts.size(), 2U);
 }
 
+// A run that is given up because its runner cannot be reached starts elsewhere.
+// Its order may still be on the way and be carried out once the next look
+// renews the lease, beside the other run.
+TEST_F(RunExecutorTest, OrdersHeldUpWhileTheRunnerWasAwayAreFencedOff) {
+  Connect();
+  MeetRunner();
+  Start(0, 1000);
+  ASSERT_EQ(m_starts.size(), 1U);
+  m_executor.OnStartAnswer(kLife, Key(0), StartAnswer::kUnknown, m_now);
+  while (FindReport(0) == nullptr) {
+    ASSERT_LT(m_now, kStart + Milliseconds(3000));
+    Advance(Milliseconds(50));
+    m_executor.OnLookAnswer(kLife, LookFailure::kNoAnswer, m_now);
+  }
+  m_looks.clear();
+  Advance(Milliseconds(100));
+  ASSERT_FALSE(m_looks.empty());
+  for (const OrderLook& look : m_looks) {
+    EXPECT_GT(look.m_fencing_token, m_starts[0].m_fencing_token);
+  }
+}
+
 // Orders get lost now and then; waiting long for their answers makes jobs late.
 TEST_F(RunExecutorTest, ALostStartIsGivenUpWithinATenthOfASecond) {
   Connect();
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -307,6 +307,67 @@
 
 // libsoup's own listener leaks a descriptor for each connection that a client
 // closes, until the process can open no more.
+// Returns how many descriptors a turn of the main loop polls.
+size_t PolledDescriptors() {
+  GMainContext* context = g_main_context_default();
+  g_main_context_acquire(context);
+  gint priority = 0;
+  gint timeout = 0;
+  g_main_context_prepare(context, &priority);
+  std::vector<GPollFD> descriptors(1000);
+  const gint count =
+      g_main_context_query(context, G_MAXINT, &timeout, descriptors.data(),
+                           static_cast<gint>(descriptors.size()));
+  g_main_context_check(context, G_MAXINT, descriptors.data(), count);
+  g_main_context_release(context);
+  return static_cast<size_t>(count);
+}
+
+constexpr std::string_view kEchoRequest =
+    "POST /v1/echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
+
+// A turn of the main loop visits every source; with sources for each idle
+// connection an entry spent most of its processor time on them.
+TEST_F(HttpServerTest, IdleConnectionsCostTheMainLoopNothing) {
+  std::vector<std::unique_ptr<RawClient>> clients;
+  const size_t before = PolledDescriptors();
+  for (size_t i = 0; i < 100; ++i) {
+    clients.push_back(std::make_unique<RawClient>(m_address));
+    clients.back()->Write(kEchoRequest);
+    EXPECT_NE(clients.back()->Read().find("200 OK"), std::string::npos);
+  }
+  EXPECT_LE(PolledDescriptors(), before + 2);
+}
+
+// A client may send its next requests before the answer to the first.
+TEST_F(HttpServerTest, AnswersPipelinedRequests) {
+  RawClient client(m_address);
+  client.Write(std::string(kEchoRequest) + std::string(kEchoRequest) +
+               std::string(kEchoRequest));
+  std::string answers;
+  for (size_t i = 0; i < 3 && answers.size() < 3 * 100; ++i) {
+    answers += client.Read();
+  }
+  size_t count = 0;
+  for (size_t at = answers.find("200 OK"); at != std::string::npos;
+       at = answers.find("200 OK", at + 1)) {
+    ++count;
+  }
+  EXPECT_EQ(count, 3U);
+}
+
+// A request may arrive in pieces, on a connection that has carried others.
+TEST_F(HttpServerTest, ReadsRequestsThatArriveInPieces) {
+  RawClient client(m_address);
+  for (int i = 0; i < 3; ++i) {
+    for (const char byte : kEchoRequest) {
+      client.Write({&byte, 1});
+      RunUntil([] { return false; }, 1ms);
+    }
+    EXPECT_NE(client.Read().find("200 OK"), std::string::npos);
+  }
+}
+
 TEST_F(HttpServerTest, ClosesItsConnections) {
   const size_t before = OpenDescriptors();
   for (int i = 0; i < 60; ++i) {
--- a/tests/link/codec_test.cc
+++ b/tests/link/codec_test.cc
@@ -64,16 +64,21 @@
       {Hello{{"entry", 5}}, Welcome{{"agent", 6}}, StopRun{{{"j", 0, 1}, 2}},
        status,
        RunReport{{{"j", 0, 1}, 2}, RunOutcome::kFailed, true, Milliseconds(70)},
-       Document{"key", 8, std::string("\0\1", 2)}},
+       RelayRead{3, "/key", kNow + Milliseconds(900)},
+       RelayAnswer{4, true, 200, std::string("\0\1", 2)}},
       kNow);
-  ASSERT_EQ(decoded.size(), 6U);
+  ASSERT_EQ(decoded.size(), 7U);
   EXPECT_EQ(std::get<Hello>(decoded[0]).m_entry, (ProcessId{"entry", 5}));
   EXPECT_EQ(std::get<Welcome>(decoded[1]).m_agent, (ProcessId{"agent", 6}));
   EXPECT_EQ(std::get<StopRun>(decoded[2]).m_run.m_number, 2U);
   EXPECT_EQ(std::get<RunnerStatus>(decoded[3]).m_free, status.m_free);
   EXPECT_EQ(std::get<RunnerStatus>(decoded[3]).m_labels, status.m_labels);
   EXPECT_EQ(std::get<RunReport>(decoded[4]).m_outcome, RunOutcome::kFailed);
-  EXPECT_EQ(std::get<Document>(decoded[5]).m_bytes, std::string("\0\1", 2));
+  EXPECT_EQ(std::get<RelayRead>(decoded[5]).m_request, "/key");
+  EXPECT_EQ(std::get<RelayRead>(decoded[5]).m_give_up_at,
+            kNow + Milliseconds(900));
+  EXPECT_EQ(std::get<RelayAnswer>(decoded[6]).m_status, 200);
+  EXPECT_EQ(std::get<RelayAnswer>(decoded[6]).m_body, std::string("\0\1", 2));
 }
 
 // A stream is cut at any byte by the network.
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -2,33 +2,26 @@
 // the platform's store and runners. Guards the whole path: wire, adapter,
 // decisions and shutdown together.
 
-#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
-#include <spawn.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <nlohmann/json.hpp>
 
 #include "http/http.h"
 #include "tests/platform/runner_standin.h"
+#include "tests/standins/fault_proxy.h"
+#include "tests/standins/platform_documents.h"
+#include "tests/standins/platform_process.h"
 #include "tests/standins/platform_store_standin.h"
 
-extern char** environ;
-
 namespace comfreyshift {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr const char* kConfig =
-    R"({"version":7,"routes":[{"name":"queue","hostname":"h.example",)"
-    R"("prefix":"/p/","target_latency_ms":60,"priority":0,)"
-    R"("service":"service","max_attempts":2,"stretch":1.6}],"limits":{}})";
+constexpr uint64_t kFirstConfigVersion = 7;
 
 // Port ranges of test runs on one machine are kept apart by the process id.
 uint16_t FirstPort() {
@@ -56,69 +49,6 @@
   return true;
 }
 
-// One process of the program, killed when it goes out of scope.
-class Process {
- public:
-  Process(const std::string& role,
-          const std::string& name,
-          const std::string& settings,
-          uint16_t metrics_port)
-      : m_folder(std::filesystem::temp_directory_path() /
-                 ("comfreyshift-" + std::to_string(getpid()) + "-" + name)) {
-    std::filesystem::create_directories(m_folder);
-    std::ofstream(m_folder / "settings") << settings;
-    const std::string variable =
-        "COMFREYSHIFT_SETTINGS=" + (m_folder / "settings").string();
-    const std::string port = std::to_string(metrics_port);
-    std::string program = COMFREYSHIFT_PROGRAM;
-    std::string option = "--metrics-port";
-    std::string role_copy = role;
-    std::string port_copy = port;
-    char* arguments[] = {program.data(), role_copy.data(), option.data(),
-                         port_copy.data(), nullptr};
-    std::string variable_copy = variable;
-    char* environment[] = {variable_copy.data(), nullptr};
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
-                                     (m_folder / "log").c_str(),
-                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
-    EXPECT_EQ(posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments,
-                          environment),
-              0);
-    posix_spawn_file_actions_destroy(&actions);
-  }
-  ~Process() {
-    if (m_pid > 0) {
-      kill(m_pid, SIGKILL);
-      waitpid(m_pid, nullptr, 0);
-    }
-    std::filesystem::remove_all(m_folder);
-  }
-  Process(const Process&) = delete;
-  Process& operator=(const Process&) = delete;
-
-  void Signal(int signal) const { kill(m_pid, signal); }
-  bool HasExited() {
-    int status = 0;
-    if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == m_pid) {
-      m_exit_status = status;
-      m_pid = 0;
-    }
-    return m_pid == 0;
-  }
-  int exit_status() const { return m_exit_status; }
-  std::string Log() const {
-    std::ifstream file(m_folder / "log");
-    return {std::istreambuf_iterator<char>(file), {}};
-  }
-
- private:
-  std::filesystem::path m_folder;
-  pid_t m_pid = 0;
-  int m_exit_status = -1;
-};
-
 struct Answer {
   bool m_is_there = false;
   int m_status = 0;
@@ -131,18 +61,15 @@
   static constexpr size_t kAgents = 2;
 
   void SetUp() override {
-    const uint16_t first = FirstPort();
-    m_clients = {"127.0.0.1", first};
-    m_readiness = {"127.0.0.1", static_cast<uint16_t>(first + 1)};
+    m_clients = Loopback(0);
+    m_readiness = Loopback(1);
     for (size_t i = 0; i < kAgents; ++i) {
-      const Address heartbeats{"127.0.0.1",
-                               static_cast<uint16_t>(first + 2 + i)};
       m_runners.push_back(std::make_unique<RunnerStandin>(
-          "i-" + std::to_string(i), heartbeats, Milliseconds(100)));
+          "i-" + std::to_string(i), Loopback(2 + i), Milliseconds(100)));
       StartAgent(i);
     }
-    m_entry = std::make_unique<Process>("platform-entry", "entry",
-                                        EntrySettings(), first + 10);
+    m_entry = std::make_unique<PlatformProcess>(
+        "platform-entry", "entry", EntrySettings(), Loopback(10).m_port);
     HttpClientOptions options;
     options.m_base_url = "http://" + m_clients.ToString();
     m_client = HttpClient::Make(options).value();
@@ -150,31 +77,25 @@
     m_prober = HttpClient::Make(options).value();
   }
 
+  // Ports of this run, by their place in its range.
+  static Address Loopback(size_t offset) {
+    return {"127.0.0.1", static_cast<uint16_t>(FirstPort() + offset)};
+  }
+
   std::string EntrySettings() const {
-    const uint16_t first = FirstPort();
-    return "node_name=entry\nip=127.0.0.1\nzone=zone\nlisten.front=" +
-           m_clients.ToString() +
-           "\nlisten.ready_addr=" + m_readiness.ToString() +
-           "\nport_range=" + std::to_string(first + 6) + "," +
-           std::to_string(first + 6) +
-           "\nplatform.address=" + m_store.address().ToString() +
-           "\nbounds.grace_s=6\n";
+    return EntrySettingsText("entry", m_clients, m_readiness,
+                             Loopback(6).m_port, m_entry_store.address());
   }
 
   void StartAgent(size_t index) {
-    const auto first = static_cast<size_t>(FirstPort());
+    const std::string name = "agent-" + std::to_string(index);
     m_agents.resize(kAgents);
     m_agents[index].reset();
-    m_agents[index] = std::make_unique<Process>(
-        "platform-agent", "agent-" + std::to_string(index),
-        "node_name=agent-" + std::to_string(index) +
-            "\nip=127.0.0.1\nzone=zone\nlisten.control=127.0.0.1:" +
-            std::to_string(first + 2 + index) +
-            "\nport_range=" + std::to_string(first + 7 + index) +
-            ",1\napp=" + m_runners[index]->address().ToString() +
-            "\nplatform.address=" + m_store.address().ToString() +
-            "\nbounds.grace_s=6\n",
-        static_cast<uint16_t>(first + 11 + index));
+    m_agents[index] = std::make_unique<PlatformProcess>(
+        "platform-agent", name,
+        AgentSettingsText(name, Loopback(2 + index), Loopback(7 + index).m_port,
+                          m_runners[index]->address(), m_store.address()),
+        Loopback(11 + index).m_port);
   }
 
   std::shared_ptr<Answer> Send(const std::string& method,
@@ -204,15 +125,7 @@
     char id[17];
     std::snprintf(id, sizeof(id), "%016x", ++m_jobs);
     return Send("POST", std::string("/p/") + id,
-                Json{{"task_spec", "work"},
-                     {"best_effort", true},
-                     {"steps",
-                      {{{"count", tasks},
-                        {"cpu", 1000},
-                        {"mem_mb", 64},
-                        {"est_runtime_ms", 100}}}}}
-                    .dump(),
-                request_id);
+                JobText(tasks, Milliseconds(100)), request_id);
   }
 
   bool IsReady() {
@@ -226,7 +139,7 @@
 
   // Puts a configuration in force and waits until jobs can be served.
   void BecomeReady() {
-    m_store.Put("op/config", kConfig);
+    m_store.Put("op/config", ConfigText(kFirstConfigVersion));
     ASSERT_TRUE(RunUntil([this]() { return IsReady(); }));
     ASSERT_TRUE(RunUntil([this]() {
       return Count(*m_agents[0], "runner_accepting") > 0 &&
@@ -235,7 +148,8 @@
     RunFor(Milliseconds(200));
   }
 
-  static size_t Count(const Process& process, const std::string& event) {
+  static size_t Count(const PlatformProcess& process,
+                      const std::string& event) {
     const std::string log = process.Log();
     const std::string pattern = "\"event\":\"" + event + "\"";
     size_t count = 0;
@@ -251,11 +165,13 @@
   }
 
   PlatformStoreStandin m_store;
+  // Between the entry and the store.
+  FaultProxy m_entry_store{m_store.address()};
   Address m_clients;
   Address m_readiness;
   std::vector<std::unique_ptr<RunnerStandin>> m_runners;
-  std::vector<std::unique_ptr<Process>> m_agents;
-  std::unique_ptr<Process> m_entry;
+  std::vector<std::unique_ptr<PlatformProcess>> m_agents;
+  std::unique_ptr<PlatformProcess> m_entry;
   std::shared_ptr<HttpClient> m_client;
   std::shared_ptr<HttpClient> m_prober;
   uint32_t m_jobs = 0;
@@ -326,8 +242,7 @@
 TEST_F(PlatformProcessesTest, AConfigurationAfterDroppedHistoryIsApplied) {
   BecomeReady();
   m_store.Compact();
-  Json config = Json::parse(kConfig);
-  config["version"] = 9;
+  Json config = Json::parse(ConfigText(9));
   config["routes"][0]["prefix"] = "/q/";
   m_store.Put("op/config", config.dump());
   ASSERT_TRUE(RunUntil([this]() {
@@ -338,6 +253,40 @@
   EXPECT_EQ(old->m_status, 404);
 }
 
+// The store may turn an entry away while it serves others. An entry that learns
+// nothing then handles requests by an old configuration.
+TEST_F(PlatformProcessesTest, AnEntryThatTheStoreTurnsAwayReadsThroughAgents) {
+  BecomeReady();
+  for (const LinkFault fault : {LinkFault::kReset, LinkFault::kSilent}) {
+    m_entry_store.SetFault(fault);
+    RunFor(Milliseconds(300));
+    const uint64_t version = fault == LinkFault::kReset ? 9 : 11;
+    m_store.Put("op/config", ConfigText(version));
+    EXPECT_TRUE(RunUntil([&]() {
+      return m_entry->Log().find("\"version\":" + std::to_string(version)) !=
+             std::string::npos;
+    }));
+    m_entry_store.SetFault(LinkFault::kNone);
+    RunFor(Milliseconds(2500));
+  }
+}
+
+// SIGHUP says that the settings file has changed; by default it ends a process,
+// and with it every job in progress.
+TEST_F(PlatformProcessesTest, AReloadCutsNothing) {
+  BecomeReady();
+  const auto job = SubmitJob(4);
+  RunFor(Milliseconds(30));
+  m_entry->Signal(SIGHUP);
+  m_agents[0]->Signal(SIGHUP);
+  m_agents[1]->Signal(SIGHUP);
+  ASSERT_TRUE(RunUntil([&]() { return job->m_is_there; }));
+  EXPECT_EQ(job->m_status, 200);
+  EXPECT_FALSE(m_entry->HasExited());
+  EXPECT_EQ(Count(*m_entry, "settings_reloaded"), 1U);
+  EXPECT_EQ(Count(*m_agents[0], "settings_reloaded"), 1U);
+}
+
 // A planned stop cuts nothing: the job in progress gets its whole answer.
 TEST_F(PlatformProcessesTest, AStoppingEntryFinishesItsJobs) {
   BecomeReady();
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -98,7 +98,7 @@
   }
 
   MonoTime m_now = kStart;
-  JobScheduler m_scheduler{1'000'000, kStart};
+  JobScheduler m_scheduler{1'000'000, /*seed=*/1, kStart};
   uint64_t m_jobs = 0;
   std::vector<SentStart> m_starts;
   std::vector<RunKey> m_stops;
--- a/tests/standins/platform_store_standin.cc
+++ b/tests/standins/platform_store_standin.cc
@@ -218,7 +218,11 @@
   }
   for (const Json& put : body["puts"]) {
     const std::string key = put["key"];
-    m_items[key] = {DecodeBase64(put["value"]), ++m_revision,
+    std::string value = DecodeBase64(put["value"]);
+    if (m_rewrite) {
+      value = m_rewrite(key, std::move(value));
+    }
+    m_items[key] = {std::move(value), ++m_revision,
                     put.value("lease_id", uint64_t{0})};
     m_events.push_back({key, m_revision, false});
   }
--- a/tests/standins/platform_store_standin.h
+++ b/tests/standins/platform_store_standin.h
@@ -2,9 +2,11 @@
 #define TESTS_STANDINS_PLATFORM_STORE_STANDIN_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http/http.h"
@@ -32,6 +34,12 @@
   void Compact();
   // All leases end; their items go.
   void EndLeases();
+  // Processes' writes go through `rewrite`, which gets the key and the value.
+  using RewriteFunction =
+      std::function<std::string(const std::string& key, std::string value)>;
+  void RewriteValues(RewriteFunction rewrite) {
+    m_rewrite = std::move(rewrite);
+  }
 
   bool Has(const std::string& key) const { return m_items.contains(key); }
   uint64_t calls() const { return m_calls; }
@@ -81,6 +89,7 @@
   uint64_t m_next_id = 1;
   std::map<uint64_t, bool> m_leases;
   bool m_is_down = false;
+  RewriteFunction m_rewrite;
   // Cleared on destruction, for timers that are still due.
   std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
   uint64_t m_calls = 0;
