Refuse orders that are older than their entry's claim

Cause: a link that was silent for 1.44 s delivered the orders of the connections given up together with the Hello of the new one.

Change: StartRun carries the agent's clock like Claim, claims by it, and is refused once that claim has run out; a new connection claims nothing. An agent's clock is forgotten with its incarnation: after a restart of its machine claims carried the clock of before and were ignored.

--- a/emulator/fleet_emulation.cc
+++ b/emulator/fleet_emulation.cc
@@ -199,14 +199,27 @@
 
 // Connects again and again until the agent answers, as an entry does.
 void FleetEmulation::Connect(size_t entry_index, size_t agent_index) {
+  const uint64_t life = m_entries[entry_index]->m_life;
+  if (m_entries[entry_index]->m_scheduler == nullptr) {
+    return;
+  }
+  TryConnect(entry_index, agent_index);
+  Post(m_now + kReconnectPause, [this, entry_index, agent_index, life]() {
+    if (m_entries[entry_index]->m_life == life) {
+      Connect(entry_index, agent_index);
+    }
+  });
+}
+
+void FleetEmulation::TryConnect(size_t entry_index, size_t agent_index) {
   Entry& entry = *m_entries[entry_index];
-  const uint64_t life = entry.m_life;
   if (entry.m_scheduler == nullptr) {
     return;
   }
   Agent& agent = *m_agents[agent_index];
   const bool is_up = agent.m_executor != nullptr &&
                      !IsCut(entry_index, agent_index) &&
+                     m_holds[{entry_index, agent_index}] <= m_now &&
                      agent.m_frozen_until <= m_now;
   const bool is_connected = entry.m_heard.contains(agent_index);
   if (is_connected &&
@@ -217,17 +230,13 @@
   } else if (!is_connected && is_up && entry.m_frozen_until <= m_now) {
     entry.m_heard[agent_index] = m_now;
     agent.m_heard[entry_index] = m_now;
+    ++m_connections[{entry_index, agent_index}];
     agent.m_executor->OnEntryConnected(entry.m_id, m_now);
     entry.m_scheduler->OnAgentConnected(AgentName(agent_index), agent.m_id,
                                         m_now);
     WakeAgent(agent_index);
     WakeEntry(entry_index);
   }
-  Post(m_now + kReconnectPause, [this, entry_index, agent_index, life]() {
-    if (m_entries[entry_index]->m_life == life) {
-      Connect(entry_index, agent_index);
-    }
-  });
 }
 
 bool FleetEmulation::IsCut(size_t entry, size_t agent) const {
@@ -235,6 +244,12 @@
   return found != m_cuts.end() && found->second > m_now;
 }
 
+MonoTime FleetEmulation::ArrivalAt(size_t entry, size_t agent) const {
+  const auto held = m_holds.find({entry, agent});
+  const MonoTime usual = m_now + m_options.m_link_delay;
+  return held == m_holds.end() ? usual : std::max(held->second, usual);
+}
+
 void FleetEmulation::SendToAgentLater(size_t entry,
                                       size_t agent,
                                       LinkMessage message) {
@@ -242,10 +257,10 @@
     return;
   }
   const uint64_t life = m_entries[entry]->m_life;
-  Post(m_now + m_options.m_link_delay,
-       [this, entry, life, agent, message = std::move(message)]() {
-         DeliverToAgent(entry, life, agent, message);
-       });
+  Post(ArrivalAt(entry, agent), [this, entry, life, agent, sent_at = m_now,
+                                 message = std::move(message)]() {
+    DeliverToAgent(entry, life, agent, sent_at, message);
+  });
 }
 
 void FleetEmulation::SendToEntryLater(size_t agent,
@@ -254,16 +269,17 @@
   if (IsCut(entry, agent) || !m_entries[entry]->m_heard.contains(agent)) {
     return;
   }
-  const uint64_t life = m_agents[agent]->m_life;
-  Post(m_now + m_options.m_link_delay,
-       [this, agent, life, entry, message = std::move(message)]() {
-         DeliverToEntry(agent, life, entry, message);
+  const uint64_t connection = m_connections[{entry, agent}];
+  Post(ArrivalAt(entry, agent),
+       [this, agent, connection, entry, message = std::move(message)]() {
+         DeliverToEntry(agent, connection, entry, message);
        });
 }
 
 void FleetEmulation::DeliverToAgent(size_t entry_index,
                                     uint64_t entry_life,
                                     size_t agent_index,
+                                    MonoTime sent_at,
                                     const LinkMessage& message) {
   Agent& agent = *m_agents[agent_index];
   if (agent.m_executor == nullptr ||
@@ -271,16 +287,20 @@
     return;
   }
   if (agent.m_frozen_until > m_now) {
-    Post(agent.m_frozen_until,
-         [this, entry_index, entry_life, agent_index, message]() {
-           DeliverToAgent(entry_index, entry_life, agent_index, message);
-         });
+    Post(agent.m_frozen_until, [this, entry_index, entry_life, agent_index,
+                                sent_at, message]() {
+      DeliverToAgent(entry_index, entry_life, agent_index, sent_at, message);
+    });
     return;
   }
   const ProcessId& entry = m_entries[entry_index]->m_id;
   agent.m_heard[entry_index] = m_now;
   if (const auto* start = std::get_if<StartRun>(&message)) {
-    agent.m_executor->OnStartRun(entry, *start, m_now);
+    // Lengths on the wire.
+    StartRun received = *start;
+    received.m_abandon_at += m_now - sent_at;
+    received.m_queue_until += m_now - sent_at;
+    agent.m_executor->OnStartRun(entry, received, m_now);
   } else if (const auto* stop = std::get_if<StopRun>(&message)) {
     agent.m_executor->OnStopRun(entry, *stop, m_now);
   } else if (const auto* claim = std::get_if<Claim>(&message)) {
@@ -290,18 +310,18 @@
 }
 
 void FleetEmulation::DeliverToEntry(size_t agent_index,
-                                    uint64_t agent_life,
+                                    uint64_t connection,
                                     size_t entry_index,
                                     const LinkMessage& message) {
   Entry& entry = *m_entries[entry_index];
   if (entry.m_scheduler == nullptr || !entry.m_heard.contains(agent_index) ||
-      m_agents[agent_index]->m_life != agent_life) {
+      m_connections[{entry_index, agent_index}] != connection) {
     return;
   }
   if (entry.m_frozen_until > m_now) {
     Post(entry.m_frozen_until,
-         [this, agent_index, agent_life, entry_index, message]() {
-           DeliverToEntry(agent_index, agent_life, entry_index, message);
+         [this, agent_index, connection, entry_index, message]() {
+           DeliverToEntry(agent_index, connection, entry_index, message);
          });
     return;
   }
@@ -633,6 +653,13 @@
   m_cuts[{entry, agent}] = m_now + length;
 }
 
+void FleetEmulation::HoldLink(size_t entry, size_t agent, Microseconds length) {
+  MonoTime& until = m_holds[{entry, agent}];
+  until = std::max(until, m_now + length);
+  // The next connection waits in the same network.
+  Post(until, [this, entry, agent]() { TryConnect(entry, agent); });
+}
+
 void FleetEmulation::CrashRunner(size_t index) {
   m_agents[index]->m_runner->Restart(m_now);
 }
--- a/emulator/fleet_emulation.h
+++ b/emulator/fleet_emulation.h
@@ -84,6 +84,9 @@
   void FreezeAgent(size_t agent, Microseconds length);
   // Messages between the two are lost, and neither side is told.
   void CutLink(size_t entry, size_t agent, Microseconds length);
+  // Messages between the two are held up and arrive together at the end, those
+  // to the agent also if the entry has given up their connection meanwhile.
+  void HoldLink(size_t entry, size_t agent, Microseconds length);
   void CrashRunner(size_t agent);
   // Share of orders that get no answer and are carried out 2 to 8 s later.
   void LoseOrders(double share, Microseconds length);
@@ -123,15 +126,19 @@
   void StartEntry(size_t index);
   void StartAgent(size_t index);
   void Connect(size_t entry, size_t agent);
+  void TryConnect(size_t entry, size_t agent);
   bool IsCut(size_t entry, size_t agent) const;
+  // When a message that is sent now arrives.
+  MonoTime ArrivalAt(size_t entry, size_t agent) const;
   void SendToAgentLater(size_t entry, size_t agent, LinkMessage message);
   void SendToEntryLater(size_t agent, size_t entry, LinkMessage message);
   void DeliverToAgent(size_t entry,
                       uint64_t entry_life,
                       size_t agent,
+                      MonoTime sent_at,
                       const LinkMessage& message);
   void DeliverToEntry(size_t agent,
-                      uint64_t agent_life,
+                      uint64_t connection,
                       size_t entry,
                       const LinkMessage& message);
   void TickEntry(size_t index);
@@ -159,7 +166,11 @@
   std::vector<std::unique_ptr<Agent>> m_agents;
   RunnerEmulation::Behaviours m_behaviours;
   std::vector<JobRecord> m_jobs;
+  // By entry and agent, as below.
   std::map<std::pair<size_t, size_t>, MonoTime> m_cuts;
+  std::map<std::pair<size_t, size_t>, MonoTime> m_holds;
+  // Number of the newest connection.
+  std::map<std::pair<size_t, size_t>, uint64_t> m_connections;
   double m_order_loss = 0.0;
   MonoTime m_order_loss_until;
   ClosedZones m_closed_zones;
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -112,7 +112,6 @@
   state.m_sequence = 0;
   state.m_is_status_due = true;
   state.m_next_status_at = now;
-  state.m_claimed_until = now + kClaimTimeout;
   m_actions.push_back(SendToEntry{entry, Welcome{m_self}});
   m_is_status_due = true;
 }
@@ -137,8 +136,12 @@
         std::min(found->second.m_next_status_at, now);
   }
   found->second.m_status_interval = claim.m_status_interval;
-  MonoTime& until = found->second.m_claimed_until;
-  until = std::max(until, claim.m_agent_clock + kClaimTimeout);
+  ExtendClaim(found->second, claim.m_agent_clock);
+}
+
+void RunExecutor::ExtendClaim(EntryState& entry, MonoTime agent_clock) {
+  entry.m_claimed_until =
+      std::max(entry.m_claimed_until, agent_clock + kClaimTimeout);
 }
 
 void RunExecutor::OnStartRun(const ProcessId& entry,
@@ -167,7 +170,12 @@
   run.m_abandon_at = start.m_abandon_at;
   run.m_queue_until = start.m_queue_until;
   run.m_state_since = now;
-  const bool is_possible = m_runner && is_accepting(now) &&
+  const bool is_claimed =
+      start.m_agent_clock <= now && now < start.m_agent_clock + kClaimTimeout;
+  if (is_claimed) {
+    ExtendClaim(known_entry->second, start.m_agent_clock);
+  }
+  const bool is_possible = is_claimed && m_runner && is_accepting(now) &&
                            start.m_service == m_runner->m_service &&
                            start.m_demand.Fits(m_runner->m_capacity);
   if (!is_possible) {
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -36,9 +36,10 @@
   // The process stops: nothing new starts.
   void Drain(MonoTime now);
 
+  // A connection claims nothing by itself: it may have been held up.
   void OnEntryConnected(const ProcessId& entry, MonoTime now);
-  // The connection broke. A live entry connects again and repeats its StartRun
-  // messages within kClaimTimeout.
+  // The connection broke. A live entry connects again, repeats its StartRun
+  // messages and claims its runs within kClaimTimeout.
   void OnEntryDisconnected(const ProcessId& entry, MonoTime now);
   void OnClaim(const ProcessId& entry, const Claim& claim, MonoTime now);
   void OnStartRun(const ProcessId& entry, const StartRun& start, MonoTime now);
@@ -111,6 +112,8 @@
 
   using RunTable = std::map<RunKey, Run>;
 
+  // The entry was certainly alive when it had this clock of ours.
+  static void ExtendClaim(EntryState& entry, MonoTime agent_clock);
   bool HoldsRoom(const Run& run) const;
   // Whether another run of the same task may be at work here.
   bool HasOtherRun(RunTable::const_iterator found) const;
--- a/link/codec.cc
+++ b/link/codec.cc
@@ -88,6 +88,7 @@
     wire.setUrgency(start.m_urgency);
     wire.setAbandonInUs((start.m_abandon_at - m_now).count());
     wire.setQueueForUs((start.m_queue_until - m_now).count());
+    wire.setAgentClockUs(ToWire(start.m_agent_clock));
   }
 
   void operator()(const StopRun& stop) {
@@ -152,6 +153,7 @@
   start.m_urgency = wire.getUrgency();
   start.m_abandon_at = now + Microseconds(wire.getAbandonInUs());
   start.m_queue_until = now + Microseconds(wire.getQueueForUs());
+  start.m_agent_clock = FromWire(wire.getAgentClockUs());
   return start;
 }
 
--- a/link/link.capnp
+++ b/link/link.capnp
@@ -61,6 +61,7 @@
   urgency @6 :Int64;
   abandonInUs @7 :Int64;
   queueForUs @8 :Int64;
+  agentClockUs @9 :Int64;
 }
 
 struct StopRun {
--- a/link/link.capnp.h
+++ b/link/link.capnp.h
@@ -160,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cc68dc7b67616281, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cc68dc7b67616281, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -980,6 +980,8 @@
 
   inline  ::int64_t getQueueForUs() const;
 
+  inline  ::int64_t getAgentClockUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1051,6 +1053,9 @@
   inline  ::int64_t getQueueForUs();
   inline void setQueueForUs( ::int64_t value);
 
+  inline  ::int64_t getAgentClockUs();
+  inline void setAgentClockUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2583,6 +2588,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t StartRun::Reader::getAgentClockUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StartRun::Builder::getAgentClockUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StartRun::Builder::setAgentClockUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StopRun::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/link/messages.h
+++ b/link/messages.h
@@ -32,8 +32,13 @@
 };
 
 // Entry to agent: start a run. Sending it again for the same run is harmless.
+// It claims the entry's runs like Claim, and is refused once that claim has run
+// out: an order held up in a network or a frozen process must not start what
+// its entry has given up.
 struct StartRun {
   RunKey m_run;
+  // See Claim.
+  MonoTime m_agent_clock;
   // Rises with each StartRun on a connection; see RunnerStatus.
   uint64_t m_sequence = 0;
   std::string m_service;
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -143,7 +143,11 @@
                                     const ProcessId& agent,
                                     MonoTime now) {
   AgentView& view = m_agents[name];
-  view.m_has_orphans |= view.m_incarnation != agent.m_incarnation;
+  if (view.m_incarnation != agent.m_incarnation) {
+    view.m_has_orphans = true;
+    // Its machine may have restarted, and the clock with it.
+    view.m_agent_clock = MonoTime();
+  }
   view.m_is_connected = true;
   view.m_incarnation = agent.m_incarnation;
   view.m_last_received = now;
@@ -165,6 +169,7 @@
     StartRun start = MakeStart(job, task, now);
     placement.m_sequence = ++view.m_sequence;
     start.m_sequence = view.m_sequence;
+    start.m_agent_clock = view.m_agent_clock;
     view.m_unseen[view.m_sequence] = start.m_demand;
     m_actions.push_back(SendToAgent{name, std::move(start)});
   }
@@ -318,6 +323,7 @@
   NotePlacement(job, *chosen, now);
   StartRun start = MakeStart(job, task, now);
   start.m_sequence = ++agent.m_sequence;
+  start.m_agent_clock = agent.m_agent_clock;
   agent.m_unseen[agent.m_sequence] = start.m_demand;
   ++agent.m_open_runs;
   // The agent would stop the run at once if the last claim has run out.
--- a/tests/emulator/promises_test.cc
+++ b/tests/emulator/promises_test.cc
@@ -37,6 +37,8 @@
   kFreezeAgent,
   kCutLink,
   kCutEntry,
+  kHoldLink,
+  kHoldAgent,
   kCrashRunner,
   kLoseOrders,
   kHang,
@@ -69,6 +71,14 @@
         fleet.CutLink(entry, i, length);
       }
       return;
+    case Fault::kHoldLink:
+      fleet.HoldLink(entry, agent, length);
+      return;
+    case Fault::kHoldAgent:
+      for (size_t i = 0; i < kEntries; ++i) {
+        fleet.HoldLink(i, agent, length);
+      }
+      return;
     case Fault::kCrashRunner:
       fleet.CrashRunner(agent);
       return;
@@ -114,6 +124,26 @@
   EXPECT_TRUE(holds);
 }
 
+// Guards against orders that arrive after their entry has given them up, as the
+// soak's seeds 2 and 107 saw: the network holds them up, the entry places the
+// tasks elsewhere, and then connects again, which lets the agent take its word.
+TEST(PromisesTest, OrdersHeldUpInTheNetworkStartNothing) {
+  FleetEmulation fleet(SmallFleet(3), SmallLoad(0.5));
+  fleet.RunUntil(Milliseconds(20));
+  fleet.AddLoad();
+  for (int second = 1; second < 7; second += 2) {
+    fleet.At(Milliseconds(1000 * second), [&fleet, second]() {
+      for (size_t entry = 0; entry < kEntries; ++entry) {
+        fleet.HoldLink(entry, static_cast<size_t>(second) % kAgents,
+                       Milliseconds(1450));
+      }
+    });
+  }
+  fleet.RunUntil(kLength + kSettle);
+  EXPECT_EQ(fleet.double_runs(), 0U);
+  EXPECT_EQ(fleet.false_refusals(), 0U);
+}
+
 // After faults have ended, new jobs are served as before.
 TEST(PromisesTest, ServesAgainAfterEveryProcessWasKilled) {
   FleetEmulation fleet(SmallFleet(1), SmallLoad(0.3));
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -82,7 +82,17 @@
              int64_t cpu,
              int64_t urgency = 0,
              const ProcessId& entry = kEntry) {
+    StartSaidAt(m_now, index, cpu, urgency, entry);
+  }
+
+  // Start with the agent's clock as the entry has it.
+  void StartSaidAt(MonoTime agent_clock,
+                   uint32_t index,
+                   int64_t cpu,
+                   int64_t urgency = 0,
+                   const ProcessId& entry = kEntry) {
     StartRun start;
+    start.m_agent_clock = agent_clock;
     start.m_run = Key(index);
     start.m_sequence = ++m_sequence;
     start.m_service = "service";
@@ -197,6 +207,37 @@
   }
 }
 
+// Guards against orders that a network held up until their entry had placed the
+// tasks elsewhere.
+TEST_F(RunExecutorTest, AnOrderOlderThanItsClaimIsRefused) {
+  Connect();
+  MeetRunner();
+  const MonoTime said_at = m_now;
+  Advance(kClaimTimeout, /*claims=*/false);
+  AnswerLook({});
+  Connect();
+  StartSaidAt(said_at, 0, 1000);
+  EXPECT_TRUE(m_starts.empty());
+  ASSERT_NE(FindReport(0), nullptr);
+  EXPECT_EQ(FindReport(0)->m_outcome, RunOutcome::kNotStarted);
+  StartSaidAt(m_now, 1, 1000);
+  EXPECT_EQ(m_starts.size(), 1U);
+}
+
+// A connection may be an old one that was held up, so it shows nothing of when
+// its entry was alive.
+TEST_F(RunExecutorTest, ANewConnectionClaimsNothing) {
+  Connect();
+  MeetRunner();
+  Start(0, 1000);
+  m_executor.OnStartAnswer(kLife, Key(0), StartAnswer::kStarted, m_now);
+  Advance(kClaimTimeout - Milliseconds(10), /*claims=*/false);
+  Connect();
+  Advance(Milliseconds(20), /*claims=*/false);
+  ASSERT_EQ(m_stops.size(), 1U);
+  EXPECT_EQ(m_stops[0].m_run, Key(0));
+}
+
 // Orders get lost now and then; waiting long for their answers makes jobs late.
 TEST_F(RunExecutorTest, ALostStartIsGivenUpWithinATenthOfASecond) {
   Connect();
--- a/tests/link/codec_test.cc
+++ b/tests/link/codec_test.cc
@@ -18,6 +18,7 @@
   start.m_urgency = -5;
   start.m_abandon_at = kNow + Milliseconds(1500);
   start.m_queue_until = kNow + Milliseconds(60);
+  start.m_agent_clock = kNow - Milliseconds(30);
   return start;
 }
 
@@ -42,6 +43,8 @@
   EXPECT_EQ(start.m_urgency, -5);
   EXPECT_EQ(start.m_abandon_at, received_at + Milliseconds(1500));
   EXPECT_EQ(start.m_queue_until, received_at + Milliseconds(60));
+  // The agent compares it with its own clock.
+  EXPECT_EQ(start.m_agent_clock, kNow - Milliseconds(30));
 }
 
 // An agent compares the clock value in a claim with its own clock.
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -231,6 +231,19 @@
   EXPECT_EQ(m_starts[0].m_start.m_run, m_starts[1].m_start.m_run);
 }
 
+// An agent's machine may have restarted, and its clock with it; claims with the
+// clock of before would be ignored.
+TEST_F(JobSchedulerTest, ANewIncarnationsClockReplacesTheOldOne) {
+  AddAgent("a", 1.0);
+  m_scheduler.OnAgentConnected("a", {"a", 2}, m_now);
+  RunnerStatus status = Status(1.0, 10'000);
+  status.m_agent_clock = m_now - std::chrono::minutes(30);
+  m_scheduler.OnStatus("a", status, m_now);
+  Submit(1);
+  ASSERT_EQ(m_starts.size(), 1U);
+  EXPECT_EQ(m_starts[0].m_start.m_agent_clock, status.m_agent_clock);
+}
+
 TEST_F(JobSchedulerTest, ARestartedAgentHasNoRunsOnceItAcceptsWork) {
   AddAgent("a", 1.0);
   Submit(1);
