Work out Retry-After from how long the shortage has lasted

Cause: a refused client was told to come back in one second whatever the load, so in a long shortage it was refused again and again. Jobs wait for less than a second, so the queue itself says nothing beyond that.

Change: a shortage that has lasted for a time is expected to last as long again, from 1 to 30 s, by service.

--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -27,7 +27,8 @@
 constexpr double kMaxWaitShare = 0.25;
 // A run may wait this long for room at an agent that another entry filled.
 constexpr Milliseconds kAgentQueueTime{30};
-constexpr Milliseconds kMinRetryAfter{1000};
+// Another entry takes new jobs while this one stops.
+constexpr Milliseconds kRetryElsewhereAfter{1000};
 
 // After the last word from an agent it has stopped our runs by then, or its
 // runner has killed them: the claim runs out, then the lease.
@@ -73,7 +74,8 @@
   job.m_due_at = now + objective;
   job.m_refuse_at = now + Scale(objective, kMaxWaitShare);
   if (m_is_draining) {
-    EndJob(handle, JobRefused{RefusalReason::kStopping, now + kMinRetryAfter},
+    EndJob(handle,
+           JobRefused{RefusalReason::kStopping, now + kRetryElsewhereAfter},
            now);
   }
   return handle;
@@ -432,7 +434,7 @@
     EndJob(handle,
            JobRefused{has_runner ? RefusalReason::kOverloaded
                                  : RefusalReason::kNoRunner,
-                      now + kMinRetryAfter},
+                      m_retry_advice[job.m_queue.m_service].OnRefusal(now)},
            now);
   }
 }
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -13,6 +13,7 @@
 #include "link/link.h"
 #include "scheduler/actions.h"
 #include "scheduler/agent_table.h"
+#include "scheduler/retry_advice.h"
 #include "scheduler/run_time_model.h"
 
 namespace comfreyshift {
@@ -142,6 +143,8 @@
 
   AgentTable m_agents;
   RunTimeModel m_run_times;
+  // By service.
+  std::map<std::string, RetryAdvice> m_retry_advice;
   JobTable m_jobs;
   std::map<RunKey, Placement> m_placements;
   JobHandle m_next_job = 1;
