Call after input within the same turn of the loop

Cause: a message from a link took three turns of the main loop: one that read it, one for the calls after input, one for the tick. Each turn visits all sources (profile of 66 agents of an idle grown fleet: a quarter in g_main_context_check, prepare and poll).

Change: the poller makes the calls after input itself, and a woken ticker is such a call. A tick that wakes itself lets other sources go first.

--- a/cmake/fleet.cmake
+++ b/cmake/fleet.cmake
@@ -1,2 +1,2 @@
-comfreyshift_library(fleet core logging jobs link scheduler executor PkgConfig::GLIB)
+comfreyshift_library(fleet core logging jobs net link scheduler executor PkgConfig::GLIB)
 comfreyshift_tests(fleet fleet)
--- a/fleet/ticker.cc
+++ b/fleet/ticker.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "net/net.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -18,7 +20,7 @@
   static GSourceFuncs functions = {nullptr, nullptr, &Ticker::OnReady,
                                    nullptr, nullptr, nullptr};
   m_source = g_source_new(&functions, sizeof(GSource));
-  // Below the priority of sockets: all input of a turn is taken in first.
+  // Below the priority of sockets: input that has arrived comes first.
   g_source_set_priority(m_source, G_PRIORITY_DEFAULT + 10);
   g_source_set_callback(m_source, &Ticker::OnDue, this, nullptr);
   g_source_attach(m_source, nullptr);
@@ -26,12 +28,20 @@
 }
 
 Ticker::~Ticker() {
+  *m_is_alive = false;
   g_source_destroy(m_source);
   g_source_unref(m_source);
 }
 
 void Ticker::Wake() {
-  g_source_set_ready_time(m_source, 0);
+  if (std::exchange(m_is_woken, true) || m_is_ticking) {
+    return;
+  }
+  SocketPoller::Default().CallAfterInput([this, is_alive = m_is_alive]() {
+    if (*is_alive) {
+      Run();
+    }
+  });
 }
 
 gboolean Ticker::OnReady(GSource*, GSourceFunc callback, gpointer data) {
@@ -44,10 +54,13 @@
 }
 
 void Ticker::Run() {
-  // A call of Wake during the tick must not be lost.
-  g_source_set_ready_time(m_source, -1);
+  m_is_woken = false;
+  m_is_ticking = true;
   const MonoTime next = m_tick(BootClock::now());
-  if (g_source_get_ready_time(m_source) == 0) {
+  m_is_ticking = false;
+  // Woken during the tick: other sources of the loop get their turn first.
+  if (m_is_woken) {
+    g_source_set_ready_time(m_source, 0);
     return;
   }
   const auto delay =
--- a/fleet/ticker.h
+++ b/fleet/ticker.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include <functional>
+#include <memory>
 
 #include "core/core.h"
 
@@ -28,7 +29,12 @@
   void Run();
 
   std::function<MonoTime(MonoTime)> m_tick;
+  // For deadlines.
   GSource* m_source;
+  // A tick is due.
+  bool m_is_woken = false;
+  bool m_is_ticking = false;
+  std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
 };
 
 }  // namespace comfreyshift
--- a/net/socket_poller.cc
+++ b/net/socket_poller.cc
@@ -95,7 +95,7 @@
 
 void SocketPoller::CallAfterInput(std::function<void()> function) {
   m_after_input.push_back(std::move(function));
-  if (m_after_input_source == 0) {
+  if (!m_is_taking_input && m_after_input_source == 0) {
     m_after_input_source = g_idle_add_full(
         G_PRIORITY_DEFAULT, &SocketPoller::OnAfterInput, this, nullptr);
   }
@@ -122,6 +122,7 @@
   std::array<epoll_event, kEventsPerTurn> events;
   const int count =
       epoll_wait(self->m_epoll, events.data(), events.size(), /*timeout=*/0);
+  self->m_is_taking_input = true;
   for (int i = 0; i < count; ++i) {
     const epoll_event& event = events[static_cast<size_t>(i)];
     // A function called for an earlier socket may have removed this one.
@@ -131,6 +132,8 @@
       on_ready({(event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0});
     }
   }
+  self->m_is_taking_input = false;
+  self->RunDeferred();
   return G_SOURCE_CONTINUE;
 }
 
--- a/net/socket_poller.h
+++ b/net/socket_poller.h
@@ -50,7 +50,8 @@
   // The socket has been closed already; its number may be in use again.
   void Forget(WatchId watch) { m_watches.erase(watch); }
 
-  // Calls `function` once, after the input of this turn of the loop.
+  // Calls `function` once, after the input of this turn of the loop. Calls that
+  // are made by such a function wait for the next turn.
   void CallAfterInput(std::function<void()> function);
   // Makes the calls that wait for the end of the input now.
   void RunDeferred();
@@ -69,7 +70,10 @@
   WatchId m_next_watch = 1;
   std::map<WatchId, Watch> m_watches;
   std::vector<std::function<void()>> m_after_input;
+  // Makes the calls after input that other sources of the loop have taken in;
+  // 0 if none wait. Calls after the poller's own input need no other turn.
   guint m_after_input_source = 0;
+  bool m_is_taking_input = false;
 };
 
 }  // namespace comfreyshift
--- a/tests/net/socket_poller_test.cc
+++ b/tests/net/socket_poller_test.cc
@@ -73,6 +73,23 @@
   EXPECT_GT(m_calls, 0);
 }
 
+// Guards against turns of the loop that only make calls after input: each turn
+// visits all sources of the loop.
+TEST_F(SocketPollerTest, CallsAfterInputNeedNoOtherTurn) {
+  int calls = 0;
+  m_watch = SocketPoller::Default().Add(
+      m_sockets[0], SocketInterest::kArrivals, [&calls](SocketEvents) {
+        SocketPoller::Default().CallAfterInput([&calls]() { ++calls; });
+      });
+  RunTurns();
+  calls = 0;
+  Send();
+  g_main_context_iteration(nullptr, FALSE);
+  EXPECT_EQ(calls, 1);
+  RunTurns();
+  EXPECT_EQ(calls, 1);
+}
+
 TEST_F(SocketPollerTest, IsSilentAfterRemove) {
   Watch(SocketInterest::kInput);
   SocketPoller::Default().Remove(std::exchange(m_watch, 0));
