Call servers without TLS over plain sockets

Ruled out: libcurl, which sends a request again on its own when a kept connection breaks and adds to the memory of each process.

Change: HttpClient calls IPv4 addresses without TLS through PlainClient (sockets behind the poller, one timer for all deadlines) and ResponseParser; libsoup keeps TLS and names, in SoupClient. A request whose path or headers would end their line early is not sent.

--- a/http/http.h
+++ b/http/http.h
@@ -1,9 +1,10 @@
 #ifndef HTTP_HTTP_H_
 #define HTTP_HTTP_H_
 
-// Public header of the http library: an HTTP server and client on libsoup. All
-// of it runs on the thread-default GLib main context of the calling thread.
+// Public header of the http library: an HTTP server on libsoup and a client.
+// All of it runs on the default GLib main context.
 
+#include "http/call.h"
 #include "http/client.h"
 #include "http/error.h"
 #include "http/request.h"
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -192,6 +192,40 @@
   EXPECT_FALSE(is_called);
 }
 
+// A runner's id is sent as a header and comes from outside.
+TEST(HttpClientTest, SendsNoHeaderThatEndsItsLine) {
+  RawServer server;
+  const auto client = MakeClient(server.url());
+  HttpCall call = Post();
+  call.m_headers = {{"Target-Instance", "i\r\nX: 1"}};
+  const HttpCallResult result = client->SendAndWait(std::move(call));
+  ASSERT_FALSE(result);
+  EXPECT_EQ(result.error().m_state, HttpCallState::kNotSent);
+  EXPECT_EQ(server.requests(), 0);
+}
+
+TEST(HttpClientTest, ACancelledCallSaysWhetherItWasSent) {
+  RawServer server;
+  server.m_actions = {RawAction::kNeverReply};
+  const auto client = MakeClient(server.url(), 1);
+  std::vector<HttpCallState> states;
+  std::vector<uint64_t> ids;
+  for (int i = 0; i < 2; ++i) {
+    ids.push_back(client->Send(Post(), [&states](const HttpCallResult& result) {
+      ASSERT_FALSE(result);
+      EXPECT_EQ(result.error().m_failure, HttpCallFailure::kCancelled);
+      states.push_back(result.error().m_state);
+    }));
+  }
+  RunLoop(30ms);
+  client->Cancel(ids[1]);
+  client->Cancel(ids[0]);
+  EXPECT_TRUE(states.empty());
+  RunLoop(30ms);
+  EXPECT_EQ(states, (std::vector{HttpCallState::kNotSent,
+                                 HttpCallState::kMayHaveBeenProcessed}));
+}
+
 TEST(HttpClientTest, RejectsFaultyUrls) {
   for (const char* url : {"", "127.0.0.1:80", "ftp://127.0.0.1", "http://"}) {
     EXPECT_FALSE(HttpClient::Make({url})) << url;
