Run tasks near their data while its rack has room

Cause: the time of a task away from its data was taken for 1.5 times as long whatever the settings say (3 at the grown Sfax), and the runners of one rack were seldom among the three drawn of those that an entry follows. When many jobs want one rack, most of their tasks ran elsewhere and were late.

Change: bounds.remote_factor is read and checked; runners near the data are drawn first; the agents of up to four racks wanted within a second are followed closely.

--- a/emulator/fleet_emulation.cc
+++ b/emulator/fleet_emulation.cc
@@ -70,6 +70,7 @@
     agent->m_runner = std::make_unique<RunnerEmulation>(
         RunnerLife{"runner-" + std::to_string(i), 1}, capacity,
         options.m_runner_slowness[i], m_behaviours);
+    agent->m_runner->SetRack(RackOf(i), options.m_remote_factor);
     m_agents.push_back(std::move(agent));
   }
   for (size_t i = 0; i < options.m_entries; ++i) {
@@ -85,6 +86,11 @@
 
 FleetEmulation::~FleetEmulation() = default;
 
+std::string FleetEmulation::RackOf(size_t agent) const {
+  const size_t size = m_options.m_runners_per_rack;
+  return size == 0 ? "" : "rack-" + std::to_string(agent / size);
+}
+
 void FleetEmulation::Post(MonoTime at, std::function<void()> action) {
   m_events.push({std::max(at, m_now), m_next_order++, std::move(action)});
 }
@@ -177,6 +183,7 @@
   const uint64_t wall = kFirstRunNumber + static_cast<uint64_t>(age.count());
   entry.m_id = {"entry-" + std::to_string(index), wall};
   entry.m_scheduler = std::make_unique<JobScheduler>(wall, index + 1, m_now);
+  entry.m_scheduler->SetRemoteFactor(m_options.m_remote_factor);
   entry.m_scheduler->OnClosedZones(m_closed_zones);
   entry.m_heard.clear();
   for (size_t agent = 0; agent < m_agents.size(); ++agent) {
@@ -445,6 +452,7 @@
   report.m_life = agent.m_runner->life();
   report.m_service = "service";
   report.m_zone = "zone-" + std::to_string(index % 4);
+  report.m_labels = {RackOf(index)};
   report.m_capacity = agent.m_runner->capacity();
   report.m_is_draining = agent.m_is_draining;
   report.m_sequence = ++agent.m_heartbeats;
--- a/emulator/fleet_emulation.h
+++ b/emulator/fleet_emulation.h
@@ -24,6 +24,10 @@
   // One runner beside each agent; its capacity in processors and its slowness.
   std::vector<int64_t> m_runner_cpus;
   std::vector<double> m_runner_slowness;
+  // Runners one after another share a rack, named "rack-0" and so on; 0 for no
+  // racks. Tasks away from their data take so many times as long.
+  size_t m_runners_per_rack = 0;
+  double m_remote_factor = 1.5;
   Microseconds m_link_delay{1400};
   Microseconds m_order_delay{500};
   uint64_t m_seed = 1;
@@ -127,6 +131,7 @@
   void StartAgent(size_t index);
   void Connect(size_t entry, size_t agent);
   void TryConnect(size_t entry, size_t agent);
+  std::string RackOf(size_t agent) const;
   bool IsCut(size_t entry, size_t agent) const;
   // When a message that is sent now arrives.
   MonoTime ArrivalAt(size_t entry, size_t agent) const;
--- a/emulator/load.cc
+++ b/emulator/load.cc
@@ -36,6 +36,29 @@
   return factor;
 }
 
+// Draws whether a job of the kind wants one rack, and sets it.
+void DrawRack(const LoadPattern& pattern,
+              const JobKind& kind,
+              Microseconds at,
+              Arrival& arrival,
+              std::mt19937_64& random) {
+  for (const LoadPhase& phase : pattern.m_phases) {
+    const bool concerns = phase.m_kind.empty() || phase.m_kind == kind.m_name;
+    if (!concerns || at < phase.m_from || at >= phase.m_until ||
+        phase.m_rack_share == 0.0 ||
+        std::uniform_real_distribution<double>(0.0, 1.0)(random) >=
+            phase.m_rack_share) {
+      continue;
+    }
+    for (Step& step : arrival.m_request.m_steps) {
+      step.m_data_rack = phase.m_data_rack;
+    }
+    for (TaskBehaviour& task : arrival.m_tasks) {
+      task.m_data_rack = phase.m_data_rack;
+    }
+  }
+}
+
 std::string JobId(uint64_t number) {
   std::string id(16, '0');
   for (size_t i = id.size(); i-- > 0; number >>= 4) {
@@ -104,6 +127,7 @@
         break;
       }
       Arrival arrival = DrawJob(pattern, kind, random);
+      DrawRack(pattern, kind, at, arrival, random);
       arrival.m_at = at;
       arrival.m_kind = index;
       arrival.m_entry = draw_entry(random);
--- a/emulator/load.h
+++ b/emulator/load.h
@@ -33,6 +33,9 @@
   double m_rate_factor = 1.0;
   // The kind concerned; empty for all.
   std::string m_kind;
+  // This share of the jobs has its data on this rack.
+  double m_rack_share = 0.0;
+  std::string m_data_rack = {};
 };
 
 struct LoadPattern {
--- a/emulator/runner_emulation.cc
+++ b/emulator/runner_emulation.cc
@@ -71,6 +71,9 @@
   run.m_measured_at = now;
   run.m_work = task.m_work;
   run.m_left = task.m_work;
+  if (!task.m_data_rack.empty() && task.m_data_rack != m_rack) {
+    run.m_left = Scale(run.m_left, m_remote_factor);
+  }
   run.m_fails = task.m_always_fails || m_fails_all;
   m_running[order.m_run] = run;
   m_started_jobs.insert(order.m_run.m_task.m_job);
@@ -189,6 +192,11 @@
   ++m_life.m_born_ms;
 }
 
+void RunnerEmulation::SetRack(const std::string& rack, double remote_factor) {
+  m_rack = rack;
+  m_remote_factor = remote_factor;
+}
+
 void RunnerEmulation::set_slowness(double slowness, MonoTime now) {
   Measure(now);
   m_slowness = slowness;
--- a/emulator/runner_emulation.h
+++ b/emulator/runner_emulation.h
@@ -21,6 +21,8 @@
   Microseconds m_work{0};
   // Every run of it fails.
   bool m_always_fails = false;
+  // Where its data is; elsewhere it takes longer. Empty for anywhere.
+  std::string m_data_rack = {};
 };
 
 // A runner as the platform's protocol describes it: it starts whatever it is
@@ -48,6 +50,8 @@
   // Everything it runs ends unseen, and it begins a new life.
   void Restart(MonoTime now);
 
+  // Tasks whose data is on another rack take `remote_factor` times as long.
+  void SetRack(const std::string& rack, double remote_factor);
   void set_slowness(double slowness, MonoTime now);
   void set_fails_all(bool fails) { m_fails_all = fails; }
   void set_hangs(bool hangs, MonoTime now);
@@ -87,6 +91,8 @@
   Resources m_capacity;
   double m_slowness;
   const Behaviours& m_behaviours;
+  std::string m_rack;
+  double m_remote_factor = 1.0;
   bool m_fails_all = false;
   bool m_hangs = false;
   uint64_t m_token = 0;
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -29,6 +29,8 @@
   // they work: registrations lapse when the registry has troubles.
   void SetAgents(const std::map<std::string, Address>& agents);
   void SetClosedZones(const ClosedZones& zones);
+  // Run time of a task away from its data, as a multiple of that near it.
+  void SetRemoteFactor(double factor) { m_scheduler.SetRemoteFactor(factor); }
 
   // Hands a job in. `on_answer` is called once, from the main loop, unless the
   // job is cancelled.
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -37,6 +37,10 @@
   std::string m_data_rack;
 };
 
+// Run time of a task away from its data, as a multiple of that near it, unless
+// the settings say otherwise.
+inline constexpr double kDefaultRemoteFactor = 1.5;
+
 // A job that a client waits for. It is kept in memory only: its answer is sent
 // on the connection that brought it.
 struct JobRequest {
--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -8,9 +8,6 @@
 
 namespace {
 
-// Run time of a task away from its data, as a multiple.
-constexpr double kRemoteFactor = 1.5;
-
 bool HasLabel(const RunnerStatus& status, const std::string& label) {
   return label.empty() ||
          std::ranges::find(status.m_labels, label) != status.m_labels.end();
@@ -31,12 +28,33 @@
 // the same runner more often.
 constexpr size_t kCandidates = 3;
 
-double DistanceFactor(const RunnerStatus& status, const PlacementNeeds& needs) {
-  return HasLabel(status, needs.m_data_rack) ? 1.0 : kRemoteFactor;
-}
+// The agents of a rack are followed closely for this long after a task wanted
+// it. More racks than kMaxWantedRacks are not followed: with data everywhere an
+// entry would follow all agents.
+constexpr Milliseconds kWantedTime{1000};
+constexpr size_t kMaxWantedRacks = 4;
 
 }  // namespace
 
+double AgentTable::DistanceFactor(const RunnerStatus& status,
+                                  const PlacementNeeds& needs) const {
+  return HasLabel(status, needs.m_data_rack) ? 1.0 : m_remote_factor;
+}
+
+void AgentTable::NoteWantedRack(const std::string& rack, MonoTime now) {
+  if (m_wanted_racks.size() < kMaxWantedRacks ||
+      m_wanted_racks.contains(rack)) {
+    m_wanted_racks[rack] = now + kWantedTime;
+  }
+}
+
+bool AgentTable::IsOnWantedRack(const AgentView& agent) const {
+  return agent.m_status &&
+         std::ranges::any_of(m_wanted_racks, [&](const auto& rack) {
+           return HasLabel(*agent.m_status, rack.first);
+         });
+}
+
 AgentView& AgentTable::operator[](const std::string& name) {
   const auto [found, is_new] = m_agents.try_emplace(name);
   if (is_new) {
@@ -158,20 +176,17 @@
   return cost;
 }
 
-std::optional<std::string> AgentTable::Choose(const PlacementNeeds& needs,
-                                              bool is_busy,
-                                              MonoTime now) {
-  if (m_order.empty()) {
-    return std::nullopt;
-  }
-  UpdateUsualSlowness();
-  const AgentMap::value_type* best = nullptr;
-  Cost best_cost;
+AgentTable::Candidate AgentTable::BestOfFew(const PlacementNeeds& needs,
+                                            bool is_busy,
+                                            bool is_near,
+                                            MonoTime now) {
+  Candidate best;
   size_t candidates = 0;
   const size_t first = m_random() % m_order.size();
   for (size_t i = 0; i < m_order.size(); ++i) {
     const auto& agent = *m_order[(first + i) % m_order.size()];
     if (!IsUsable(agent.second, needs, now) ||
+        (is_near && !HasLabel(*agent.second.m_status, needs.m_data_rack)) ||
         !needs.m_demand.Fits(FreeRoom(agent.second))) {
       continue;
     }
@@ -179,28 +194,48 @@
     if (cost.m_is_late && !needs.m_may_be_late) {
       continue;
     }
-    if (best == nullptr || cost < best_cost) {
-      best = &agent;
-      best_cost = cost;
+    if (best.m_agent == nullptr || cost < best.m_cost) {
+      best = {&agent, cost};
     }
     ++candidates;
-    if (candidates >= kCandidates && !best_cost.m_is_late) {
+    if (candidates >= kCandidates && !best.m_cost.m_is_late) {
       break;
     }
   }
-  if (best == nullptr) {
+  return best;
+}
+
+std::optional<std::string> AgentTable::Choose(const PlacementNeeds& needs,
+                                              bool is_busy,
+                                              MonoTime now) {
+  if (m_order.empty()) {
+    return std::nullopt;
+  }
+  UpdateUsualSlowness();
+  Candidate best;
+  if (!needs.m_data_rack.empty()) {
+    NoteWantedRack(needs.m_data_rack, now);
+    best = BestOfFew(needs, is_busy, /*is_near=*/true, now);
+  }
+  if (best.m_agent == nullptr || best.m_cost.m_is_late) {
+    best = BestOfFew(needs, is_busy, /*is_near=*/false, now);
+  }
+  if (best.m_agent == nullptr) {
     m_watch_size.OnShortage(now);
     return std::nullopt;
   }
-  return best->first;
+  return best.m_agent->first;
 }
 
 void AgentTable::UpdateWatched(MonoTime now) {
   m_watch_size.Relax(now);
+  std::erase_if(m_wanted_racks,
+                [now](const auto& rack) { return rack.second <= now; });
   size_t missing = m_watch_size.Of(m_order.size());
   for (auto* agent : m_order) {
     AgentView& view = agent->second;
-    const bool is_watched = missing > 0;
+    const bool is_wanted = IsOnWantedRack(view);
+    const bool is_watched = missing > 0 || is_wanted;
     if (is_watched && !view.m_is_watched) {
       view.m_watched_since = now;
       view.m_claimed_at = MonoTime();
@@ -209,7 +244,7 @@
     // Those that take no work don't count.
     const bool takes_work =
         view.m_is_connected && view.m_status && view.m_status->m_is_accepting;
-    missing -= is_watched && takes_work ? 1 : 0;
+    missing -= missing > 0 && !is_wanted && takes_work ? 1 : 0;
   }
 }
 
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -79,6 +79,8 @@
   AgentView* Find(const std::string& name);
   void Remove(const std::string& name);
   void SetClosedZones(const ClosedZones& zones) { m_closed_zones = zones; }
+  // Run time of a task away from its data, as a multiple of that near it.
+  void SetRemoteFactor(double factor) { m_remote_factor = factor; }
 
   // Runs of earlier incarnations of agents that accept work are settled.
   void ForgetOrphans();
@@ -106,9 +108,10 @@
   void UpdateWatched(MonoTime now);
 
   // Returns an agent on which a task is well started now, or nothing if all
-  // are full: the best of a few drawn at random. If every entry took the best
-  // of all, they would meet at the same runner between two statuses. `is_busy`
-  // is that of a survey of the task's service.
+  // are full: the best of a few drawn at random, of those near the task's data
+  // if they can be in time. If every entry took the best of all, they would
+  // meet at the same runner between two statuses. `is_busy` is that of a survey
+  // of the task's service.
   std::optional<std::string> Choose(const PlacementNeeds& needs,
                                     bool is_busy,
                                     MonoTime now);
@@ -138,7 +141,21 @@
     auto operator<=>(const Cost&) const = default;
   };
 
+  struct Candidate {
+    const AgentMap::value_type* m_agent = nullptr;
+    Cost m_cost;
+  };
+
   void UpdateUsualSlowness();
+  double DistanceFactor(const RunnerStatus& status,
+                        const PlacementNeeds& needs) const;
+  // The best of a few drawn from all agents, or from those near the data.
+  Candidate BestOfFew(const PlacementNeeds& needs,
+                      bool is_busy,
+                      bool is_near,
+                      MonoTime now);
+  void NoteWantedRack(const std::string& rack, MonoTime now);
+  bool IsOnWantedRack(const AgentView& agent) const;
   bool IsUsable(const AgentView& agent,
                 const PlacementNeeds& needs,
                 MonoTime now) const;
@@ -151,6 +168,10 @@
   // All agents in random order; the first ones are followed closely.
   std::vector<AgentMap::value_type*> m_order;
   WatchSize m_watch_size;
+  // Racks on which tasks have their data, and until when their agents are
+  // followed closely for it.
+  std::map<std::string, MonoTime> m_wanted_racks;
+  double m_remote_factor = kDefaultRemoteFactor;
   std::minstd_rand m_random;
   ClosedZones m_closed_zones;
   double m_usual_slowness = 1.0;
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -313,8 +313,10 @@
       HasUnsettledRun(key)) {
     return false;
   }
-  const auto chosen =
-      m_agents.Choose(NeedsOf(job, task, now), survey.m_is_busy, now);
+  PlacementNeeds needs = NeedsOf(job, task, now);
+  // With room to spare an answer that is late is better than a refusal.
+  needs.m_may_be_late |= !survey.m_is_busy && now >= job.m_refuse_at;
+  const auto chosen = m_agents.Choose(needs, survey.m_is_busy, now);
   if (!chosen) {
     return false;
   }
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -47,6 +47,8 @@
   void OnClosedZones(const ClosedZones& zones) {
     m_agents.SetClosedZones(zones);
   }
+  // Run time of a task away from its data, as a multiple of that near it.
+  void SetRemoteFactor(double factor) { m_agents.SetRemoteFactor(factor); }
 
   // Does what is due and returns what is to be sent.
   std::vector<SchedulerAction> Tick(MonoTime now);
--- a/tests/emulator/load_test.cc
+++ b/tests/emulator/load_test.cc
@@ -112,5 +112,25 @@
   }
 }
 
+// Guards against tasks that run away from their data while its rack has room,
+// three times as long there: most jobs of the kind that wants one rack were
+// late.
+TEST(GrownLoadTest, JobsThatWantOneRackRunThere) {
+  LoadPattern pattern = TodaysLoad(6.0 * 0.68);
+  pattern.m_length = Milliseconds(4000);
+  pattern.m_phases = {{Microseconds(0), pattern.m_length, 1.0, "short-wide",
+                       /*m_rack_share=*/0.6, "rack-5"}};
+  FleetOptions options = GrownFleet(1);
+  options.m_runners_per_rack = 6;
+  options.m_remote_factor = 3.0;
+  FleetEmulation fleet(options, pattern);
+  fleet.RunUntil(Milliseconds(20));
+  fleet.AddLoad();
+  fleet.RunUntil(pattern.m_length + std::chrono::seconds(3));
+  const LoadSummary sum = fleet.Summarize("short-wide");
+  EXPECT_GE(sum.m_worth_earned / sum.m_worth_asked, kTargetWorth);
+  EXPECT_GE(WorthOf(fleet), kTargetWorth);
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -35,5 +35,19 @@
   EXPECT_NE(no_ports.error().find("port_range"), std::string::npos);
 }
 
+TEST(PlatformSettingsTest, AnImpossibleRemoteFactorIsRejected) {
+  const std::string text =
+      "node_name=a\nip=10.1.0.14\nport_range=7720,7735\n"
+      "platform.address=10.1.0.9:1\n";
+  EXPECT_DOUBLE_EQ(ParseSettings(text).value().m_remote_factor, 1.5);
+  EXPECT_DOUBLE_EQ(
+      ParseSettings(text + "bounds.remote_factor=3\n").value().m_remote_factor,
+      3.0);
+  for (const char* wrong : {"0.5", "x", "nan", "inf", "2x"}) {
+    EXPECT_FALSE(ParseSettings(text + "bounds.remote_factor=" + wrong + "\n"))
+        << wrong;
+  }
+}
+
 }  // namespace
 }  // namespace comfreyshift::platform
