--- a/http/plain_client.cc
+++ b/http/plain_client.cc
@@ -35,7 +35,7 @@
     text += "Host: " + host + "\r\n";
   }
   for (const auto& [name, value] : call.m_headers) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   const bool has_body = !call.m_body.empty();
   if (has_body) {
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -209,17 +209,16 @@
   server.m_actions = {RawAction::kNeverReply};
   const auto client = MakeClient(server.url(), 1);
   std::vector<HttpCallState> states;
-  std::vector<uint64_t> ids;
-  for (int i = 0; i < 2; ++i) {
-    ids.push_back(client->Send(Post(), [&states](const HttpCallResult& result) {
-      ASSERT_FALSE(result);
-      EXPECT_EQ(result.error().m_failure, HttpCallFailure::kCancelled);
-      states.push_back(result.error().m_state);
-    }));
-  }
+  const auto note = [&states](const HttpCallResult& result) {
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().m_failure, HttpCallFailure::kCancelled);
+    states.push_back(result.error().m_state);
+  };
+  const uint64_t sent = client->Send(Post(), note);
+  const uint64_t waiting = client->Send(Post(), note);
   RunLoop(30ms);
-  client->Cancel(ids[1]);
-  client->Cancel(ids[0]);
+  client->Cancel(waiting);
+  client->Cancel(sent);
   EXPECT_TRUE(states.empty());
   RunLoop(30ms);
   EXPECT_EQ(states, (std::vector{HttpCallState::kNotSent,
