--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -8,6 +8,7 @@
 #include "emulator/deployments.h"
 #include "emulator/fleet_emulation.h"
 #include "emulator/load.h"
+#include "emulator/load_summary.h"
 #include "emulator/runner_emulation.h"
 
 #endif  // EMULATOR_EMULATOR_H_
--- a/emulator/fleet_emulation.h
+++ b/emulator/fleet_emulation.h
@@ -13,6 +13,7 @@
 
 #include "core/core.h"
 #include "emulator/load.h"
+#include "emulator/load_summary.h"
 #include "emulator/runner_emulation.h"
 #include "executor/executor.h"
 #include "scheduler/scheduler.h"
@@ -33,36 +34,6 @@
   uint64_t m_seed = 1;
 };
 
-// How a client's job ended.
-enum class ClientResult : uint8_t {
-  kInProgress,
-  kCompleted,
-  kFailed,
-  kRefused,
-  kLost,
-};
-
-// What the emulation saw of one job.
-struct JobRecord {
-  Arrival m_arrival;
-  ClientResult m_result = ClientResult::kInProgress;
-  MonoTime m_sent_at;
-  MonoTime m_answered_at;
-  // Sendings whose connection broke or that were answered as lost.
-  uint64_t m_lost_sendings = 0;
-};
-
-// Sums over one kind of job, or all.
-struct LoadSummary {
-  uint64_t m_asked = 0;
-  uint64_t m_in_objective = 0;
-  uint64_t m_late = 0;
-  uint64_t m_refused = 0;
-  uint64_t m_failed = 0;
-  double m_worth_asked = 0.0;
-  double m_worth_earned = 0.0;
-};
-
 // Entries, agents, runners and clients under one virtual clock.
 class FleetEmulation {
  public:
@@ -107,7 +78,9 @@
   // Jobs of which every sending was refused although a task was started.
   uint64_t false_refusals() const;
   // Summary of one kind, or of all if it is empty.
-  LoadSummary Summarize(const std::string& kind = "") const;
+  LoadSummary Summarize(const std::string& kind = "") const {
+    return SummarizeLoad(m_jobs, m_pattern, kind);
+  }
 
  private:
   struct Entry;
--- /dev/null
+++ b/executor/entry_table.cc
@@ -0,0 +1,121 @@
+#include "executor/entry_table.h"
+
+#include <algorithm>
+
+#include "executor/report_memory.h"
+
+namespace comfreyshift {
+
+namespace {
+
+// Statuses are at least this far apart, and sent again after kStatusRepeat,
+// which also tells entries that this agent lives.
+constexpr Milliseconds kStatusPause{2};
+constexpr Milliseconds kStatusRepeat{150};
+
+}  // namespace
+
+void EntryTable::OnConnected(const ProcessId& entry, MonoTime now) {
+  for (auto& [id, known] : m_entries) {
+    if (id.m_name == entry.m_name && id.m_incarnation < entry.m_incarnation) {
+      known.m_claimed_until = now;
+    }
+  }
+  Entry& known = m_entries[entry];
+  known.m_is_connected = true;
+  known.m_sequence = 0;
+  known.m_is_status_due = true;
+  known.m_next_status_at = now;
+}
+
+void EntryTable::OnDisconnected(const ProcessId& entry) {
+  const auto found = m_entries.find(entry);
+  if (found != m_entries.end()) {
+    found->second.m_is_connected = false;
+  }
+}
+
+void EntryTable::ExtendClaim(Entry& entry, MonoTime agent_clock) {
+  entry.m_claimed_until =
+      std::max(entry.m_claimed_until, agent_clock + kClaimTimeout);
+}
+
+void EntryTable::OnClaim(const ProcessId& entry,
+                         const Claim& claim,
+                         MonoTime now) {
+  const auto found = m_entries.find(entry);
+  if (found == m_entries.end() || claim.m_agent_clock > now) {
+    return;
+  }
+  Entry& known = found->second;
+  if (claim.m_status_interval < known.m_status_interval) {
+    known.m_is_status_due = true;
+    known.m_next_status_at = std::min(known.m_next_status_at, now);
+  }
+  known.m_status_interval = claim.m_status_interval;
+  ExtendClaim(known, claim.m_agent_clock);
+}
+
+bool EntryTable::OnOrder(const ProcessId& entry,
+                         const StartRun& start,
+                         MonoTime now) {
+  const auto found = m_entries.find(entry);
+  if (found == m_entries.end()) {
+    return false;
+  }
+  found->second.m_sequence = start.m_sequence;
+  const bool is_claimed =
+      start.m_agent_clock <= now && now < start.m_agent_clock + kClaimTimeout;
+  if (is_claimed) {
+    ExtendClaim(found->second, start.m_agent_clock);
+  }
+  return is_claimed;
+}
+
+bool EntryTable::IsClaimed(const ProcessId& entry, MonoTime now) const {
+  const auto found = m_entries.find(entry);
+  return found != m_entries.end() && now < found->second.m_claimed_until;
+}
+
+void EntryTable::Forget(MonoTime now) {
+  std::erase_if(m_entries, [now](const auto& item) {
+    return !item.second.m_is_connected &&
+           item.second.m_claimed_until + kReportMemory <= now;
+  });
+}
+
+std::vector<EntryTable::DueStatus> EntryTable::TakeDue(bool has_changed,
+                                                       MonoTime now) {
+  std::vector<DueStatus> due;
+  for (auto& [id, entry] : m_entries) {
+    entry.m_is_status_due |= has_changed;
+    const MonoTime at = entry.m_is_status_due ? entry.m_next_status_at
+                                              : entry.m_status_repeat_at;
+    if (!entry.m_is_connected || now < at) {
+      continue;
+    }
+    entry.m_is_status_due = false;
+    entry.m_next_status_at =
+        now + std::max<Microseconds>(kStatusPause, entry.m_status_interval);
+    entry.m_status_repeat_at =
+        now + std::max<Microseconds>(kStatusRepeat, entry.m_status_interval);
+    due.push_back({id, entry.m_sequence});
+  }
+  return due;
+}
+
+MonoTime EntryTable::NextDeadline(MonoTime now) const {
+  MonoTime next = MonoTime::max();
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.m_claimed_until > now) {
+      next = std::min(next, entry.m_claimed_until);
+    }
+    if (entry.m_is_connected) {
+      next = std::min(next, entry.m_is_status_due ? entry.m_next_status_at
+                                                  : entry.m_status_repeat_at);
+    }
+  }
+  return next;
+}
+
+}  // namespace comfreyshift
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -25,10 +25,8 @@
 constexpr Milliseconds kStopRetry{60};
 // A runner whose lists could not be read for this long gets nothing new.
 constexpr Milliseconds kUnreachableAfter{400};
-// Statuses are at least this far apart, and sent again after kStatusRepeat,
-// which also tells entries that this agent lives.
-constexpr Milliseconds kStatusPause{2};
-constexpr Milliseconds kStatusRepeat{150};
+// Tick is called at least this often.
+constexpr Milliseconds kLongestPause{150};
 // A runner that has seen a higher token than ours saw it from an earlier life
 // of this agent, whose clock ran ahead by less than this.
 constexpr uint64_t kTokenStep = 60'000;
@@ -101,57 +99,28 @@
 }
 
 void RunExecutor::OnEntryConnected(const ProcessId& entry, MonoTime now) {
-  // A new incarnation of an entry knows nothing of the earlier one's runs.
-  for (auto& [id, state] : m_entries) {
-    if (id.m_name == entry.m_name && id.m_incarnation < entry.m_incarnation) {
-      state.m_claimed_until = now;
-    }
-  }
-  EntryState& state = m_entries[entry];
-  state.m_is_connected = true;
-  state.m_sequence = 0;
-  state.m_is_status_due = true;
-  state.m_next_status_at = now;
+  m_entries.OnConnected(entry, now);
   m_actions.push_back(SendToEntry{entry, Welcome{m_self}});
   m_is_status_due = true;
 }
 
 void RunExecutor::OnEntryDisconnected(const ProcessId& entry, MonoTime) {
-  const auto found = m_entries.find(entry);
-  if (found != m_entries.end()) {
-    found->second.m_is_connected = false;
-  }
+  m_entries.OnDisconnected(entry);
 }
 
 void RunExecutor::OnClaim(const ProcessId& entry,
                           const Claim& claim,
                           MonoTime now) {
-  const auto found = m_entries.find(entry);
-  if (found == m_entries.end() || claim.m_agent_clock > now) {
-    return;
-  }
-  if (claim.m_status_interval < found->second.m_status_interval) {
-    found->second.m_is_status_due = true;
-    found->second.m_next_status_at =
-        std::min(found->second.m_next_status_at, now);
-  }
-  found->second.m_status_interval = claim.m_status_interval;
-  ExtendClaim(found->second, claim.m_agent_clock);
-}
-
-void RunExecutor::ExtendClaim(EntryState& entry, MonoTime agent_clock) {
-  entry.m_claimed_until =
-      std::max(entry.m_claimed_until, agent_clock + kClaimTimeout);
+  m_entries.OnClaim(entry, claim, now);
 }
 
 void RunExecutor::OnStartRun(const ProcessId& entry,
                              const StartRun& start,
                              MonoTime now) {
-  const auto known_entry = m_entries.find(entry);
-  if (known_entry == m_entries.end()) {
+  if (!m_entries.IsKnown(entry)) {
     return;
   }
-  known_entry->second.m_sequence = start.m_sequence;
+  const bool is_claimed = m_entries.OnOrder(entry, start, now);
   m_is_status_due = true;
   if (const RunReport* ended = m_reports.Find(start.m_run)) {
     m_actions.push_back(SendToEntry{entry, *ended});
@@ -170,11 +139,6 @@
   run.m_abandon_at = start.m_abandon_at;
   run.m_queue_until = start.m_queue_until;
   run.m_state_since = now;
-  const bool is_claimed =
-      start.m_agent_clock <= now && now < start.m_agent_clock + kClaimTimeout;
-  if (is_claimed) {
-    ExtendClaim(known_entry->second, start.m_agent_clock);
-  }
   const bool is_possible = is_claimed && m_runner && is_accepting(now) &&
                            start.m_service == m_runner->m_service &&
                            start.m_demand.Fits(m_runner->m_capacity);
@@ -418,16 +382,12 @@
 
 void RunExecutor::StopUnclaimed(MonoTime now) {
   for (auto& [key, run] : m_runs) {
-    const auto entry = m_entries.find(run.m_entry);
-    if (entry == m_entries.end() || entry->second.m_claimed_until <= now) {
+    if (!m_entries.IsClaimed(run.m_entry, now)) {
       RequestStop(key, run, now);
       run.m_queue_until = std::min(run.m_queue_until, now);
     }
   }
-  std::erase_if(m_entries, [&](const auto& item) {
-    return !item.second.m_is_connected &&
-           item.second.m_claimed_until + kReportMemory <= now;
-  });
+  m_entries.Forget(now);
 }
 
 void RunExecutor::StopExpired(MonoTime now) {
@@ -586,25 +546,15 @@
 }
 
 void RunExecutor::SendStatuses(MonoTime now) {
-  const bool has_changed = std::exchange(m_is_status_due, false);
-  std::optional<RunnerStatus> status;
-  for (auto& [id, entry] : m_entries) {
-    entry.m_is_status_due |= has_changed;
-    const MonoTime due = entry.m_is_status_due ? entry.m_next_status_at
-                                               : entry.m_status_repeat_at;
-    if (!entry.m_is_connected || now < due) {
-      continue;
-    }
-    if (!status) {
-      status = MakeStatus(now);
-    }
-    status->m_sequence = entry.m_sequence;
-    entry.m_is_status_due = false;
-    entry.m_next_status_at =
-        now + std::max<Microseconds>(kStatusPause, entry.m_status_interval);
-    entry.m_status_repeat_at =
-        now + std::max<Microseconds>(kStatusRepeat, entry.m_status_interval);
-    m_actions.push_back(SendToEntry{id, *status});
+  const auto due =
+      m_entries.TakeDue(std::exchange(m_is_status_due, false), now);
+  if (due.empty()) {
+    return;
+  }
+  RunnerStatus status = MakeStatus(now);
+  for (const EntryTable::DueStatus& entry : due) {
+    status.m_sequence = entry.m_sequence;
+    m_actions.push_back(SendToEntry{entry.m_entry, status});
   }
 }
 
@@ -621,7 +571,7 @@
 }
 
 MonoTime RunExecutor::NextDeadline(MonoTime now) const {
-  MonoTime next = now + kStatusRepeat;
+  MonoTime next = std::min(now + kLongestPause, m_entries.NextDeadline(now));
   if (m_runner && !m_is_looking) {
     const bool is_idle = m_is_listed && m_strays.empty() && m_runs.empty();
     const MonoTime idle_look = m_last_list_at + kUnreachableAfter / 2;
@@ -639,15 +589,6 @@
       next = std::min(next, run.m_stop_again_at);
     }
   }
-  for (const auto& [entry, state] : m_entries) {
-    if (state.m_claimed_until > now) {
-      next = std::min(next, state.m_claimed_until);
-    }
-    if (state.m_is_connected) {
-      next = std::min(next, state.m_is_status_due ? state.m_next_status_at
-                                                  : state.m_status_repeat_at);
-    }
-  }
   if (m_health.retry_at() > now) {
     next = std::min(next, m_health.retry_at());
   }
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -10,6 +10,7 @@
 
 #include "core/core.h"
 #include "executor/actions.h"
+#include "executor/entry_table.h"
 #include "executor/report_memory.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
@@ -98,22 +99,8 @@
     bool m_is_reported = false;
   };
 
-  struct EntryState {
-    bool m_is_connected = false;
-    uint64_t m_sequence = 0;
-    // Statuses to this entry are at least this far apart.
-    Microseconds m_status_interval{0};
-    bool m_is_status_due = true;
-    MonoTime m_next_status_at;
-    MonoTime m_status_repeat_at;
-    // The entry's runs are stopped then.
-    MonoTime m_claimed_until;
-  };
-
   using RunTable = std::map<RunKey, Run>;
 
-  // The entry was certainly alive when it had this clock of ours.
-  static void ExtendClaim(EntryState& entry, MonoTime agent_clock);
   bool HoldsRoom(const Run& run) const;
   // Whether another run of the same task may be at work here.
   bool HasOtherRun(RunTable::const_iterator found) const;
@@ -145,7 +132,7 @@
   RunTable m_runs;
   // For repeated StartRun messages.
   ReportMemory m_reports;
-  std::map<ProcessId, EntryState> m_entries;
+  EntryTable m_entries;
   // Runs found on the runner that nobody claims; they are being stopped.
   std::map<RunKey, MonoTime> m_strays;
   ClosedZones m_closed_zones;
