Add the command explain: how a job or request ended, from logs alone

An on-call engineer had to search the logs of entries by request and those of agents by job, by hand.

The platform roles are unchanged.

--- a/cli/command.h
+++ b/cli/command.h
@@ -31,6 +31,9 @@
 // Returns the command `load`.
 std::span<const Command> LoadCommands();
 
+// Returns the command `explain`.
+std::span<const Command> LogCommands();
+
 // Runs the command that `arguments` begin with. Without arguments, for an
 // unknown command and for --help it lists the commands; the first two are
 // kUsage.
--- a/main/main.cc
+++ b/main/main.cc
@@ -22,7 +22,7 @@
        &platform::RunPlatformAgent},
   };
   for (const auto& group :
-       {CallerCommands(), LoadCommands(), OperatorCommands()}) {
+       {CallerCommands(), LoadCommands(), LogCommands(), OperatorCommands()}) {
     commands.insert(commands.end(), group.begin(), group.end());
   }
   return commands;
