--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -44,6 +44,7 @@
     step.m_count = tasks;
     step.m_demand = {1000, 1, 0};
     step.m_estimated_run_time = estimate;
+    step.m_data_rack = m_data_rack;
     request.m_steps = {step};
     request.m_give_up_at = m_now + Milliseconds(3000);
     QueueConfig queue;
@@ -100,6 +101,8 @@
   MonoTime m_now = kStart;
   JobScheduler m_scheduler{1'000'000, /*seed=*/1, kStart};
   uint64_t m_jobs = 0;
+  // Of the jobs submitted from now on.
+  std::string m_data_rack;
   std::vector<SentStart> m_starts;
   std::vector<RunKey> m_stops;
   std::map<JobHandle, JobResult> m_answers;
@@ -231,6 +234,19 @@
   EXPECT_EQ(m_starts[0].m_start.m_run, m_starts[1].m_start.m_run);
 }
 
+// Guards against refusals while runners are idle: away from its data the job is
+// late, which its client still values.
+TEST_F(JobSchedulerTest, AJobThatCanOnlyBeLateIsStartedWhileThereIsRoom) {
+  AddAgent("a", 1.0);
+  m_scheduler.SetRemoteFactor(3.0);
+  m_data_rack = "elsewhere";
+  const JobHandle job = Submit(1);
+  EXPECT_TRUE(m_starts.empty());
+  Advance(Milliseconds(100));
+  EXPECT_FALSE(IsAnswered<JobRefused>(job));
+  EXPECT_EQ(m_starts.size(), 1U);
+}
+
 // An agent's machine may have restarted, and its clock with it; claims with the
 // clock of before would be ignored.
 TEST_F(JobSchedulerTest, ANewIncarnationsClockReplacesTheOldOne) {
