Keep the ports of the platform tests below those of outgoing connections

Cause: the ports of a run went up to 39,999 by its process id.

Ruled out: load (the same commit passed beside four busy processes). Not shown: the ports of the failed run, whose process id was not kept.

--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -24,8 +24,16 @@
 constexpr uint64_t kFirstConfigVersion = 7;
 
 // Port ranges of test runs on one machine are kept apart by the process id.
+// They end below the ports that the system takes for outgoing connections: a
+// process cannot listen on one of these for a minute after its connection.
+constexpr int kFirstPort = 10'000;
+constexpr int kPortsOfARun = 20;
+constexpr int kRuns = 1000;
+constexpr int kFirstOutgoingPort = 32'768;
+static_assert(kFirstPort + kPortsOfARun * kRuns <= kFirstOutgoingPort);
+
 uint16_t FirstPort() {
-  return static_cast<uint16_t>(20'000 + (getpid() % 1000) * 20);
+  return static_cast<uint16_t>(kFirstPort + (getpid() % kRuns) * kPortsOfARun);
 }
 
 void RunFor(Milliseconds time) {
