Use the loop's timer that was there instead of two more of its kind

Ticker and PlainClient each made a GLib source with a ready time by hand, as LoopTimer of node already did. LoopTimer moves to net, below all three, and takes a priority; behaviour stays as it is.

Beside it: one constant for how long clients keep idle connections; one check of which phases of a load concern a job; the emulator's remote factor is the product's default; PlainClient kept an address that nothing read.

--- a/cmake/node.cmake
+++ b/cmake/node.cmake
@@ -1,2 +1,2 @@
-comfreyshift_library(node core logging inventory config membership dispatch rpc PkgConfig::GLIB)
+comfreyshift_library(node core logging inventory config membership dispatch net rpc PkgConfig::GLIB)
 comfreyshift_tests(node node)
--- a/emulator/fleet_emulation.h
+++ b/emulator/fleet_emulation.h
@@ -28,7 +28,7 @@
   // Runners one after another share a rack, named "rack-0" and so on; 0 for no
   // racks. Tasks away from their data take so many times as long.
   size_t m_runners_per_rack = 0;
-  double m_remote_factor = 1.5;
+  double m_remote_factor = kDefaultRemoteFactor;
   Microseconds m_link_delay{1400};
   Microseconds m_order_delay{500};
   uint64_t m_seed = 1;
--- a/emulator/load.cc
+++ b/emulator/load.cc
@@ -23,13 +23,17 @@
   return draw(random);
 }
 
+bool Concerns(const LoadPhase& phase, const JobKind& kind, Microseconds at) {
+  return (phase.m_kind.empty() || phase.m_kind == kind.m_name) &&
+         at >= phase.m_from && at < phase.m_until;
+}
+
 double RateFactor(const LoadPattern& pattern,
                   const JobKind& kind,
                   Microseconds at) {
   double factor = 1.0;
   for (const LoadPhase& phase : pattern.m_phases) {
-    const bool concerns = phase.m_kind.empty() || phase.m_kind == kind.m_name;
-    if (concerns && at >= phase.m_from && at < phase.m_until) {
+    if (Concerns(phase, kind, at)) {
       factor *= phase.m_rate_factor;
     }
   }
@@ -43,9 +47,7 @@
               Arrival& arrival,
               std::mt19937_64& random) {
   for (const LoadPhase& phase : pattern.m_phases) {
-    const bool concerns = phase.m_kind.empty() || phase.m_kind == kind.m_name;
-    if (!concerns || at < phase.m_from || at >= phase.m_until ||
-        phase.m_rack_share == 0.0 ||
+    if (!Concerns(phase, kind, at) || phase.m_rack_share == 0.0 ||
         std::uniform_real_distribution<double>(0.0, 1.0)(random) >=
             phase.m_rack_share) {
       continue;
--- a/entry/job_session.h
+++ b/entry/job_session.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "core/core.h"
+#include "net/net.h"
 #include "node/node.h"
 #include "rpc/rpc.h"
 
--- a/fleet/ticker.h
+++ b/fleet/ticker.h
@@ -1,12 +1,11 @@
 #ifndef FLEET_TICKER_H_
 #define FLEET_TICKER_H_
 
-#include <glib.h>
-
 #include <functional>
 #include <memory>
 
 #include "core/core.h"
+#include "net/net.h"
 
 namespace comfreyshift {
 
@@ -24,13 +23,10 @@
   void Wake();
 
  private:
-  static gboolean OnReady(GSource* source, GSourceFunc callback, gpointer);
-  static gboolean OnDue(gpointer self);
   void Run();
 
   std::function<MonoTime(MonoTime)> m_tick;
-  // For deadlines.
-  GSource* m_source;
+  LoopTimer m_timer;
   // A tick is due.
   bool m_is_woken = false;
   bool m_is_ticking = false;
--- a/http/call.h
+++ b/http/call.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_CALL_H_
 #define HTTP_CALL_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -32,6 +33,10 @@
   HttpHeaders m_headers;
 };
 
+// Idle connections are closed well before servers usually do it, so that a
+// request seldom meets a connection the server is just closing.
+inline constexpr std::chrono::seconds kIdleConnectionTime{3};
+
 // How far a call without a response came.
 enum class HttpCallState : uint8_t {
   // The server cannot have processed it: its headers were not written.
--- a/http/plain_client.cc
+++ b/http/plain_client.cc
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr size_t kReadBytes = size_t{16} * 1024;
-// Idle connections are closed well before servers usually do it, so that a
-// request seldom meets a connection the server is just closing.
-constexpr Milliseconds kIdleTime{3000};
 
 bool HasControls(const std::string& text) {
   return std::ranges::any_of(
@@ -59,35 +56,19 @@
 PlainClient::PlainClient(const Address& server,
                          uint32_t connections,
                          uint64_t max_answer_bytes)
-    : m_server(server),
-      m_host(server.ToString()),
+    : m_host(server.ToString()),
       m_address(g_inet_socket_address_new_from_string(server.m_host.c_str(),
                                                       server.m_port)),
       m_max_connections(connections),
-      m_max_answer_bytes(max_answer_bytes) {
-  static GSourceFuncs functions = {
-      nullptr,
-      nullptr,
-      [](GSource*, GSourceFunc callback, gpointer data) -> gboolean {
-        return callback(data);
-      },
-      nullptr,
-      nullptr,
-      nullptr};
-  m_timer = g_source_new(&functions, sizeof(GSource));
-  // Below the priority of sockets: an answer that has arrived while the
-  // process could not run is read before the deadline is looked at.
-  g_source_set_priority(m_timer, G_PRIORITY_DEFAULT + 20);
-  g_source_set_callback(m_timer, &PlainClient::OnTimer, this, nullptr);
-  g_source_attach(m_timer, nullptr);
-}
+      m_max_answer_bytes(max_answer_bytes),
+      // An answer that has arrived while the process could not run is read
+      // before the deadline is looked at.
+      m_timer([this]() { ExpireCalls(); }, G_PRIORITY_DEFAULT + 20) {}
 
 PlainClient::~PlainClient() {
   while (!m_connections.empty()) {
     Close(m_connections.begin()->first);
   }
-  g_source_destroy(m_timer);
-  g_source_unref(m_timer);
   g_object_unref(m_address);
 }
 
@@ -394,20 +375,15 @@
 
 void PlainClient::CloseIdle(MonoTime now) {
   while (!m_idle.empty() &&
-         now >= m_connections.at(m_idle.front()).m_idle_since + kIdleTime) {
+         now >= m_connections.at(m_idle.front()).m_idle_since +
+                    kIdleConnectionTime) {
     Close(m_idle.front());
   }
 }
 
-gboolean PlainClient::OnTimer(gpointer data) {
-  const auto self = static_cast<PlainClient*>(data)->shared_from_this();
-  self->m_timer_at = MonoTime::max();
-  g_source_set_ready_time(self->m_timer, -1);
-  self->ExpireCalls();
-  return G_SOURCE_CONTINUE;
-}
-
 void PlainClient::ExpireCalls() {
+  const auto keep = shared_from_this();
+  m_timer_at = MonoTime::max();
   const MonoTime now = BootClock::now();
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
     Fail(m_deadlines.begin()->second, HttpCallFailure::kDeadline,
@@ -424,16 +400,14 @@
     next = m_deadlines.begin()->first;
   }
   if (!m_idle.empty()) {
-    next = std::min(next,
-                    m_connections.at(m_idle.front()).m_idle_since + kIdleTime);
+    next = std::min(next, m_connections.at(m_idle.front()).m_idle_since +
+                              kIdleConnectionTime);
   }
   if (next >= m_timer_at) {
     return;
   }
   m_timer_at = next;
-  const Microseconds delay =
-      std::max<Microseconds>(next - BootClock::now(), Microseconds(0));
-  g_source_set_ready_time(m_timer, g_get_monotonic_time() + delay.count());
+  m_timer.Set(next);
 }
 
 }  // namespace comfreyshift
--- a/http/plain_client.h
+++ b/http/plain_client.h
@@ -83,11 +83,9 @@
   void End(uint64_t call, HttpCallResult result);
   HttpCallState StateOf(const Call& call) const;
   void CloseIdle(MonoTime now);
-  static gboolean OnTimer(gpointer self);
   void ExpireCalls();
   void SetTimer();
 
-  Address m_server;
   std::string m_host;
   GSocketAddress* m_address;
   uint32_t m_max_connections;
@@ -98,7 +96,7 @@
   std::map<ConnectionId, Connection> m_connections;
   // The one used last is taken first.
   std::vector<ConnectionId> m_idle;
-  GSource* m_timer;
+  LoopTimer m_timer;
   MonoTime m_timer_at = MonoTime::max();
   uint64_t m_next_id = 1;
   bool m_is_pump_due = false;
--- a/http/soup_client.cc
+++ b/http/soup_client.cc
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr size_t kReadSize = 64 * 1024;
-// Idle connections are closed well before servers usually do it, so that a
-// request seldom meets a connection the server is just closing.
-constexpr int kIdleSeconds = 3;
 
 HttpHeaders ReadHeaders(SoupMessage* message) {
   HttpHeaders headers;
@@ -278,8 +275,8 @@
   const auto connections = static_cast<int>(options.m_connections);
   m_session = soup_session_new_with_options(
       "max-conns", connections, "max-conns-per-host", connections,
-      "idle-timeout", kIdleSeconds, "timeout", 0, "proxy-resolver", nullptr,
-      nullptr);
+      "idle-timeout", static_cast<int>(kIdleConnectionTime.count()), "timeout",
+      0, "proxy-resolver", nullptr, nullptr);
   // An answer 401 would make it send the request again.
   soup_session_remove_feature_by_type(m_session, SOUP_TYPE_AUTH_MANAGER);
 }
--- a/node/loop_timer.cc
+++ b/net/loop_timer.cc
@@ -1,4 +1,4 @@
-#include "node/loop_timer.h"
+#include "net/loop_timer.h"
 
 #include <algorithm>
 #include <utility>
@@ -20,9 +20,10 @@
 
 }  // namespace
 
-LoopTimer::LoopTimer(std::function<void()> callback)
+LoopTimer::LoopTimer(std::function<void()> callback, gint priority)
     : m_callback(std::move(callback)),
       m_source(g_source_new(&g_timer_functions, sizeof(GSource))) {
+  g_source_set_priority(m_source, priority);
   g_source_set_callback(m_source, &LoopTimer::OnReady, this, nullptr);
   g_source_attach(m_source, nullptr);
 }
--- a/node/loop_timer.h
+++ b/net/loop_timer.h
@@ -1,5 +1,5 @@
-#ifndef NODE_LOOP_TIMER_H_
-#define NODE_LOOP_TIMER_H_
+#ifndef NET_LOOP_TIMER_H_
+#define NET_LOOP_TIMER_H_
 
 #include <glib.h>
 
@@ -15,7 +15,9 @@
 // but the function always sees the true time.
 class LoopTimer {
  public:
-  explicit LoopTimer(std::function<void()> callback);
+  // With a priority below that of sockets, input that has arrived comes first.
+  explicit LoopTimer(std::function<void()> callback,
+                     gint priority = G_PRIORITY_DEFAULT);
   ~LoopTimer();
   LoopTimer(const LoopTimer&) = delete;
   LoopTimer& operator=(const LoopTimer&) = delete;
@@ -33,4 +35,4 @@
 
 }  // namespace comfreyshift
 
-#endif  // NODE_LOOP_TIMER_H_
+#endif  // NET_LOOP_TIMER_H_
--- a/net/net.h
+++ b/net/net.h
@@ -1,8 +1,10 @@
 #ifndef NET_NET_H_
 #define NET_NET_H_
 
-// Public header of the net library: sockets on the GLib main loop.
+// Public header of the net library: sockets and deadlines on the GLib main
+// loop.
 
+#include "net/loop_timer.h"
 #include "net/socket_poller.h"
 
 #endif  // NET_NET_H_
--- a/node/node.h
+++ b/node/node.h
@@ -5,7 +5,6 @@
 // the replica of the configuration and the main loop's ticks.
 
 #include "node/datagram_socket.h"
-#include "node/loop_timer.h"
 #include "node/process_node.h"
 
 #endif  // NODE_NODE_H_
--- a/node/process_node.h
+++ b/node/process_node.h
@@ -7,9 +7,9 @@
 
 #include "core/core.h"
 #include "membership/membership.h"
+#include "net/net.h"
 #include "node/config_view.h"
 #include "node/datagram_socket.h"
-#include "node/loop_timer.h"
 #include "rpc/rpc.h"
 
 namespace comfreyshift {
