Test that signals at the edges of a role's life end nothing; failing, known red

The handler that has come since exists only between the reading of the settings and the end of the role, and only in the platform's roles.

--- a/cmake/main.cmake
+++ b/cmake/main.cmake
@@ -1,3 +1,11 @@
 add_executable(comfreyshift main/main.cc main/roles.cc main/health_routes.cc)
 target_compile_options(comfreyshift PRIVATE -Wall -Wextra -Werror)
 target_link_libraries(comfreyshift PRIVATE agent cli entry fleet http logging platform settings)
+comfreyshift_tests(main core nlohmann_json::nlohmann_json)
+if(TARGET main_tests)
+  # The tests run the real program.
+  target_sources(main_tests PRIVATE tests/standins/platform_documents.cc tests/standins/role_process.cc)
+  target_include_directories(main_tests PRIVATE ${CMAKE_SOURCE_DIR})
+  target_compile_definitions(main_tests PRIVATE COMFREYSHIFT_PROGRAM="$<TARGET_FILE:comfreyshift>")
+  add_dependencies(main_tests comfreyshift)
+endif()
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -5,7 +5,7 @@
   target_sources(platform_tests PRIVATE
       tests/standins/fault_proxy.cc
       tests/standins/platform_documents.cc
-      tests/standins/platform_process.cc
+      tests/standins/role_process.cc
       tests/standins/platform_store_standin.cc)
   target_include_directories(platform_tests PRIVATE ${CMAKE_SOURCE_DIR})
   target_compile_definitions(platform_tests PRIVATE COMFREYSHIFT_PROGRAM="$<TARGET_FILE:comfreyshift>")
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -4,7 +4,6 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
-#include <unistd.h>
 
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -13,8 +12,9 @@
 #include "tests/platform/runner_standin.h"
 #include "tests/standins/fault_proxy.h"
 #include "tests/standins/platform_documents.h"
-#include "tests/standins/platform_process.h"
 #include "tests/standins/platform_store_standin.h"
+#include "tests/standins/role_process.h"
+#include "tests/standins/test_ports.h"
 
 namespace comfreyshift {
 namespace {
@@ -23,19 +23,6 @@
 
 constexpr uint64_t kFirstConfigVersion = 7;
 
-// Port ranges of test runs on one machine are kept apart by the process id.
-// They end below the ports that the system takes for outgoing connections: a
-// process cannot listen on one of these for a minute after its connection.
-constexpr int kFirstPort = 10'000;
-constexpr int kPortsOfARun = 20;
-constexpr int kRuns = 1000;
-constexpr int kFirstOutgoingPort = 32'768;
-static_assert(kFirstPort + kPortsOfARun * kRuns <= kFirstOutgoingPort);
-
-uint16_t FirstPort() {
-  return static_cast<uint16_t>(kFirstPort + (getpid() % kRuns) * kPortsOfARun);
-}
-
 void RunFor(Milliseconds time) {
   const MonoTime end = BootClock::now() + time;
   while (BootClock::now() < end) {
@@ -69,15 +56,15 @@
   static constexpr size_t kAgents = 2;
 
   void SetUp() override {
-    m_clients = Loopback(0);
-    m_readiness = Loopback(1);
+    m_clients = TestAddress(0);
+    m_readiness = TestAddress(1);
     for (size_t i = 0; i < kAgents; ++i) {
       m_runners.push_back(std::make_unique<RunnerStandin>(
-          "i-" + std::to_string(i), Loopback(2 + i), Milliseconds(100)));
+          "i-" + std::to_string(i), TestAddress(2 + i), Milliseconds(100)));
       StartAgent(i);
     }
     m_entry = std::make_unique<PlatformProcess>(
-        "platform-entry", "entry", EntrySettings(), Loopback(10).m_port);
+        "platform-entry", "entry", EntrySettings(), TestAddress(10).m_port);
     HttpClientOptions options;
     options.m_base_url = "http://" + m_clients.ToString();
     m_client = HttpClient::Make(options).value();
@@ -85,14 +72,9 @@
     m_prober = HttpClient::Make(options).value();
   }
 
-  // Ports of this run, by their place in its range.
-  static Address Loopback(size_t offset) {
-    return {"127.0.0.1", static_cast<uint16_t>(FirstPort() + offset)};
-  }
-
   std::string EntrySettings() const {
     return EntrySettingsText("entry", m_clients, m_readiness,
-                             Loopback(6).m_port, m_entry_store.address());
+                             TestAddress(6).m_port, m_entry_store.address());
   }
 
   void StartAgent(size_t index) {
@@ -101,9 +83,10 @@
     m_agents[index].reset();
     m_agents[index] = std::make_unique<PlatformProcess>(
         "platform-agent", name,
-        AgentSettingsText(name, Loopback(2 + index), Loopback(7 + index).m_port,
+        AgentSettingsText(name, TestAddress(2 + index),
+                          TestAddress(7 + index).m_port,
                           m_runners[index]->address(), m_store.address()),
-        Loopback(11 + index).m_port);
+        TestAddress(11 + index).m_port);
   }
 
   std::shared_ptr<Answer> Send(const std::string& method,
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -14,8 +14,8 @@
 #include "tests/platform/runner_standin.h"
 #include "tests/standins/fault_proxy.h"
 #include "tests/standins/platform_documents.h"
-#include "tests/standins/platform_process.h"
 #include "tests/standins/platform_store_standin.h"
+#include "tests/standins/role_process.h"
 
 namespace comfreyshift {
 
