--- a/fleet/stop_signal.cc
+++ b/fleet/stop_signal.cc
@@ -1,32 +1,29 @@
 #include "fleet/stop_signal.h"
 
-#include <glib-unix.h>
-
-#include <csignal>
 #include <utility>
 
+#include "fleet/process_signals.h"
 #include "logging/logging.h"
 
 namespace comfreyshift {
 
 StopSignal::StopSignal(StopFunction stop)
     : m_stop(std::move(stop)), m_loop(g_main_loop_new(nullptr, FALSE)) {
-  g_unix_signal_add(SIGTERM, &StopSignal::OnSignal, this);
-  g_unix_signal_add(SIGINT, &StopSignal::OnSignal, this);
+  SetStopHandler([this]() { OnSignal(); });
 }
 
 StopSignal::~StopSignal() {
+  SetStopHandler(nullptr);
   g_main_loop_unref(m_loop);
 }
 
-gboolean StopSignal::OnSignal(gpointer self) {
-  auto* signal = static_cast<StopSignal*>(self);
-  if (signal->m_stop) {
-    LogEvent(LogLevel::kInfo, "main", "stopping");
-    const auto stop = std::exchange(signal->m_stop, nullptr);
-    stop([signal]() { g_main_loop_quit(signal->m_loop); });
+void StopSignal::OnSignal() {
+  if (!m_stop) {
+    return;
   }
-  return G_SOURCE_CONTINUE;
+  LogEvent(LogLevel::kInfo, "main", "stopping");
+  const auto stop = std::exchange(m_stop, nullptr);
+  stop([this]() { g_main_loop_quit(m_loop); });
 }
 
 }  // namespace comfreyshift
--- a/fleet/stop_signal.h
+++ b/fleet/stop_signal.h
@@ -7,8 +7,8 @@
 
 namespace comfreyshift {
 
-// Runs the main loop until the first SIGTERM or SIGINT, then until `stop` calls
-// its argument.
+// Runs the main loop until the first signal that asks for a stop, then until
+// `stop` calls its argument.
 class StopSignal {
  public:
   using StopFunction = std::function<void(std::function<void()> stopped)>;
@@ -21,7 +21,7 @@
   void Run() { g_main_loop_run(m_loop); }
 
  private:
-  static gboolean OnSignal(gpointer self);
+  void OnSignal();
 
   StopFunction m_stop;
   GMainLoop* m_loop;
--- a/main/roles.cc
+++ b/main/roles.cc
@@ -210,6 +210,10 @@
   }
   const Settings& settings = std::get<Settings>(loaded);
   InitLogging(settings.m_process.m_name, settings.m_process.m_log_level);
+  SetReloadHandler([]() {
+    LogEvent(LogLevel::kWarning, "main", "reload_ignored",
+             {{"reason", "settings are read at the start only"}});
+  });
   return role == Role::kEntry ? ServeEntry(settings) : ServeAgent(settings);
 }
 
