Bound depth and numbers of JSON from outside; one library reads it

Numbers such as seq 1e300 or born 2^64 - 1 were converted with undefined results, and such a report was taken for that of a runner.

Cause: copying and writing a value recurse to its depth, and nothing bounds the depth a text can ask for; conversions of numbers were unchecked. The json library rejects texts that nest deeper than 64 and numbers out of a stated range; all of the tree reads JSON through it, the product's interface, inventory, store, table and commands too. Three copies of the writer, two of the strict parser and two of the object parser are gone. The adapter's wire.cc is three files, by who speaks.

--- a/cli/caller_answer.cc
+++ b/cli/caller_answer.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "json/json.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -104,11 +106,10 @@
     return lost;
   }
   const HttpResponse& response = result.value();
-  const Json body =
-      Json::parse(response.m_body, nullptr, /*allow_exceptions=*/false);
+  const auto body = ParseJsonObject(response.m_body);
   CallerAnswer answer;
-  if (body.is_object()) {
-    answer = ReadBody(response.m_status, body);
+  if (body) {
+    answer = ReadBody(response.m_status, *body);
   }
   if (answer.m_outcome == JobOutcome::kUnknown && answer.m_reason.empty()) {
     answer.m_reason = "malformed_answer";
--- a/cli/connection.cc
+++ b/cli/connection.cc
@@ -170,16 +170,16 @@
     return ErrorOfCall(result.error());
   }
   const HttpResponse& response = result.value();
-  Json json = Json::parse(response.m_body, nullptr, /*allow_exceptions=*/false);
+  auto json = ParseJson(response.m_body);
   if (response.m_status != 200) {
-    return ErrorOfAnswer(response, json.is_discarded() ? Json() : json);
+    return ErrorOfAnswer(response, json ? std::move(*json) : Json());
   }
-  if (!json.is_object()) {
+  if (!json || !json->is_object()) {
     return CommandError{ExitCode::kFailed, "malformed_answer",
                         "the answer of the entry is not a JSON object",
                         nullptr};
   }
-  return OperatorAnswer{std::move(json), response.m_headers};
+  return OperatorAnswer{std::move(*json), response.m_headers};
 }
 
 SubmissionKey MakeKey() {
@@ -204,8 +204,4 @@
   return error.m_exit;
 }
 
-std::string DumpJson(const nlohmann::json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 }  // namespace comfreyshift
--- a/cli/connection.h
+++ b/cli/connection.h
@@ -9,6 +9,7 @@
 #include "cli/exit_code.h"
 #include "core/core.h"
 #include "http/http.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
@@ -75,9 +76,6 @@
                     bool as_json,
                     const Terminal& terminal);
 
-// Returns the JSON text of a value; invalid UTF-8 in it is replaced.
-std::string DumpJson(const nlohmann::json& json);
-
 }  // namespace comfreyshift
 
 #endif  // CLI_CONNECTION_H_
--- a/cli/explain.cc
+++ b/cli/explain.cc
@@ -5,6 +5,7 @@
 #include "cli/command.h"
 #include "cli/command_line.h"
 #include "cli/explanation.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
@@ -25,7 +26,7 @@
     text.append(text.empty() ? "" : " ")
         .append(name)
         .append("=")
-        .append(value.is_string() ? value.get<std::string>() : value.dump());
+        .append(value.is_string() ? value.get<std::string>() : DumpJson(value));
   }
   return text;
 }
@@ -45,10 +46,9 @@
   for (const LogRecord& record : records) {
     lines.push_back(record.m_fields);
   }
-  return Json{{"id", id},
-              {"explanation", ExplainRecords(records)},
-              {"records", std::move(lines)}}
-      .dump();
+  return DumpJson({{"id", id},
+                   {"explanation", ExplainRecords(records)},
+                   {"records", std::move(lines)}});
 }
 
 // Returns false if a file cannot be read.
--- a/cli/explanation.cc
+++ b/cli/explanation.cc
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <utility>
 
+#include "json/json.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -138,13 +140,13 @@
         text.find(kDisconnected) == std::string_view::npos) {
       continue;
     }
-    Json fields = Json::parse(text, nullptr, /*allow_exceptions=*/false);
-    if (!fields.is_object()) {
+    auto fields = ParseJsonObject(text);
+    if (!fields) {
       ++m_unreadable;
       continue;
     }
-    LogRecord record{TextOf(fields, "time"), TextOf(fields, "process"),
-                     TextOf(fields, "event"), std::move(fields)};
+    LogRecord record{TextOf(*fields, "time"), TextOf(*fields, "process"),
+                     TextOf(*fields, "event"), std::move(*fields)};
     auto& records = record.m_event == kDisconnected ? m_disconnects : m_records;
     records.push_back(std::move(record));
   }
--- a/cli/load.cc
+++ b/cli/load.cc
@@ -11,6 +11,8 @@
 #include <random>
 #include <utility>
 
+#include "json/json.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -76,7 +78,7 @@
                      {"declared_run_ms", options.m_declared_run.count()}};
   const Json body = {{"tasks", Json::array_t(options.m_tasks_per_job, task)},
                      {"timeout_ms", options.m_timeout.count()}};
-  return body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return DumpJson(body);
 }
 
 // One run of a load. Calls in progress share it.
@@ -221,7 +223,7 @@
         {"answers", answer.m_answers.size()},
         {"first_sent_ms", job.m_first_sent.time_since_epoch().count()},
         {"answered_ms", WallNow().time_since_epoch().count()}};
-    *m_options.m_history << line.dump() << '\n';
+    *m_options.m_history << DumpJson(line) << '\n';
   }
 
   void Count(const CallerAnswer& answer, MonoTime scheduled) {
@@ -348,7 +350,7 @@
       {"wrong_answers", report.m_wrong_answers},
       {"latency", HistogramToJson(report.m_latency)},
       {"send_delay", HistogramToJson(report.m_send_delay)}};
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+  return DumpJson(json) + "\n";
 }
 
 }  // namespace comfreyshift
--- a/cmake/cli.cmake
+++ b/cmake/cli.cmake
@@ -1,2 +1,2 @@
-comfreyshift_library(cli core settings inventory http nlohmann_json::nlohmann_json)
+comfreyshift_library(cli core settings inventory http json nlohmann_json::nlohmann_json)
 comfreyshift_tests(cli cli)
--- a/cmake/config.cmake
+++ b/cmake/config.cmake
@@ -1,2 +1,2 @@
-comfreyshift_library(config core nlohmann_json::nlohmann_json)
+comfreyshift_library(config core json nlohmann_json::nlohmann_json)
 comfreyshift_tests(config config)
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,2 +1,2 @@
-comfreyshift_library(entry core logging dispatch placement http inventory net node rpc store config nlohmann_json::nlohmann_json)
+comfreyshift_library(entry core logging dispatch placement http inventory net node rpc store config json nlohmann_json::nlohmann_json)
 comfreyshift_tests(entry entry)
--- a/cmake/inventory.cmake
+++ b/cmake/inventory.cmake
@@ -1,2 +1,2 @@
-comfreyshift_library(inventory core config nlohmann_json::nlohmann_json)
+comfreyshift_library(inventory core config json nlohmann_json::nlohmann_json)
 comfreyshift_tests(inventory inventory)
--- /dev/null
+++ b/cmake/json.cmake
@@ -0,0 +1,2 @@
+comfreyshift_library(json nlohmann_json::nlohmann_json)
+comfreyshift_tests(json json)
--- a/config/audit.cc
+++ b/config/audit.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/keys.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
@@ -127,21 +128,21 @@
                {"when", record.m_time.time_since_epoch().count()},
                {"description", record.m_description},
                {"changes", std::move(changes)}};
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return DumpJson(json);
 }
 
 Result<AuditRecord, ConfigError> DecodeAuditRecord(const KeyValue& key_value) {
-  Json json = Json::parse(key_value.m_value, nullptr, false);
-  if (!key_value.m_key.starts_with(kAuditPrefix) || !HasForm(json)) {
+  const auto json = ParseJsonObject(key_value.m_value);
+  if (!key_value.m_key.starts_with(kAuditPrefix) || !json || !HasForm(*json)) {
     return Malformed(key_value.m_key);
   }
   AuditRecord record;
-  record.m_edit_id = json["edit"].get<std::string>();
-  record.m_actor = json["who"].get<std::string>();
-  record.m_time = WallTime(Milliseconds(json["when"].get<int64_t>()));
-  record.m_description = json["description"].get<std::string>();
+  record.m_edit_id = (*json)["edit"].get<std::string>();
+  record.m_actor = (*json)["who"].get<std::string>();
+  record.m_time = WallTime(Milliseconds((*json)["when"].get<int64_t>()));
+  record.m_description = (*json)["description"].get<std::string>();
   record.m_revision = key_value.m_mod_revision;
-  for (const Json& element : json["changes"]) {
+  for (const Json& element : (*json)["changes"]) {
     std::optional<AuditChange> change = ReadChange(element);
     if (!change) {
       return Malformed(key_value.m_key);
--- a/config/edit.cc
+++ b/config/edit.cc
@@ -5,6 +5,7 @@
 
 #include "config/audit.h"
 #include "config/keys.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
@@ -173,7 +174,7 @@
   Json json = {{"edit", m_edit.m_id},
                {"when", m_edit.m_time.time_since_epoch().count()},
                {"digest", m_digest}};
-  return json.dump();
+  return DumpJson(json);
 }
 
 void EditProcess::OnReply(const TxnReply& reply) {
@@ -218,8 +219,8 @@
 }
 
 void EditProcess::TakeEarlier(const KeyValue& outcome) {
-  Json json = Json::parse(outcome.m_value, nullptr, false);
-  if (!json.is_object() || json.value("digest", Json()) != m_digest) {
+  const auto json = ParseJsonObject(outcome.m_value);
+  if (!json || json->value("digest", Json()) != m_digest) {
     Finish(EditNotApplied{
         false, "edit id " + m_edit.m_id + " belongs to another edit"});
     return;
--- a/dispatch/table_codec.cc
+++ b/dispatch/table_codec.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "dispatch/partition_table.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
@@ -165,7 +166,9 @@
 }
 
 PartitionTable DecodeChecked(std::string_view text) {
-  const Json json = Json::parse(text);
+  const auto parsed = ParseJsonObject(text);
+  Require(parsed.has_value(), "the table is not a JSON object");
+  const Json& json = *parsed;
   Require(json.at("version").get<int>() == kFormatVersion,
           "the table's version is not known");
   PartitionTable table;
--- a/entry/job_json.cc
+++ b/entry/job_json.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "json/json.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -46,14 +48,14 @@
     answers.push_back({{"status", answer.m_status}, {"body", answer.m_body}});
   }
   const Json body = {{"state", "complete"}, {"answers", std::move(answers)}};
-  return {200, body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+  return {200, DumpJson(body)};
 }
 
 HttpAnswer ToHttp(const JobFailed& failed) {
   const Json body = {{"state", "failed"},
                      {"failure", ToString(failed.m_failure)},
                      {"detail", failed.m_detail}};
-  return {502, body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+  return {502, DumpJson(body)};
 }
 
 HttpAnswer ToHttp(const JobNotRun& not_run) {
@@ -61,8 +63,7 @@
                      {"scope", "submission"},
                      {"reason", ToString(not_run.m_reason)},
                      {"detail", not_run.m_detail}};
-  return {StatusOf(not_run.m_reason),
-          body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+  return {StatusOf(not_run.m_reason), DumpJson(body)};
 }
 
 HttpAnswer ToHttp(const JobAnswer& answer) {
@@ -74,7 +75,7 @@
                      {"scope", "sending"},
                      {"reason", ToString(rejected.m_reason)},
                      {"detail", rejected.m_detail}};
-  return {StatusOf(rejected.m_reason), body.dump()};
+  return {StatusOf(rejected.m_reason), DumpJson(body)};
 }
 
 }  // namespace
--- a/entry/operator_api.cc
+++ b/entry/operator_api.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "inventory/inventory.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
@@ -97,8 +98,8 @@
 
 Json ToJson(const AuditValue& value) {
   if (const auto* text = std::get_if<std::string>(&value)) {
-    Json parsed = Json::parse(*text, nullptr, false);
-    return parsed.is_discarded() ? Json(*text) : parsed;
+    auto parsed = ParseJson(*text);
+    return parsed ? std::move(*parsed) : Json(*text);
   }
   if (const auto* digest = std::get_if<ValueDigest>(&value)) {
     return {{"bytes", digest->m_bytes}, {"sha256", digest->m_sha256}};
@@ -178,7 +179,7 @@
   for (const KeyValue& item : error.m_current) {
     current[item.m_key] = IsTombstone(item.m_value)
                               ? Json()
-                              : Json::parse(item.m_value, nullptr, false);
+                              : ParseJson(item.m_value).value_or(item.m_value);
   }
   request.ReplyJson(
       StatusOf(error.m_failure),
@@ -362,7 +363,7 @@
   record.m_description = "retirement_proof " + subject;
   record.m_changes.push_back(
       {std::string(kInventoryPrefix) + proof.m_kind + "/" + proof.m_name,
-       std::monostate(), ToJson(proof).dump()});
+       std::monostate(), DumpJson(ToJson(proof))});
   const std::string once = std::string(kEditPrefix) + record.m_edit_id;
   TxnRequest txn;
   txn.m_compares.push_back(
--- a/http/request.cc
+++ b/http/request.cc
@@ -3,46 +3,13 @@
 #include <libsoup/soup.h>
 
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 #include "http/message_socket.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
-namespace {
-
-using Json = nlohmann::json;
-
-std::string Dump(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-// Parses strictly; returns a discarded value for malformed JSON and for objects
-// with repeated keys, of which the last would win unseen.
-Json ParseStrict(const std::string& text) {
-  std::vector<std::set<std::string>> open_objects;
-  bool has_repeated_key = false;
-  const auto callback = [&](int, Json::parse_event_t event, Json& parsed) {
-    if (event == Json::parse_event_t::object_start) {
-      open_objects.emplace_back();
-    } else if (event == Json::parse_event_t::object_end) {
-      open_objects.pop_back();
-    } else if (event == Json::parse_event_t::key) {
-      has_repeated_key |=
-          !open_objects.back().insert(parsed.get<std::string>()).second;
-    }
-    return true;
-  };
-  Json json = Json::parse(text, callback, /*allow_exceptions=*/false);
-  if (has_repeated_key) {
-    return {Json::value_t::discarded};
-  }
-  return json;
-}
-
-}  // namespace
-
 HttpRequest::HttpRequest(_SoupServerMessage* message)
     : m_message(SOUP_SERVER_MESSAGE(g_object_ref(message))),
       m_method(soup_server_message_get_method(message)),
@@ -120,7 +87,7 @@
 void HttpRequest::ReplyJson(int status,
                             const nlohmann::json& body,
                             const HttpHeaders& headers) {
-  Reply(status, "application/json", Dump(body), headers);
+  Reply(status, "application/json", DumpJson(body), headers);
 }
 
 void HttpRequest::ReplyError(int status,
@@ -176,13 +143,15 @@
 }
 
 bool ParseJsonBody(HttpRequest& request, nlohmann::json& body) {
-  body = ParseStrict(request.body());
-  if (body.is_object()) {
+  auto parsed = ParseJsonObject(request.body(), RepeatedKeys::kRejected);
+  if (parsed) {
+    body = std::move(*parsed);
     return true;
   }
   request.ReplyError(
       SOUP_STATUS_BAD_REQUEST, "malformed_request",
-      "the body is not a JSON object in UTF-8 without repeated keys");
+      "the body is not a JSON object in UTF-8 without repeated keys, or nests "
+      "too deep");
   return false;
 }
 
--- a/inventory/diff.cc
+++ b/inventory/diff.cc
@@ -2,8 +2,10 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "inventory/record.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
@@ -15,12 +17,8 @@
   if (!value) {
     return nullptr;
   }
-  Json json = Json::parse(*value, nullptr, /*allow_exceptions=*/false);
-  return json.is_discarded() ? Json(*value) : json;
-}
-
-std::string Dump(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  auto json = ParseJson(*value);
+  return json ? std::move(*json) : Json(*value);
 }
 
 // Returns "zone medina" for "/comfreyshift/inventory/zone/medina".
@@ -41,9 +39,10 @@
   for (const auto& [field, value] : after.items()) {
     const Json old = before.value(field, Json(nullptr));
     if (!before.contains(field)) {
-      text += "    " + field + ": " + Dump(value) + "\n";
+      text += "    " + field + ": " + DumpJson(value) + "\n";
     } else if (old != value) {
-      text += "    " + field + ": " + Dump(old) + " -> " + Dump(value) + "\n";
+      text += "    " + field + ": " + DumpJson(old) + " -> " + DumpJson(value) +
+              "\n";
     }
   }
   return text;
@@ -97,7 +96,7 @@
                      {"before", ToJson(change.m_before)},
                      {"after", ToJson(change.m_after)}});
   }
-  return Dump(array);
+  return DumpJson(array);
 }
 
 }  // namespace comfreyshift
--- a/inventory/record.cc
+++ b/inventory/record.cc
@@ -2,11 +2,11 @@
 
 #include <array>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 #include "inventory/fields.h"
 #include "inventory/ini.h"
+#include "json/json.h"
 
 namespace comfreyshift {
 
@@ -14,10 +14,6 @@
 
 using Json = nlohmann::json;
 
-std::string Dump(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 // Reads the fields of one record from a JSON object, and removes what it has
 // read.
 class ObjectReader {
@@ -133,8 +129,8 @@
              bool is_valid,
              std::string_view accepted) {
     if (!is_valid) {
-      m_problems.push_back(
-          {m_section, std::string(key), Dump(value), std::string(accepted)});
+      m_problems.push_back({m_section, std::string(key), DumpJson(value),
+                            std::string(accepted)});
     }
     return is_valid;
   }
@@ -188,7 +184,7 @@
               Entry& entry,
               std::vector<InventoryProblem>& problems) {
   if (!object.is_object()) {
-    problems.push_back({section, "", Dump(object), "a JSON object"});
+    problems.push_back({section, "", DumpJson(object), "a JSON object"});
     return;
   }
   ObjectReader reader(section, object, problems);
@@ -196,31 +192,9 @@
   reader.Finish();
 }
 
-// Parses JSON whose objects have no repeated keys, of which the last would win
-// unseen. Returns a discarded value for anything else.
-Json ParseStrict(std::string_view text) {
-  std::vector<std::set<std::string>> open_objects;
-  bool has_repeated_key = false;
-  const auto callback = [&](int, Json::parse_event_t event, Json& parsed) {
-    if (event == Json::parse_event_t::object_start) {
-      open_objects.emplace_back();
-    } else if (event == Json::parse_event_t::object_end) {
-      open_objects.pop_back();
-    } else if (event == Json::parse_event_t::key) {
-      has_repeated_key |=
-          !open_objects.back().insert(parsed.get<std::string>()).second;
-    }
-    return true;
-  };
-  Json json = Json::parse(text, callback, /*allow_exceptions=*/false);
-  if (has_repeated_key) {
-    return Json(Json::value_t::discarded);
-  }
-  return json;
-}
-
 constexpr std::string_view kJsonAccepted =
-    "a JSON object in UTF-8 without repeated keys";
+    "a JSON object in UTF-8 without repeated keys, nested at most 64 "
+    "deep";
 
 std::string_view KindOf(const AvailabilityZone&) {
   return "zone";
@@ -313,7 +287,7 @@
     return;
   }
   if (!found->is_object()) {
-    problems.push_back({key, "", Dump(*found), "a JSON object by name"});
+    problems.push_back({key, "", DumpJson(*found), "a JSON object by name"});
   } else {
     for (const auto& [name, value] : found->items()) {
       auto& record = records[name];
@@ -337,7 +311,7 @@
 }
 
 std::string EncodeRecord(const InventoryEntry& entry) {
-  return std::visit([](const auto& value) { return Dump(ToJson(value)); },
+  return std::visit([](const auto& value) { return DumpJson(ToJson(value)); },
                     entry);
 }
 
@@ -351,8 +325,8 @@
     }
     const std::string section =
         std::string(id->m_kind) + " " + std::string(id->m_name);
-    Json json = ParseStrict(value);
-    if (json.is_discarded()) {
+    auto json = ParseJson(value, RepeatedKeys::kRejected);
+    if (!json) {
       error.m_problems.push_back(
           {section, "", "malformed JSON", std::string(kJsonAccepted)});
       return error;
@@ -360,7 +334,7 @@
     InventoryRecord record{std::string(id->m_name), empty};
     std::visit(
         [&](auto& entry) {
-          FromJson(section, std::move(json), entry, error.m_problems);
+          FromJson(section, std::move(*json), entry, error.m_problems);
         },
         record.m_entry);
     if (!error.m_problems.empty()) {
@@ -419,18 +393,19 @@
   all["clients"] = MapToJson(inventory.m_clients);
   all["requests"] = MapToJson(inventory.m_requests);
   all["rules"] = MapToJson(inventory.m_rules);
-  return Dump(all);
+  return DumpJson(all);
 }
 
 Result<Inventory, InventoryError> InventoryFromJson(std::string_view source,
                                                     std::string_view text) {
   InventoryError error{std::string(source), {}};
-  Json all = ParseStrict(text);
-  if (!all.is_object()) {
+  auto parsed = ParseJsonObject(text, RepeatedKeys::kRejected);
+  if (!parsed) {
     error.m_problems.push_back(
         {"", "", "malformed JSON or no object", std::string(kJsonAccepted)});
     return error;
   }
+  Json& all = *parsed;
   Inventory inventory;
   TakeMap("zones", all, inventory.m_zones, error.m_problems);
   TakeMap("targets", all, inventory.m_targets, error.m_problems);
--- a/store/codec.cc
+++ b/store/codec.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "json/json.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -73,14 +75,6 @@
   return found != json.end() && found->is_boolean() && found->get<bool>();
 }
 
-std::optional<Json> ParseObject(std::string_view body) {
-  Json json = Json::parse(body, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  return json;
-}
-
 const Json& Member(const Json& json, const char* name) {
   static const Json empty = Json::object();
   auto found = json.find(name);
@@ -231,7 +225,7 @@
 // Every answer but those of streams carries the header with the revision, which
 // is at least 1. An answer without it comes from something else.
 std::optional<Json> ParseAnswer(std::string_view body) {
-  std::optional<Json> json = ParseObject(body);
+  auto json = ParseJsonObject(body);
   if (!json || HeaderRevision(*json) == 0) {
     return std::nullopt;
   }
@@ -241,11 +235,11 @@
 }  // namespace
 
 std::string EncodeRange(const RangeRequest& request) {
-  return RangeJson(request).dump();
+  return DumpJson(RangeJson(request));
 }
 
 std::string EncodePut(const PutRequest& request) {
-  return PutJson(request).dump();
+  return DumpJson(PutJson(request));
 }
 
 std::string EncodeTxn(const TxnRequest& request) {
@@ -256,15 +250,15 @@
   }
   json["success"] = OperationsJson(request.m_success);
   json["failure"] = OperationsJson(request.m_failure);
-  return json.dump();
+  return DumpJson(json);
 }
 
 std::string EncodeLeaseGrant(std::chrono::seconds ttl) {
-  return Json{{"TTL", std::to_string(ttl.count())}}.dump();
+  return DumpJson(Json{{"TTL", std::to_string(ttl.count())}});
 }
 
 std::string EncodeLeaseId(LeaseId lease) {
-  return Json{{"ID", std::to_string(lease)}}.dump();
+  return DumpJson(Json{{"ID", std::to_string(lease)}});
 }
 
 std::string EncodeWatch(const WatchRequest& request) {
@@ -272,7 +266,7 @@
   SetBytes(create, "key", request.m_key);
   SetBytes(create, "range_end", request.m_range_end);
   SetInteger(create, "start_revision", request.m_start_revision);
-  return Json{{"create_request", create}}.dump();
+  return DumpJson(Json{{"create_request", create}});
 }
 
 std::optional<RangeReply> DecodeRange(std::string_view body) {
@@ -319,7 +313,7 @@
 
 // The gateway serves keep-alive as a stream, whose elements are in `result`.
 std::optional<LeaseReply> DecodeLeaseKeepAlive(std::string_view body) {
-  std::optional<Json> json = ParseObject(body.substr(0, body.find('\n')));
+  const auto json = ParseJsonObject(body.substr(0, body.find('\n')));
   if (!json || !json->contains("result")) {
     return std::nullopt;
   }
@@ -334,7 +328,7 @@
 }
 
 std::optional<WatchMessage> DecodeWatch(std::string_view line) {
-  std::optional<Json> json = ParseObject(line);
+  const auto json = ParseJsonObject(line);
   if (!json || !json->contains("result")) {
     return std::nullopt;
   }
@@ -354,7 +348,7 @@
 }
 
 std::string DecodeErrorMessage(std::string_view body) {
-  std::optional<Json> json = ParseObject(body);
+  const auto json = ParseJsonObject(body);
   return json ? ReadString(*json, "message") : std::string();
 }
 
--- a/tests/inventory/record_test.cc
+++ b/tests/inventory/record_test.cc
@@ -131,5 +131,16 @@
   }
 }
 
+// Writing such a value into the list of problems overflowed the stack.
+TEST(InventoryRecordTest, ValuesThatNestTooDeepAreRejected) {
+  constexpr size_t kTooDeep = 400'000;
+  const std::string deep =
+      std::string(kTooDeep, '[') + std::string(kTooDeep, ']');
+  const auto inventory =
+      InventoryFromJson("body", R"({"zones":{"z":{"open":)" + deep + "}}}");
+  ASSERT_FALSE(inventory);
+  EXPECT_FALSE(inventory.error().m_problems.empty());
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- /dev/null
+++ b/tests/platform/job_wire_test.cc
@@ -0,0 +1,113 @@
+#include "platform/job_wire.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace comfreyshift::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kJob =
+    R"({"task_spec":"text","best_effort":true,"steps":[{"count":4,"cpu":500,)"
+    R"("mem_mb":256,"est_runtime_ms":900}]})";
+
+// A value of many levels, as another writer could send it.
+std::string Nested(size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+constexpr size_t kTooDeep = 400'000;
+
+TEST(JobWireTest, ReadsAJob) {
+  const auto job = DecodeJob(kJob);
+  ASSERT_TRUE(job);
+  ASSERT_EQ(job.value().m_steps.size(), 1U);
+  EXPECT_EQ(job.value().m_steps[0].m_count, 4U);
+  EXPECT_EQ(job.value().m_steps[0].m_demand, (Resources{500, 256, 0}));
+  EXPECT_EQ(job.value().m_payload, "text");
+}
+
+// A job whose meaning is not understood must never run as something else.
+TEST(JobWireTest, RefusesFeaturesThatAreNotBuilt) {
+  for (const char* field :
+       {"gang", "speculative", "long_running", "fills", "same_rack"}) {
+    Json json = Json::parse(kJob);
+    json["steps"][0][field] = true;
+    const auto job = DecodeJob(json.dump());
+    ASSERT_FALSE(job) << field;
+    EXPECT_TRUE(job.error().m_is_unsupported) << field;
+  }
+  Json json = Json::parse(kJob);
+  json["steps"][0]["after"] = {0};
+  EXPECT_FALSE(DecodeJob(json.dump()));
+  json = Json::parse(kJob);
+  json.erase("best_effort");
+  EXPECT_TRUE(DecodeJob(json.dump()).error().m_is_unsupported);
+}
+
+TEST(JobWireTest, RefusesJobsThatCannotBeRead) {
+  for (
+      const char* body :
+      {"", "[]", "{}", R"({"best_effort":true,"task_spec":1,"steps":[]})",
+       R"({"best_effort":true,"task_spec":"t","steps":[{"count":0}]})",
+       R"({"best_effort":true,"task_spec":"t","steps":[{"count":99999}]})",
+       R"({"best_effort":true,"task_spec":"t","steps":[{"count":1,"cpu":-1}]})"}) {
+    const auto job = DecodeJob(body);
+    ASSERT_FALSE(job) << body;
+    EXPECT_FALSE(job.error().m_is_unsupported) << body;
+  }
+}
+
+TEST(JobWireTest, ReadsAConfiguration) {
+  const auto config = DecodeConfig(
+      R"({"version":7,"routes":[{"name":"r","hostname":"h.example",)"
+      R"("prefix":"/p/","timeout_ms":1500,"target_latency_ms":60,)"
+      R"("priority":1,"service":"s","max_attempts":2,"stretch":1.6}],)"
+      R"("services":[],"limits":{"max_body_bytes":1000}})");
+  ASSERT_TRUE(config);
+  EXPECT_EQ(config.value().m_version, 7U);
+  EXPECT_EQ(config.value().m_limits.m_max_body_bytes, 1000U);
+  const QueueConfig* queue = config.value().FindQueue("h.example", "/p/1");
+  ASSERT_NE(queue, nullptr);
+  EXPECT_EQ(queue->m_max_attempts, 2U);
+  EXPECT_EQ(queue->m_target_latency, Milliseconds(60));
+  EXPECT_EQ(queue->m_stretch, 1.6);
+  EXPECT_FALSE(DecodeConfig(R"({"routes":[]})"));
+  EXPECT_FALSE(DecodeConfig("nonsense"));
+}
+
+// The body of one client must not end the entry that serves all.
+TEST(JobWireTest, RejectsTextsThatNestTooDeep) {
+  std::string text(kJob);
+  text.insert(1, "\"more\":" + Nested(kTooDeep) + ",");
+  ASSERT_FALSE(DecodeJob(text));
+  EXPECT_FALSE(DecodeJob(text).error().m_is_unsupported);
+  EXPECT_FALSE(DecodeConfig(R"({"version":7,"routes":[],"more":)" +
+                            Nested(kTooDeep) + "}"));
+}
+
+TEST(JobWireTest, RejectsNumbersOutOfRange) {
+  for (const char* field :
+       {"count", "cpu", "mem_mb", "gpu", "est_runtime_ms"}) {
+    for (const Json& value :
+         {Json(1e300), Json(-1e300), Json(INT64_MAX), Json(UINT64_MAX)}) {
+      Json json = Json::parse(kJob);
+      json["steps"][0][field] = value;
+      EXPECT_FALSE(DecodeJob(json.dump())) << field << value;
+    }
+  }
+  for (const char* field :
+       {"priority", "max_attempts", "target_latency_ms", "stretch"}) {
+    Json json{{"version", 7},
+              {"routes", Json::array({{{"name", "r"}, {"prefix", "/p/"}}})}};
+    EXPECT_TRUE(DecodeConfig(json.dump())) << field;
+    json["routes"][0][field] = 1e300;
+    EXPECT_FALSE(DecodeConfig(json.dump())) << field;
+  }
+  EXPECT_FALSE(DecodeConfig(R"({"version":1e300,"routes":[]})"));
+}
+
+}  // namespace
+}  // namespace comfreyshift::platform
--- a/tests/platform/runner_standin.cc
+++ b/tests/platform/runner_standin.cc
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/wire.h"
+#include "platform/runner_wire.h"
 
 namespace comfreyshift {
 
--- /dev/null
+++ b/tests/platform/runner_wire_test.cc
@@ -0,0 +1,142 @@
+#include "platform/runner_wire.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace comfreyshift::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kHeartbeat =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,)"
+    R"("mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,)"
+    R"("born":1789171779000,"seq":4})";
+
+// A value of many levels, as another writer could send it.
+std::string Nested(size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+constexpr size_t kTooDeep = 400'000;
+
+TEST(RunnerWireTest, ReadsAHeartbeat) {
+  const auto report = DecodeHeartbeat("i-1", kHeartbeat);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report.value().m_life, (RunnerLife{"i-1", 1789171779000}));
+  EXPECT_EQ(report.value().m_capacity, (Resources{16000, 32768, 0}));
+  EXPECT_EQ(report.value().m_labels, (std::vector<std::string>{"a", "r1-3"}));
+  EXPECT_EQ(report.value().m_sequence, 4U);
+  EXPECT_FALSE(report.value().m_is_draining);
+}
+
+// Other writers use the same interface; what they write must name no runner.
+TEST(RunnerWireTest, RefusesHeartbeatsWithWrongOrMissingFields) {
+  for (const char* field : {"service", "address", "seq", "state", "capacity"}) {
+    Json json = Json::parse(kHeartbeat);
+    json.erase(field);
+    EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field;
+    json[field] = Json::array({true});
+    EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field;
+  }
+  Json json = Json::parse(kHeartbeat);
+  json["state"] = "asleep";
+  EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump()));
+  json = Json::parse(kHeartbeat);
+  json["born"] = "yesterday";
+  EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump()));
+  EXPECT_FALSE(DecodeHeartbeat("i-1", "\xff\xfe"));
+  EXPECT_FALSE(DecodeHeartbeat("i-1", "[]"));
+}
+
+TEST(RunnerWireTest, TaskNamesGoBothWays) {
+  const TaskKey task{"5c0e7a21d94b36f8", 0, 17};
+  EXPECT_EQ(TaskName(task), "5c0e7a21d94b36f8.0.0.17");
+  EXPECT_EQ(ParseTaskName("5c0e7a21d94b36f8.0.0.17"), task);
+  for (const char* name :
+       {"", "x", "x.0.0", "x.0.0.1.2", "x.0.0.-1", "x.0..1"}) {
+    EXPECT_FALSE(ParseTaskName(name)) << name;
+  }
+}
+
+// Rows that cannot be read must not hide the others.
+TEST(RunnerWireTest, ReadsListsAndSkipsStrangeRows) {
+  const auto lists = DecodeLists(
+      R"({"clock_ms":5,"born":7,"running":[["j.0.0.1",2,"",41,6200],7,["x"]],)"
+      R"("ended":[[58,"j.0.0.9",1,"done",""],[59,"j.0.0.9",1,"lapsed",""],)"
+      R"([60,"j.0.0.9",1,"vanished",""]]})");
+  ASSERT_TRUE(lists);
+  EXPECT_EQ(lists.value().m_born_ms, 7);
+  ASSERT_EQ(lists.value().m_running.size(), 1U);
+  EXPECT_EQ(lists.value().m_running[0].m_percent, 41.0);
+  ASSERT_EQ(lists.value().m_ended.size(), 2U);
+  EXPECT_EQ(lists.value().m_ended[0].m_outcome, RunOutcome::kDone);
+  EXPECT_EQ(lists.value().m_ended[1].m_outcome, RunOutcome::kStopped);
+  EXPECT_FALSE(DecodeLists(R"({"clock_ms":5,"running":[]})"));
+}
+
+TEST(RunnerWireTest, WritesOrders) {
+  OrderLook look;
+  look.m_fencing_token = 7;
+  look.m_acknowledged_ends = 57;
+  look.m_lease_until = RunnerTime(486000);
+  EXPECT_EQ(Json::parse(EncodeLook(look, Milliseconds(150))),
+            Json::parse(R"({"fencing_token":7,"acked_upto":57,)"
+                        R"("deadline_ms":486000,"wait_ms":150})"));
+}
+
+// The stack of an agent overflowed when it copied such a report.
+TEST(RunnerWireTest, RejectsReportsThatNestTooDeep) {
+  std::string text(kHeartbeat);
+  text.insert(1, "\"more\":" + Nested(kTooDeep) + ",");
+  EXPECT_FALSE(DecodeHeartbeat("i-1", text));
+  EXPECT_FALSE(DecodeLists(R"({"clock_ms":5,"running":[],"ended":)" +
+                           Nested(kTooDeep) + "}"));
+  EXPECT_EQ(DecodeStartRefusal(R"({"reason":)" + Nested(kTooDeep) + "}"),
+            StartAnswer::kRejected);
+}
+
+// The conversion of such numbers is undefined; a report with them was taken for
+// that of a runner.
+TEST(RunnerWireTest, RejectsReportsWithNumbersOutOfRange) {
+  for (const char* field : {"seq", "born"}) {
+    for (const Json& value :
+         {Json(1e300), Json(-1e300), Json(UINT64_MAX), Json(-1)}) {
+      Json json = Json::parse(kHeartbeat);
+      json[field] = value;
+      EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field << value;
+    }
+  }
+  for (const char* field : {"cpu", "mem_mb", "gpu"}) {
+    for (const Json& value :
+         {Json(1e300), Json(INT64_MAX), Json(UINT64_MAX), Json(-1)}) {
+      Json json = Json::parse(kHeartbeat);
+      json["capacity"][field] = value;
+      EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field << value;
+    }
+  }
+  for (const char* address : {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1",
+                              "10.0.0.9:99999999999"}) {
+    Json json = Json::parse(kHeartbeat);
+    json["address"] = address;
+    EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << address;
+  }
+}
+
+// A row of nonsense must neither hide the others nor name a run.
+TEST(RunnerWireTest, SkipsRowsWithNumbersOutOfRange) {
+  const auto lists = DecodeLists(
+      R"({"clock_ms":5,"running":[["j.0.0.1",-2,"",41],["j.0.0.2",1e300,"",41],)"
+      R"(["j.0.0.3",2,"",41]],"ended":[[-58,"j.0.0.9",1,"done",""],)"
+      R"([59,"j.0.0.9",18446744073709551615,"done",""]]})");
+  ASSERT_TRUE(lists);
+  ASSERT_EQ(lists.value().m_running.size(), 1U);
+  EXPECT_EQ(lists.value().m_running[0].m_run.m_task.m_index, 3U);
+  EXPECT_TRUE(lists.value().m_ended.empty());
+  EXPECT_FALSE(DecodeLists(R"({"clock_ms":1e300,"running":[],"ended":[]})"));
+}
+
+}  // namespace
+}  // namespace comfreyshift::platform
--- /dev/null
+++ b/tests/platform/store_wire_test.cc
@@ -0,0 +1,87 @@
+#include "platform/store_wire.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace comfreyshift::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kHeartbeat =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,)"
+    R"("mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,)"
+    R"("born":1789171779000,"seq":4})";
+
+// A value of many levels, as another writer could send it.
+std::string Nested(size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+constexpr size_t kTooDeep = 400'000;
+
+TEST(StoreWireTest, ReadsWhatTheStoreHolds) {
+  const auto range =
+      DecodeRange(R"({"items":[{"key":"k","value":"bm9kZS0x","revision":412}],)"
+                  R"("has_more":true,"at_rev":530})");
+  ASSERT_TRUE(range);
+  EXPECT_EQ(range.value().m_items[0].m_value, "node-1");
+  EXPECT_TRUE(range.value().m_has_more);
+  EXPECT_EQ(range.value().m_revision, 530U);
+  const auto events =
+      DecodeEvents(R"({"events":[{"key":"k","revision":413,"tombstone":true}],)"
+                   R"("at_rev":413})");
+  ASSERT_TRUE(events);
+  EXPECT_EQ(events.value().m_removed, std::vector<std::string>{"k"});
+  EXPECT_FALSE(DecodeRange("{}"));
+}
+
+// After a restart an agent must not wait for the runner's next report.
+TEST(StoreWireTest, AgentRecordsKeepTheRunnersReport) {
+  const Address address{"10.1.0.14", 7720};
+  const auto record =
+      DecodeAgentRecord(EncodeAgentRecord(address, "i-1", kHeartbeat));
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record.value().m_address, address);
+  ASSERT_TRUE(record.value().m_runner);
+  EXPECT_EQ(record.value().m_runner->m_life,
+            (RunnerLife{"i-1", 1789171779000}));
+  const auto without = DecodeAgentRecord(EncodeAgentRecord(address, "", ""));
+  ASSERT_TRUE(without);
+  EXPECT_FALSE(without.value().m_runner);
+  EXPECT_FALSE(DecodeAgentRecord("10.1.0.14:7720"));
+}
+
+TEST(StoreWireTest, WritesTransactions) {
+  const Json put = Json::parse(EncodePut("k", "node-1", 9));
+  EXPECT_EQ(put["puts"][0]["value"], "bm9kZS0x");
+  EXPECT_EQ(put["puts"][0]["lease_id"], 9);
+}
+
+// One entry in the store is read by each process, again after its restart.
+TEST(StoreWireTest, RejectsRecordsThatCannotBeRead) {
+  for (const std::string& record :
+       {std::string(R"({"address":"10.1.0.14:7720","more":)") +
+            Nested(kTooDeep) + "}",
+        std::string(R"({"address":"10.1.0.14:77200"})"),
+        std::string(R"({"address":1e300})"), std::string("\xff\xfe"),
+        EncodeAgentRecord({"10.1.0.14", 7720}, "i-1", Nested(kTooDeep))}) {
+    EXPECT_FALSE(DecodeAgentRecord(record)) << record.substr(0, 40);
+  }
+}
+
+TEST(StoreWireTest, RejectsNumbersOutOfRange) {
+  EXPECT_FALSE(DecodeLease(R"({"lease_id":1e300})"));
+  EXPECT_FALSE(DecodeLease(R"({"lease_id":18446744073709551615})"));
+  const auto range =
+      DecodeRange(R"({"items":[{"key":"k","value":"","revision":1e300}],)"
+                  R"("at_rev":-1})");
+  ASSERT_TRUE(range);
+  EXPECT_EQ(range.value().m_items[0].m_revision, 0U);
+  EXPECT_EQ(range.value().m_revision, 0U);
+}
+
+}  // namespace
+}  // namespace comfreyshift::platform
