--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -1,6 +1,7 @@
 #include "tools/soak/world.h"
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -129,12 +130,14 @@
 void SoakWorld::RestartExited() {
   for (size_t i = 0; i < kEntries; ++i) {
     if (m_entries[i]->HasExited()) {
+      CheckExit(*m_entries[i]);
       CheckLog(*m_entries[i]);
       StartEntry(i);
     }
   }
   for (size_t i = 0; i < kAgents; ++i) {
     if (m_agents[i]->HasExited()) {
+      CheckExit(*m_agents[i]);
       StartAgent(i);
     }
   }
@@ -237,6 +240,19 @@
   }
 }
 
+// A process ends when it is killed or has stopped as it was told to. While its
+// libraries are loaded, before its first log line, it has accepted nothing and
+// every signal may end it.
+void SoakWorld::CheckExit(const PlatformProcess& process) {
+  const int status = process.exit_status();
+  const bool is_killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+  const bool has_stopped = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  if (!is_killed && !has_stopped && !process.Log().empty()) {
+    Violate("a process ended by itself with wait status " +
+            std::to_string(status));
+  }
+}
+
 // The configuration never goes back within one life of a process.
 void SoakWorld::CheckLog(const PlatformProcess& process) {
   const std::string log = process.Log();
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -75,6 +75,7 @@
   void Send(size_t job);
   void OnAnswer(size_t job, const HttpCallResult& result);
   void CheckRunning();
+  void CheckExit(const PlatformProcess& process);
   void CheckLog(const PlatformProcess& process);
   void Violate(const std::string& what);
   void At(MonoTime due, std::function<void()> action);
