Keep the ports of test runs apart that prefer one range

What developers see: a role does not start, and main_tests or platform_tests fail after their patience, when another test program with the same process id modulo 1000, or a soak of another clone (ports from 21000), listens in the same range.

Cause: the range follows from the process id alone.

Evidence: with two ports of the preferred range in use, the 4 cases of ReloadSignalsDuringARunEndNothing failed before and pass now.

--- a/cmake/main.cmake
+++ b/cmake/main.cmake
@@ -4,7 +4,7 @@
 comfreyshift_tests(main core nlohmann_json::nlohmann_json)
 if(TARGET main_tests)
   # The tests run the real program.
-  target_sources(main_tests PRIVATE tests/standins/platform_documents.cc tests/standins/role_process.cc)
+  target_sources(main_tests PRIVATE tests/standins/platform_documents.cc tests/standins/role_process.cc tests/standins/test_ports.cc)
   target_include_directories(main_tests PRIVATE ${CMAKE_SOURCE_DIR})
   target_compile_definitions(main_tests PRIVATE COMFREYSHIFT_PROGRAM="$<TARGET_FILE:comfreyshift>")
   add_dependencies(main_tests comfreyshift)
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -6,7 +6,8 @@
       tests/standins/fault_proxy.cc
       tests/standins/platform_documents.cc
       tests/standins/role_process.cc
-      tests/standins/platform_store_standin.cc)
+      tests/standins/platform_store_standin.cc
+      tests/standins/test_ports.cc)
   target_include_directories(platform_tests PRIVATE ${CMAKE_SOURCE_DIR})
   target_compile_definitions(platform_tests PRIVATE COMFREYSHIFT_PROGRAM="$<TARGET_FILE:comfreyshift>")
   add_dependencies(platform_tests comfreyshift)
