Start the processes of tests with the default actions of signals

What developers see: run under nohup, or by any parent that ignores SIGHUP, the cases of RoleSignalsTest for a reload signal pass although no handler is installed: the process under test inherits that the signal is ignored. The same hides a missing SIGPIPE or SIGTERM handler.

--- a/tests/standins/role_process.cc
+++ b/tests/standins/role_process.cc
@@ -22,6 +22,20 @@
   return ++last;
 }
 
+// A parent such as nohup ignores signals for its descendants, and a process
+// without handlers would outlive them there.
+void UseDefaultSignals(posix_spawnattr_t& attributes) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  posix_spawnattr_setsigmask(&attributes, &signals);
+  for (const int signal : {SIGHUP, SIGINT, SIGPIPE, SIGTERM}) {
+    sigaddset(&signals, signal);
+  }
+  posix_spawnattr_setsigdefault(&attributes, &signals);
+  posix_spawnattr_setflags(&attributes,
+                           POSIX_SPAWN_SETSIGDEF | POSIX_SPAWN_SETSIGMASK);
+}
+
 }  // namespace
 
 RoleProcess::RoleProcess(const std::string& name,
@@ -72,11 +86,15 @@
       &actions, STDOUT_FILENO, (m_folder / "log").c_str(),
       O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  if (posix_spawn(&m_pid, words[0], &actions, nullptr, words.data(),
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  UseDefaultSignals(attributes);
+  if (posix_spawn(&m_pid, words[0], &actions, &attributes, words.data(),
                   environment) != 0) {
     std::fprintf(stderr, "cannot start %s\n", words[0]);
     m_pid = 0;
   }
+  posix_spawnattr_destroy(&attributes);
   posix_spawn_file_actions_destroy(&actions);
 }
 
