Wait for the dispatch of a signal, not 50 ms, in ProcessSignalsTest

What developers see: ASignalBeforeItsHandlerIsKeptForIt fails now and then on a busy machine, and can pass without anything kept: GLib dispatches a signal from a thread of its own, and one that is dispatched late finds the handler. Now a source of the test's own tells that the signal has been dispatched.

--- a/tests/fleet/process_signals_test.cc
+++ b/tests/fleet/process_signals_test.cc
@@ -1,6 +1,6 @@
 #include "fleet/process_signals.h"
 
-#include <glib.h>
+#include <glib-unix.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -10,23 +10,39 @@
 namespace comfreyshift {
 namespace {
 
-void RunPendingEvents() {
-  // GLib hands a signal to the loop from a thread of its own.
-  g_usleep(50'000);
-  while (g_main_context_iteration(nullptr, FALSE) == TRUE) {
+gboolean SetFlag(gpointer flag) {
+  *static_cast<bool*>(flag) = true;
+  return G_SOURCE_REMOVE;
+}
+
+// GLib hands a signal to all of its sources from a thread of its own, at a time
+// that depends on the machine's load. A source of the test's own tells when.
+void RaiseAndDispatch(int signal) {
+  bool is_dispatched = false;
+  g_unix_signal_add(signal, &SetFlag, &is_dispatched);
+  raise(signal);
+  while (!is_dispatched) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+}
+
+// Runs what is ready, a bounded number of times: a busy loop never ends.
+void RunReadyEvents() {
+  constexpr int kIterations = 100;
+  for (int i = 0; i < kIterations; ++i) {
+    g_main_context_iteration(nullptr, FALSE);
   }
 }
 
 TEST(ProcessSignalsTest, ASignalBeforeItsHandlerIsKeptForIt) {
   TakeOverSignals();
-  raise(SIGHUP);
-  RunPendingEvents();
+  RaiseAndDispatch(SIGHUP);
   int calls = 0;
   SetReloadHandler([&calls]() { ++calls; });
-  RunPendingEvents();
+  RunReadyEvents();
   EXPECT_EQ(calls, 1);
-  raise(SIGHUP);
-  RunPendingEvents();
+  RaiseAndDispatch(SIGHUP);
+  RunReadyEvents();
   EXPECT_EQ(calls, 2);
   SetReloadHandler(nullptr);
 }
@@ -35,9 +51,9 @@
   int calls = 0;
   SetStopHandler([&calls]() { ++calls; });
   SetStopHandler(nullptr);
-  raise(SIGTERM);
-  raise(SIGINT);
-  RunPendingEvents();
+  RaiseAndDispatch(SIGTERM);
+  RaiseAndDispatch(SIGINT);
+  RunReadyEvents();
   EXPECT_EQ(calls, 0);
 }
 
