Fail writes beyond the file size limit instead of ending the process

What callers would see: connections of a role that close without an answer once the file that takes its log reaches the limit on file sizes, which the users' platform sets.

Evidence: AWriteBeyondTheFileSizeLimitFails ended by signal 25 before and passes now.

--- a/fleet/process_signals.cc
+++ b/fleet/process_signals.cc
@@ -66,6 +66,7 @@
   g_unix_signal_add(SIGTERM, &OnSignal, &StopState());
   g_unix_signal_add(SIGINT, &OnSignal, &StopState());
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
 }
 
 void SetStopHandler(SignalHandler handler) {
--- a/fleet/process_signals.h
+++ b/fleet/process_signals.h
@@ -10,8 +10,9 @@
 // Takes over the signals that operators and platforms send to a role, from now
 // until the process ends: SIGTERM and SIGINT ask for a stop, SIGHUP for a
 // reload. To be called first thing in `main`, because the default action of
-// each ends the process. Writes to closed pipes and connections fail with an
-// error instead of SIGPIPE. Further calls do nothing.
+// each ends the process. Writes to closed pipes and connections, and beyond the
+// limit on the size of files, fail with an error instead of a signal. Further
+// calls do nothing.
 void TakeOverSignals();
 
 // The main loop calls `handler` for each signal, and for one that came while
--- a/tests/fleet/process_signals_test.cc
+++ b/tests/fleet/process_signals_test.cc
@@ -2,10 +2,12 @@
 
 #include <glib-unix.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <csignal>
+#include <cstdio>
 
 namespace comfreyshift {
 namespace {
@@ -68,5 +70,23 @@
   close(ends[1]);
 }
 
+// The default action of SIGXFSZ would end a process whose log has reached the
+// limit on the size of files.
+TEST(ProcessSignalsTest, AWriteBeyondTheFileSizeLimitFails) {
+  TakeOverSignals();
+  std::FILE* file = std::tmpfile();
+  ASSERT_NE(file, nullptr);
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_FSIZE, &before), 0);
+  const rlimit none{0, before.rlim_max};
+  ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &none), 0);
+  const ssize_t written = write(fileno(file), "x", 1);
+  const int error = errno;
+  setrlimit(RLIMIT_FSIZE, &before);
+  EXPECT_EQ(written, -1);
+  EXPECT_EQ(error, EFBIG);
+  std::fclose(file);
+}
+
 }  // namespace
 }  // namespace comfreyshift
