Handle a signal that was kept while the main loop is busy

What operators would see: a stop that was asked for during the start of an overloaded role is not begun, and ends in SIGKILL. Cause: a kept signal was handled at idle priority, which a loop with ready sources never reaches; one that comes later is handled at the default priority.

Evidence: AKeptSignalIsHandledWhileTheLoopIsBusy failed before (0 calls) and passes now.

--- a/fleet/process_signals.cc
+++ b/fleet/process_signals.cc
@@ -51,7 +51,9 @@
   TakeOverSignals();
   state.m_handler = std::move(handler);
   if (state.m_handler && state.m_is_pending) {
-    g_idle_add(&OnPending, &state);
+    // As urgent as the signals that come later: a busy loop never gets to
+    // sources of a lower priority.
+    g_idle_add_full(G_PRIORITY_DEFAULT, &OnPending, &state, nullptr);
   }
 }
 
--- a/tests/fleet/process_signals_test.cc
+++ b/tests/fleet/process_signals_test.cc
@@ -49,6 +49,25 @@
   SetReloadHandler(nullptr);
 }
 
+gboolean StayBusy(gpointer) {
+  return G_SOURCE_CONTINUE;
+}
+
+// A stop that waits until an overloaded process has nothing else to do ends in
+// SIGKILL.
+TEST(ProcessSignalsTest, AKeptSignalIsHandledWhileTheLoopIsBusy) {
+  TakeOverSignals();
+  RaiseAndDispatch(SIGTERM);
+  const guint busy =
+      g_idle_add_full(G_PRIORITY_DEFAULT, &StayBusy, nullptr, nullptr);
+  int calls = 0;
+  SetStopHandler([&calls]() { ++calls; });
+  RunReadyEvents();
+  EXPECT_EQ(calls, 1);
+  SetStopHandler(nullptr);
+  g_source_remove(busy);
+}
+
 TEST(ProcessSignalsTest, ASignalAfterItsHandlerIsRemovedEndsNothing) {
   int calls = 0;
   SetStopHandler([&calls]() { ++calls; });
