--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -92,12 +92,14 @@
   std::shared_ptr<Answer> Send(const std::string& method,
                                const std::string& path,
                                const std::string& body = "",
-                               const std::string& request_id = "") {
+                               const std::string& request_id = "",
+                               const HttpHeaders& more_headers = {}) {
     HttpCall call;
     call.m_method = method;
     call.m_path = path;
     call.m_body = body;
     call.m_headers = {{"Host", "h.example"}, {"Request-Id", request_id}};
+    call.m_headers.insert(more_headers.begin(), more_headers.end());
     call.m_deadline = BootClock::now() + std::chrono::seconds(8);
     auto answer = std::make_shared<Answer>();
     m_client->Send(std::move(call), [answer](const HttpCallResult& result) {
@@ -280,6 +282,20 @@
   EXPECT_EQ(Count(*m_agents[0], "settings_reloaded"), 1U);
 }
 
+// A time that does not fit was converted to one in the past, and the job given
+// up at once.
+TEST_F(PlatformProcessesTest, AClientThatWaitsForeverIsServed) {
+  BecomeReady();
+  const std::string body = JobText(1, Milliseconds(100));
+  for (const char* patience : {"9223372036854775807", "10000000000000000",
+                               "99999999999999999999999"}) {
+    const auto job = Send("POST", "/p/00000000000000fa", body, "",
+                          {{"Deadline-Remaining", patience}});
+    ASSERT_TRUE(RunUntil([&]() { return job->m_is_there; })) << patience;
+    EXPECT_EQ(job->m_status, 200) << patience << " " << job->m_body;
+  }
+}
+
 // A planned stop cuts nothing: the job in progress gets its whole answer.
 TEST_F(PlatformProcessesTest, AStoppingEntryFinishesItsJobs) {
   BecomeReady();
