Bound the times that a peer states on a link

What callers would see: runs and reads that are given up at once, when an entry or another writer on the port states a time that does not fit; the sum with the clock is undefined. rpc/wire.cc has had this bound; the link's codec had none.

Evidence: TimesThatDoNotFitStayInTheFuture failed before for all three times and passes.

--- a/link/codec.cc
+++ b/link/codec.cc
@@ -4,6 +4,7 @@
 #include <capnp/serialize.h>
 #include <kj/exception.h>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 
@@ -15,6 +16,10 @@
 
 constexpr size_t kLengthBytes = 4;
 
+// The longest time left that a peer may state: far above any deadline, and far
+// below what would overflow a time point.
+constexpr Microseconds kMaxTimeLeft = std::chrono::hours(24);
+
 kj::StringPtr Text(const std::string& text) {
   return {text.c_str(), text.size()};
 }
@@ -31,6 +36,11 @@
   return MonoTime(Microseconds(time));
 }
 
+MonoTime ReadDeadline(int64_t time_left_us, MonoTime now) {
+  return now +
+         std::clamp(Microseconds(time_left_us), -kMaxTimeLeft, kMaxTimeLeft);
+}
+
 void Write(link_wire::Run::Builder wire, const RunKey& run) {
   wire.setJob(Text(run.m_task.m_job));
   wire.setStep(run.m_task.m_step);
@@ -151,8 +161,8 @@
   start.m_demand = Read(wire.getDemand());
   start.m_expected = Microseconds(wire.getExpectedUs());
   start.m_urgency = wire.getUrgency();
-  start.m_abandon_at = now + Microseconds(wire.getAbandonInUs());
-  start.m_queue_until = now + Microseconds(wire.getQueueForUs());
+  start.m_abandon_at = ReadDeadline(wire.getAbandonInUs(), now);
+  start.m_queue_until = ReadDeadline(wire.getQueueForUs(), now);
   start.m_agent_clock = FromWire(wire.getAgentClockUs());
   return start;
 }
@@ -210,7 +220,7 @@
     case link_wire::Message::RELAY_READ:
       return RelayRead{wire.getRelayRead().getId(),
                        ToString(wire.getRelayRead().getRequest()),
-                       now + Microseconds(wire.getRelayRead().getGiveUpInUs())};
+                       ReadDeadline(wire.getRelayRead().getGiveUpInUs(), now)};
     case link_wire::Message::RELAY_ANSWER:
       return ReadRelayAnswer(wire.getRelayAnswer());
   }
--- a/tests/link/codec_test.cc
+++ b/tests/link/codec_test.cc
@@ -84,6 +84,20 @@
   EXPECT_EQ(std::get<RelayAnswer>(decoded[6]).m_body, std::string("\0\1", 2));
 }
 
+// The sum of such a time and the receiver's clock does not fit and would lie in
+// the past.
+TEST(LinkCodecTest, TimesThatDoNotFitStayInTheFuture) {
+  StartRun start = SomeStart();
+  start.m_abandon_at = MonoTime::max();
+  start.m_queue_until = MonoTime::max();
+  const MonoTime received_at = kNow + std::chrono::hours(100);
+  const auto decoded =
+      RoundTrip({start, RelayRead{3, "/key", MonoTime::max()}}, received_at);
+  EXPECT_GT(std::get<StartRun>(decoded[0]).m_abandon_at, received_at);
+  EXPECT_GT(std::get<StartRun>(decoded[0]).m_queue_until, received_at);
+  EXPECT_GT(std::get<RelayRead>(decoded[1]).m_give_up_at, received_at);
+}
+
 // A stream is cut at any byte by the network.
 TEST(LinkCodecTest, FramesMayArriveInPieces) {
   std::string bytes;
