Skip rows that number a run or an end with a fraction

What callers would see: a row for run 2.7 in a runner's list is taken for run 2, whose end or progress it then tells. Cause: since such numbers are read with their fraction cut off; before, rows without whole numbers were skipped.

--- a/tests/platform/runner_wire_test.cc
+++ b/tests/platform/runner_wire_test.cc
@@ -129,7 +129,9 @@
 TEST(RunnerWireTest, SkipsRowsWithNumbersOutOfRange) {
   const auto lists = DecodeLists(
       R"({"clock_ms":5,"running":[["j.0.0.1",-2,"",41],["j.0.0.2",1e300,"",41],)"
+      R"(["j.0.0.4",2.7,"",41],)"
       R"(["j.0.0.3",2,"",41]],"ended":[[-58,"j.0.0.9",1,"done",""],)"
+      R"([58,"j.0.0.9",1.5,"done",""],[58.5,"j.0.0.9",1,"done",""],)"
       R"([59,"j.0.0.9",18446744073709551615,"done",""]]})");
   ASSERT_TRUE(lists);
   ASSERT_EQ(lists.value().m_running.size(), 1U);
