--- a/tests/platform/job_wire_test.cc
+++ b/tests/platform/job_wire_test.cc
@@ -78,6 +78,15 @@
   EXPECT_FALSE(DecodeConfig("nonsense"));
 }
 
+// Estimates are rough: one below zero says nothing, and the job is served.
+TEST(JobWireTest, ReadsAnEstimateBelowZeroAsNone) {
+  Json json = Json::parse(kJob);
+  json["steps"][0]["est_runtime_ms"] = -1;
+  const auto job = DecodeJob(json.dump());
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job.value().m_steps[0].m_estimated_run_time, Milliseconds(0));
+}
+
 // The body of one client must not end the entry that serves all.
 TEST(JobWireTest, RejectsTextsThatNestTooDeep) {
   std::string text(kJob);
