Bound scaled times, so that a huge estimate makes no job urgent

What callers would see: one client's job with an estimate of 1e15 ms, in a queue with a large stretch, is due at a time in the past and goes before all other jobs. Cause: the conversion of the product is undefined when it does not fit 64 bits.

Evidence: AJobWithAHugeEstimateIsNotUrgent failed before (urgency -9.2e18) and passes.

--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -25,6 +25,9 @@
 constexpr Milliseconds kFreezeGap = kClaimTimeout;
 // A job waits this part of its objective for its first task to start.
 constexpr double kMaxWaitShare = 0.25;
+// Above the longest accepted estimate, 1e18 us. Its sum with the longest target
+// latency, also 1e18 us, and the clock fits.
+constexpr double kMaxScaledUs = 4e18;
 // A run may wait this long for room at an agent that another entry filled.
 constexpr Milliseconds kAgentQueueTime{30};
 // Another entry takes new jobs while this one stops.
@@ -38,8 +41,9 @@
     2 * kStopTime;
 
 Microseconds Scale(Microseconds time, double factor) {
-  return Microseconds(
-      static_cast<int64_t>(static_cast<double>(time.count()) * factor));
+  // The conversion of a product that does not fit is undefined.
+  return Microseconds(static_cast<int64_t>(
+      std::min(static_cast<double>(time.count()) * factor, kMaxScaledUs)));
 }
 
 }  // namespace
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -122,6 +122,27 @@
 
 // Fast runners are kept for tasks that need them; a runner on which the
 // objective would be missed is not taken.
+// An objective that did not fit was taken for one in the past, and the job went
+// before all others.
+TEST_F(JobSchedulerTest, AJobWithAHugeEstimateIsNotUrgent) {
+  AddAgent("a", 1.0);
+  JobRequest request;
+  request.m_id = "job";
+  request.m_steps.resize(1);
+  request.m_steps[0].m_count = 1;
+  request.m_steps[0].m_estimated_run_time = Milliseconds(1'000'000'000'000'000);
+  request.m_give_up_at = m_now + Milliseconds(3000);
+  QueueConfig queue;
+  queue.m_name = "queue";
+  queue.m_service = "service";
+  queue.m_stretch = 1000.0;
+  queue.m_target_latency = Milliseconds(60);
+  m_scheduler.Submit(request, queue, m_now);
+  Tick();
+  ASSERT_EQ(m_starts.size(), 1U);
+  EXPECT_GT(m_starts[0].m_start.m_urgency, 0);
+}
+
 TEST_F(JobSchedulerTest, ABusyFleetUsesTheSlowestRunnerThatMeetsTheObjective) {
   AddAgent("fast", 0.5);
   AddAgent("usual", 1.0);
