--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -35,6 +35,17 @@
   EXPECT_NE(no_ports.error().find("port_range"), std::string::npos);
 }
 
+// A grace period that does not fit ended in the past: a stop cut all requests.
+TEST(PlatformSettingsTest, AnImpossibleGracePeriodIsRejected) {
+  std::string text(kFile);
+  const std::string field = "grace_s=6";
+  text.replace(text.find(field), field.size(), "grace_s=9223372036854775807");
+  EXPECT_FALSE(ParseSettings(text));
+  text = kFile;
+  text.replace(text.find(field), field.size(), "grace_s=-1");
+  EXPECT_FALSE(ParseSettings(text));
+}
+
 TEST(PlatformSettingsTest, AnImpossibleRemoteFactorIsRejected) {
   const std::string text =
       "node_name=a\nip=10.1.0.14\nport_range=7720,7735\n"
