--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -120,8 +120,6 @@
   EXPECT_TRUE(IsAnswered<JobTasksDone>(job));
 }
 
-// Fast runners are kept for tasks that need them; a runner on which the
-// objective would be missed is not taken.
 // An objective that did not fit was taken for one in the past, and the job went
 // before all others.
 TEST_F(JobSchedulerTest, AJobWithAHugeEstimateIsNotUrgent) {
@@ -143,6 +141,8 @@
   EXPECT_GT(m_starts[0].m_start.m_urgency, 0);
 }
 
+// Fast runners are kept for tasks that need them; a runner on which the
+// objective would be missed is not taken.
 TEST_F(JobSchedulerTest, ABusyFleetUsesTheSlowestRunnerThatMeetsTheObjective) {
   AddAgent("fast", 0.5);
   AddAgent("usual", 1.0);
