--- a/tests/main/role_signals_test.cc
+++ b/tests/main/role_signals_test.cc
@@ -126,6 +126,9 @@
   EXPECT_FALSE(process->HasExited())
       << "wait status " << process->exit_status() << "\n"
       << process->Log();
+  // The reload that was asked for is carried out.
+  EXPECT_TRUE(WaitUntil([&]() { return HasLogged(*process, ReloadEvent()); }))
+      << process->Log();
   process->Signal(SIGTERM);
   ExpectCleanExit(*process);
 }
--- a/tests/platform/job_wire_test.cc
+++ b/tests/platform/job_wire_test.cc
@@ -87,6 +87,16 @@
   EXPECT_EQ(job.value().m_steps[0].m_estimated_run_time, Milliseconds(0));
 }
 
+// An entry that refuses a configuration goes on with an older one.
+TEST(JobWireTest, NumbersBelowZeroRefuseNoConfiguration) {
+  const auto config = DecodeConfig(
+      R"({"version":7,"routes":[{"name":"r","prefix":"/p/","priority":-1,)"
+      R"("max_attempts":-1,"target_latency_ms":-1,"stretch":-1.0}]})");
+  ASSERT_TRUE(config);
+  EXPECT_EQ(config.value().m_queues[0].m_priority, -1);
+  EXPECT_EQ(config.value().m_queues[0].m_max_attempts, 1U);
+}
+
 // The body of one client must not end the entry that serves all.
 TEST(JobWireTest, RejectsTextsThatNestTooDeep) {
   std::string text(kJob);
