Move the schedule of looks and the order latency out of RunExecutor

LookSchedule decides when an agent reads its runner's lists and what the times of these reads tell: reachability, the runner's clock, the ends of leases. OrderLatency holds the usual time of an answer and the timeout that follows from it.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -7,24 +7,8 @@
 
 namespace {
 
-// A look waits this long for an end. The lease is renewed with each look.
-constexpr Milliseconds kLookWait{60};
-// A runner answers in about a millisecond. An order without an answer after
-// these times, or after kLatencyFactor times the usual latency, is lost.
-constexpr Milliseconds kLookGrace{40};
-constexpr Milliseconds kMinOrderTimeout{50};
-constexpr Milliseconds kMaxOrderTimeout{400};
-constexpr int kLatencyFactor = 6;
-// Weight of one answer in the usual latency.
-constexpr int kLatencyDivisor = 8;
-// Looks are at least this far apart, so that one look reports several ends.
-constexpr Milliseconds kLookPause{2};
-// After a look that failed.
-constexpr Milliseconds kLookRetry{50};
 // Stops are ordered again until they are acknowledged.
 constexpr Milliseconds kStopRetry{60};
-// A runner whose lists could not be read for this long gets nothing new.
-constexpr Milliseconds kUnreachableAfter{400};
 // Tick is called at least this often.
 constexpr Milliseconds kLongestPause{150};
 // A runner that has seen a higher token than ours saw it from an earlier life
@@ -69,11 +53,7 @@
   m_strays.clear();
   m_acknowledged_ends = 0;
   m_is_listed = false;
-  m_is_looking = false;
-  m_clock = RunnerTime(0);
-  m_next_look_at = now;
-  m_last_list_at = now;
-  m_lease_ends_at = now;
+  m_looks.Reset(now);
   m_is_status_due = true;
 }
 
@@ -192,7 +172,7 @@
   if (answer == StartAnswer::kFenced) {
     RaiseToken(now);
   }
-  NoteLatency(answer, now - run.m_started_at);
+  m_order_latency.OnAnswer(answer, now - run.m_started_at);
   // A stop is under way already; it settles the run.
   if (run.m_state != RunState::kStarting) {
     return;
@@ -216,19 +196,6 @@
   }
 }
 
-// A busy process reads answers late; then all orders get more time.
-void RunExecutor::NoteLatency(StartAnswer answer, Microseconds latency) {
-  if (answer == StartAnswer::kUnknown) {
-    latency = std::max<Microseconds>(2 * m_order_latency, Milliseconds(10));
-  }
-  m_order_latency += (latency - m_order_latency) / kLatencyDivisor;
-}
-
-Microseconds RunExecutor::OrderTimeout() const {
-  return std::clamp<Microseconds>(kLatencyFactor * m_order_latency,
-                                  kMinOrderTimeout, kMaxOrderTimeout);
-}
-
 void RunExecutor::OnStopAnswer(const RunnerLife& life,
                                const RunKey& key,
                                StopAnswer answer,
@@ -255,23 +222,19 @@
   if (!m_runner || m_runner->m_life != life) {
     return;
   }
-  m_is_looking = false;
   if (const auto* failure = std::get_if<LookFailure>(&answer)) {
     if (*failure == LookFailure::kFenced) {
       RaiseToken(now);
     }
-    m_next_look_at = now + kLookRetry;
+    m_looks.OnFailure(now);
     return;
   }
   const auto& lists = std::get<RunnerLists>(answer);
   if (lists.m_born_ms && *lists.m_born_ms != life.m_born_ms) {
-    m_next_look_at = now + kLookRetry;
+    m_looks.OnFailure(now);
     return;
   }
-  m_clock = lists.m_clock;
-  m_clock_read_at = now;
-  m_last_list_at = now;
-  m_next_look_at = std::max(now, m_look_sent_at + kLookPause);
+  m_looks.OnLists(lists.m_clock, now);
   ApplyEnded(lists, now);
   ApplyRunning(lists, now);
   if (!m_is_listed && m_strays.empty()) {
@@ -282,7 +245,7 @@
 
 void RunExecutor::RaiseToken(MonoTime now) {
   m_token += kTokenStep;
-  m_next_look_at = now;
+  m_looks.Hurry(now);
 }
 
 void RunExecutor::ApplyEnded(const RunnerLists& lists, MonoTime now) {
@@ -321,7 +284,7 @@
     const auto next = std::next(found);
     Run& run = found->second;
     const auto row = listed.find(found->first);
-    const bool is_newer = m_look_sent_at > run.m_state_since;
+    const bool is_newer = m_looks.sent_at() > run.m_state_since;
     if (row != listed.end()) {
       m_health.OnProgress(now - run.m_started_at, row->second, run.m_expected);
     } else if (is_newer && (run.m_state == RunState::kRunning ||
@@ -372,12 +335,7 @@
 bool RunExecutor::is_accepting(MonoTime now) const {
   return m_runner && !m_runner->m_is_draining && !m_is_draining &&
          m_is_listed && !m_closed_zones.contains(m_runner->m_zone) &&
-         m_health.IsUsable(now) && now < m_last_list_at + kUnreachableAfter;
-}
-
-RunnerTime RunExecutor::RunnerNow(MonoTime now) const {
-  return m_clock +
-         std::chrono::duration_cast<RunnerTime>(now - m_clock_read_at);
+         m_health.IsUsable(now) && m_looks.IsReachable(now);
 }
 
 void RunExecutor::StopUnclaimed(MonoTime now) {
@@ -448,11 +406,10 @@
     run.m_state = RunState::kStarting;
     run.m_started_at = now;
     run.m_state_since = now;
-    const RunnerTime lease_until = RunnerNow(now) + kLease;
-    m_lease_ends_at = std::max(m_lease_ends_at, now + kLease);
-    m_actions.push_back(OrderStart{m_runner->m_life, found->first,
-                                   std::move(run.m_payload), m_token,
-                                   lease_until, now + OrderTimeout()});
+    const RunnerTime lease_until = m_looks.GrantLease(now);
+    m_actions.push_back(
+        OrderStart{m_runner->m_life, found->first, std::move(run.m_payload),
+                   m_token, lease_until, now + m_order_latency.Timeout()});
     m_is_status_due = true;
   }
 }
@@ -464,15 +421,15 @@
   for (auto& [key, run] : m_runs) {
     if (run.m_state == RunState::kStopping && run.m_stop_again_at <= now) {
       run.m_stop_again_at = now + kStopRetry;
-      m_actions.push_back(
-          OrderStop{m_runner->m_life, key, m_token, now + OrderTimeout()});
+      m_actions.push_back(OrderStop{m_runner->m_life, key, m_token,
+                                    now + m_order_latency.Timeout()});
     }
   }
   for (auto& [key, stop_again_at] : m_strays) {
     if (stop_again_at <= now) {
       stop_again_at = now + kStopRetry;
-      m_actions.push_back(
-          OrderStop{m_runner->m_life, key, m_token, now + OrderTimeout()});
+      m_actions.push_back(OrderStop{m_runner->m_life, key, m_token,
+                                    now + m_order_latency.Timeout()});
     }
   }
 }
@@ -482,11 +439,7 @@
 // stop is acknowledged, because its order may still be carried out; what comes
 // later carries a higher token, so that the runner then rejects that order.
 void RunExecutor::LapseUnreachable(MonoTime now) {
-  const auto lapsed_at =
-      m_lease_ends_at + std::chrono::duration_cast<Microseconds>(
-                            kLease * (kRunnerClockError - 1.0));
-  if (!m_runner || now < m_last_list_at + kUnreachableAfter ||
-      now < lapsed_at) {
+  if (!m_runner || m_looks.IsReachable(now) || !m_looks.HaveLeasesEnded(now)) {
     return;
   }
   bool has_given_up = false;
@@ -506,26 +459,21 @@
   });
 }
 
+bool RunExecutor::NeedsLists() const {
+  return !m_is_listed || !m_strays.empty() || !m_runs.empty();
+}
+
 void RunExecutor::Look(MonoTime now) {
-  const bool is_needed = !m_is_listed || !m_strays.empty() || !m_runs.empty() ||
-                         now >= m_last_list_at + kUnreachableAfter / 2;
-  if (!m_runner || m_is_looking || !is_needed || now < m_next_look_at) {
+  if (!m_runner || !m_looks.IsDue(NeedsLists(), now)) {
     return;
   }
-  OrderLook look;
+  OrderLook look = m_looks.Begin(m_is_listed, m_order_latency.Timeout(), now);
   look.m_life = m_runner->m_life;
   look.m_fencing_token = m_token;
   look.m_acknowledged_ends = m_acknowledged_ends;
-  const bool is_reachable = now < m_last_list_at + kUnreachableAfter;
-  if (MustRenew() && m_clock > RunnerTime(0) && is_reachable) {
-    look.m_lease_until = RunnerNow(now) + kLease;
-    m_lease_ends_at = now + kLease;
-  }
-  look.m_answer_by = now + (m_is_listed ? kLookWait : Milliseconds(0));
-  look.m_give_up_at =
-      look.m_answer_by + std::max<Microseconds>(kLookGrace, OrderTimeout() / 2);
-  m_is_looking = true;
-  m_look_sent_at = now;
+  if (MustRenew()) {
+    look.m_lease_until = m_looks.RenewLeases(now);
+  }
   m_actions.push_back(look);
 }
 
@@ -572,11 +520,8 @@
 
 MonoTime RunExecutor::NextDeadline(MonoTime now) const {
   MonoTime next = std::min(now + kLongestPause, m_entries.NextDeadline(now));
-  if (m_runner && !m_is_looking) {
-    const bool is_idle = m_is_listed && m_strays.empty() && m_runs.empty();
-    const MonoTime idle_look = m_last_list_at + kUnreachableAfter / 2;
-    next = std::min(
-        next, is_idle ? std::max(idle_look, m_next_look_at) : m_next_look_at);
+  if (m_runner) {
+    next = std::min(next, m_looks.NextLookAt(NeedsLists()));
   }
   for (const auto& [key, run] : m_runs) {
     if (run.m_abandon_at > now) {
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -11,6 +11,8 @@
 #include "core/core.h"
 #include "executor/actions.h"
 #include "executor/entry_table.h"
+#include "executor/look_schedule.h"
+#include "executor/order_latency.h"
 #include "executor/report_memory.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
@@ -110,8 +112,6 @@
   void Report(const RunKey& key, Run& run, RunOutcome outcome, MonoTime now);
   void RequestStop(const RunKey& key, Run& run, MonoTime now);
   void RaiseToken(MonoTime now);
-  void NoteLatency(StartAnswer answer, Microseconds latency);
-  Microseconds OrderTimeout() const;
   void ApplyEnded(const RunnerLists& lists, MonoTime now);
   void ApplyRunning(const RunnerLists& lists, MonoTime now);
   void StopUnclaimed(MonoTime now);
@@ -119,11 +119,12 @@
   void StartWaiting(MonoTime now);
   void SendStops(MonoTime now);
   void LapseUnreachable(MonoTime now);
+  // Whether the runner's lists tell more than that it is reachable.
+  bool NeedsLists() const;
   void Look(MonoTime now);
   void SendStatuses(MonoTime now);
   RunnerStatus MakeStatus(MonoTime now) const;
   bool MustRenew() const;
-  RunnerTime RunnerNow(MonoTime now) const;
 
   ProcessId m_self;
   uint64_t m_token;
@@ -138,21 +139,11 @@
   ClosedZones m_closed_zones;
   bool m_is_draining = false;
 
-  // The runner's clock, and when it was read.
-  RunnerTime m_clock{0};
-  MonoTime m_clock_read_at;
+  LookSchedule m_looks;
+  OrderLatency m_order_latency;
   uint64_t m_acknowledged_ends = 0;
   // Nothing starts before a list has shown what runs already.
   bool m_is_listed = false;
-  bool m_is_looking = false;
-  MonoTime m_look_sent_at;
-  MonoTime m_next_look_at;
-  MonoTime m_last_list_at;
-  // The runner kills everything by then, as far as renewals were sent.
-  MonoTime m_lease_ends_at;
-
-  // Usual time from an order to its answer.
-  Microseconds m_order_latency{0};
 
   // The status has changed since statuses were last considered.
   bool m_is_status_due = false;
