Move the table of an agent's runs out of RunExecutor

RunTable holds the runs that an agent has taken, their states, the room that they hold on the runner, and says which are to be started or stopped next.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -61,7 +61,7 @@
 void RunExecutor::EndLife(MonoTime now) {
   for (auto run = m_runs.begin(); run != m_runs.end();) {
     const auto next = std::next(run);
-    if (run->second.m_state != RunState::kWaiting) {
+    if (run->second.m_state != RunTable::State::kWaiting) {
       Finish(run, RunOutcome::kStopped, now);
     }
     run = next;
@@ -106,19 +106,10 @@
     m_actions.push_back(SendToEntry{entry, *ended});
     return;
   }
-  const auto [found, is_new] = m_runs.try_emplace(start.m_run);
-  Run& run = found->second;
+  const auto [found, is_new] = m_runs.Add(entry, start, now);
   if (!is_new) {
     return;
   }
-  run.m_entry = entry;
-  run.m_payload = start.m_payload;
-  run.m_demand = start.m_demand;
-  run.m_expected = start.m_expected;
-  run.m_urgency = start.m_urgency;
-  run.m_abandon_at = start.m_abandon_at;
-  run.m_queue_until = start.m_queue_until;
-  run.m_state_since = now;
   const bool is_possible = is_claimed && m_runner && is_accepting(now) &&
                            start.m_service == m_runner->m_service &&
                            start.m_demand.Fits(m_runner->m_capacity);
@@ -130,10 +121,10 @@
 void RunExecutor::OnStopRun(const ProcessId& entry,
                             const StopRun& stop,
                             MonoTime now) {
-  const auto found = m_runs.find(stop.m_run);
+  const auto found = m_runs.Find(stop.m_run);
   if (found != m_runs.end()) {
-    RequestStop(found->first, found->second, now);
-    if (found->second.m_state == RunState::kWaiting) {
+    found->second.RequestStop(now);
+    if (found->second.m_state == RunTable::State::kWaiting) {
       Finish(found, RunOutcome::kNotStarted, now);
     }
     return;
@@ -148,23 +139,15 @@
   m_actions.push_back(SendToEntry{entry, *ended});
 }
 
-void RunExecutor::RequestStop(const RunKey&, Run& run, MonoTime now) {
-  if (run.m_state == RunState::kStarting || run.m_state == RunState::kRunning) {
-    run.m_state = RunState::kStopping;
-    run.m_state_since = now;
-    run.m_stop_again_at = now;
-  }
-}
-
 void RunExecutor::OnStartAnswer(const RunnerLife& life,
                                 const RunKey& key,
                                 StartAnswer answer,
                                 MonoTime now) {
-  const auto found = m_runs.find(key);
+  const auto found = m_runs.Find(key);
   if (found == m_runs.end() || !m_runner || m_runner->m_life != life) {
     return;
   }
-  Run& run = found->second;
+  RunTable::Run& run = found->second;
   if (answer == StartAnswer::kUnhealthy) {
     m_health.OnFailure(now);
     m_is_status_due = true;
@@ -174,16 +157,15 @@
   }
   m_order_latency.OnAnswer(answer, now - run.m_started_at);
   // A stop is under way already; it settles the run.
-  if (run.m_state != RunState::kStarting) {
+  if (run.m_state != RunTable::State::kStarting) {
     return;
   }
   switch (answer) {
     case StartAnswer::kStarted:
-      run.m_state = RunState::kRunning;
-      run.m_state_since = now;
+      run.SetState(RunTable::State::kRunning, now);
       return;
     case StartAnswer::kUnknown:
-      RequestStop(key, run, now);
+      run.RequestStop(now);
       return;
     case StartAnswer::kRejected:
     case StartAnswer::kNumberTooLow:
@@ -206,13 +188,13 @@
   if (answer == StopAnswer::kFenced) {
     RaiseToken(now);
   }
-  const auto found = m_runs.find(key);
-  if (found == m_runs.end() || found->second.m_state != RunState::kStopping ||
+  const auto found = m_runs.Find(key);
+  if (found == m_runs.end() ||
+      found->second.m_state != RunTable::State::kStopping ||
       answer != StopAnswer::kAccepted) {
     return;
   }
-  found->second.m_state = RunState::kStopped;
-  found->second.m_state_since = now;
+  found->second.SetState(RunTable::State::kStopped, now);
 }
 
 void RunExecutor::OnLookAnswer(
@@ -255,11 +237,11 @@
     }
     m_acknowledged_ends = row.m_number;
     m_strays.erase(row.m_run);
-    const auto found = m_runs.find(row.m_run);
+    const auto found = m_runs.Find(row.m_run);
     if (found == m_runs.end()) {
       continue;
     }
-    Run& run = found->second;
+    RunTable::Run& run = found->second;
     if (row.m_outcome == RunOutcome::kDone) {
       m_health.OnDone(now - run.m_started_at, run.m_expected, now);
     } else if (row.m_outcome == RunOutcome::kFailed) {
@@ -274,7 +256,7 @@
   std::map<RunKey, double> listed;
   for (const RunningRow& row : lists.m_running) {
     listed[row.m_run] = row.m_percent;
-    if (!m_runs.contains(row.m_run)) {
+    if (!m_runs.Contains(row.m_run)) {
       const auto known = m_strays.find(row.m_run);
       strays[row.m_run] = known == m_strays.end() ? now : known->second;
     }
@@ -282,13 +264,13 @@
   m_strays = std::move(strays);
   for (auto found = m_runs.begin(); found != m_runs.end();) {
     const auto next = std::next(found);
-    Run& run = found->second;
+    RunTable::Run& run = found->second;
     const auto row = listed.find(found->first);
     const bool is_newer = m_looks.sent_at() > run.m_state_since;
     if (row != listed.end()) {
       m_health.OnProgress(now - run.m_started_at, row->second, run.m_expected);
-    } else if (is_newer && (run.m_state == RunState::kRunning ||
-                            run.m_state == RunState::kStopped)) {
+    } else if (is_newer && (run.m_state == RunTable::State::kRunning ||
+                            run.m_state == RunTable::State::kStopped)) {
       // Its end was listed and forgotten, or it never began.
       Finish(found, RunOutcome::kStopped, now);
     }
@@ -297,39 +279,31 @@
 }
 
 void RunExecutor::Report(const RunKey& key,
-                         Run& run,
+                         RunTable::Run& run,
                          RunOutcome outcome,
                          MonoTime now) {
   if (run.m_is_reported) {
     return;
   }
   run.m_is_reported = true;
-  const bool has_run =
-      run.m_state != RunState::kWaiting && outcome != RunOutcome::kNotStarted;
+  const bool has_run = run.m_state != RunTable::State::kWaiting &&
+                       outcome != RunOutcome::kNotStarted;
   const RunReport report{key, outcome, has_run,
                          has_run ? now - run.m_started_at : Microseconds(0)};
   m_reports.Remember(report, now);
   m_actions.push_back(SendToEntry{run.m_entry, report});
 }
 
-void RunExecutor::Finish(RunTable::iterator found,
+void RunExecutor::Finish(RunTable::Iterator found,
                          RunOutcome outcome,
                          MonoTime now) {
   Report(found->first, found->second, outcome, now);
-  m_runs.erase(found);
+  m_runs.Erase(found);
   m_is_status_due = true;
 }
 
-bool RunExecutor::HoldsRoom(const Run& run) const {
-  return run.m_state != RunState::kWaiting;
-}
-
 Resources RunExecutor::FreeRoom() const {
-  Resources room = m_runner ? m_runner->m_capacity : Resources{};
-  for (const auto& [key, run] : m_runs) {
-    room -= run.m_demand;
-  }
-  return room;
+  return m_runs.RoomAfterAll(m_runner ? m_runner->m_capacity : Resources{});
 }
 
 bool RunExecutor::is_accepting(MonoTime now) const {
@@ -341,7 +315,7 @@
 void RunExecutor::StopUnclaimed(MonoTime now) {
   for (auto& [key, run] : m_runs) {
     if (!m_entries.IsClaimed(run.m_entry, now)) {
-      RequestStop(key, run, now);
+      run.RequestStop(now);
       run.m_queue_until = std::min(run.m_queue_until, now);
     }
   }
@@ -351,51 +325,28 @@
 void RunExecutor::StopExpired(MonoTime now) {
   for (auto found = m_runs.begin(); found != m_runs.end();) {
     const auto next = std::next(found);
-    Run& run = found->second;
+    RunTable::Run& run = found->second;
     if (run.m_abandon_at <= now) {
-      RequestStop(found->first, run, now);
+      run.RequestStop(now);
     }
     const bool can_start =
         is_accepting(now) && run.m_queue_until > now && run.m_abandon_at > now;
-    if (run.m_state == RunState::kWaiting && !can_start) {
+    if (run.m_state == RunTable::State::kWaiting && !can_start) {
       Finish(found, RunOutcome::kNotStarted, now);
     }
     found = next;
   }
 }
 
-bool RunExecutor::HasOtherRun(RunTable::const_iterator found) const {
-  const TaskKey& task = found->first.m_task;
-  const auto first = m_runs.lower_bound(RunKey{task, 0});
-  for (auto other = first; other != m_runs.end() && other->first.m_task == task;
-       ++other) {
-    if (other != found && HoldsRoom(other->second)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 void RunExecutor::StartWaiting(MonoTime now) {
   if (!is_accepting(now)) {
     return;
   }
-  Resources room = m_runner->m_capacity;
-  size_t held = 0;
-  std::vector<RunTable::iterator> waiting;
-  for (auto found = m_runs.begin(); found != m_runs.end(); ++found) {
-    if (HoldsRoom(found->second)) {
-      room -= found->second.m_demand;
-      ++held;
-    } else {
-      waiting.push_back(found);
-    }
-  }
-  std::ranges::stable_sort(
-      waiting, {}, [](const auto& found) { return found->second.m_urgency; });
-  for (const auto& found : waiting) {
-    Run& run = found->second;
-    if (HasOtherRun(found)) {
+  Resources room = m_runs.RoomAfterHolders(m_runner->m_capacity);
+  size_t held = m_runs.CountHolders();
+  for (const RunTable::Iterator& found : m_runs.WaitingByUrgency()) {
+    RunTable::Run& run = found->second;
+    if (m_runs.HasOtherRun(found)) {
       continue;
     }
     if (!run.m_demand.Fits(room) || (m_health.is_on_probation() && held > 0)) {
@@ -403,9 +354,8 @@
     }
     room -= run.m_demand;
     ++held;
-    run.m_state = RunState::kStarting;
+    run.SetState(RunTable::State::kStarting, now);
     run.m_started_at = now;
-    run.m_state_since = now;
     const RunnerTime lease_until = m_looks.GrantLease(now);
     m_actions.push_back(
         OrderStart{m_runner->m_life, found->first, std::move(run.m_payload),
@@ -418,12 +368,9 @@
   if (!m_runner) {
     return;
   }
-  for (auto& [key, run] : m_runs) {
-    if (run.m_state == RunState::kStopping && run.m_stop_again_at <= now) {
-      run.m_stop_again_at = now + kStopRetry;
-      m_actions.push_back(OrderStop{m_runner->m_life, key, m_token,
-                                    now + m_order_latency.Timeout()});
-    }
+  for (const RunKey& key : m_runs.TakeDueStops(now, now + kStopRetry)) {
+    m_actions.push_back(OrderStop{m_runner->m_life, key, m_token,
+                                  now + m_order_latency.Timeout()});
   }
   for (auto& [key, stop_again_at] : m_strays) {
     if (stop_again_at <= now) {
@@ -444,23 +391,17 @@
   }
   bool has_given_up = false;
   for (auto& [key, run] : m_runs) {
-    if (HoldsRoom(run)) {
+    if (run.HoldsRoom()) {
       has_given_up |= !run.m_is_reported;
-      RequestStop(key, run, now);
+      run.RequestStop(now);
       Report(key, run, RunOutcome::kStopped, now);
     }
   }
   m_token += has_given_up ? 1 : 0;
 }
 
-bool RunExecutor::MustRenew() const {
-  return std::ranges::any_of(m_runs, [this](const auto& item) {
-    return HoldsRoom(item.second) && !item.second.m_is_reported;
-  });
-}
-
 bool RunExecutor::NeedsLists() const {
-  return !m_is_listed || !m_strays.empty() || !m_runs.empty();
+  return !m_is_listed || !m_strays.empty() || !m_runs.is_empty();
 }
 
 void RunExecutor::Look(MonoTime now) {
@@ -471,7 +412,7 @@
   look.m_life = m_runner->m_life;
   look.m_fencing_token = m_token;
   look.m_acknowledged_ends = m_acknowledged_ends;
-  if (MustRenew()) {
+  if (m_runs.NeedsLease()) {
     look.m_lease_until = m_looks.RenewLeases(now);
   }
   m_actions.push_back(look);
@@ -523,17 +464,7 @@
   if (m_runner) {
     next = std::min(next, m_looks.NextLookAt(NeedsLists()));
   }
-  for (const auto& [key, run] : m_runs) {
-    if (run.m_abandon_at > now) {
-      next = std::min(next, run.m_abandon_at);
-    }
-    if (run.m_state == RunState::kWaiting) {
-      next = std::min(next, run.m_queue_until);
-    }
-    if (run.m_state == RunState::kStopping) {
-      next = std::min(next, run.m_stop_again_at);
-    }
-  }
+  next = std::min(next, m_runs.NextDeadline(now));
   if (m_health.retry_at() > now) {
     next = std::min(next, m_health.retry_at());
   }
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -14,6 +14,7 @@
 #include "executor/look_schedule.h"
 #include "executor/order_latency.h"
 #include "executor/report_memory.h"
+#include "executor/run_table.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
 #include "jobs/jobs.h"
@@ -65,52 +66,20 @@
   // When Tick must be called next without new input.
   MonoTime NextDeadline(MonoTime now) const;
 
-  bool has_runs() const { return !m_runs.empty(); }
+  bool has_runs() const { return !m_runs.is_empty(); }
   bool is_accepting(MonoTime now) const;
   Resources FreeRoom() const;
   const std::optional<RunnerReport>& runner() const { return m_runner; }
   const RunnerHealth& health() const { return m_health; }
 
  private:
-  enum class RunState : uint8_t {
-    // Waits for room.
-    kWaiting,
-    // Ordered, without an answer yet.
-    kStarting,
-    kRunning,
-    // Must be stopped, or is being stopped.
-    kStopping,
-    // The runner has acknowledged the stop; the next list shows the end.
-    kStopped,
-  };
-
-  struct Run {
-    ProcessId m_entry;
-    std::string m_payload;
-    Resources m_demand;
-    Microseconds m_expected{0};
-    int64_t m_urgency = 0;
-    MonoTime m_abandon_at;
-    MonoTime m_queue_until;
-    RunState m_state = RunState::kWaiting;
-    // Time of the order to start.
-    MonoTime m_started_at;
-    // Lists read by looks sent before this time do not show the state.
-    MonoTime m_state_since;
-    MonoTime m_stop_again_at;
-    bool m_is_reported = false;
-  };
-
-  using RunTable = std::map<RunKey, Run>;
-
-  bool HoldsRoom(const Run& run) const;
-  // Whether another run of the same task may be at work here.
-  bool HasOtherRun(RunTable::const_iterator found) const;
   void StartLife(const RunnerReport& report, MonoTime now);
   void EndLife(MonoTime now);
-  void Finish(RunTable::iterator found, RunOutcome outcome, MonoTime now);
-  void Report(const RunKey& key, Run& run, RunOutcome outcome, MonoTime now);
-  void RequestStop(const RunKey& key, Run& run, MonoTime now);
+  void Finish(RunTable::Iterator found, RunOutcome outcome, MonoTime now);
+  void Report(const RunKey& key,
+              RunTable::Run& run,
+              RunOutcome outcome,
+              MonoTime now);
   void RaiseToken(MonoTime now);
   void ApplyEnded(const RunnerLists& lists, MonoTime now);
   void ApplyRunning(const RunnerLists& lists, MonoTime now);
@@ -124,7 +93,6 @@
   void Look(MonoTime now);
   void SendStatuses(MonoTime now);
   RunnerStatus MakeStatus(MonoTime now) const;
-  bool MustRenew() const;
 
   ProcessId m_self;
   uint64_t m_token;
--- /dev/null
+++ b/executor/run_table.cc
@@ -0,0 +1,116 @@
+#include "executor/run_table.h"
+
+#include <algorithm>
+
+namespace comfreyshift {
+
+void RunTable::Run::SetState(State state, MonoTime now) {
+  m_state = state;
+  m_state_since = now;
+}
+
+void RunTable::Run::RequestStop(MonoTime now) {
+  if (m_state == State::kStarting || m_state == State::kRunning) {
+    SetState(State::kStopping, now);
+    m_stop_again_at = now;
+  }
+}
+
+std::pair<RunTable::Iterator, bool> RunTable::Add(const ProcessId& entry,
+                                                  const StartRun& start,
+                                                  MonoTime now) {
+  const auto result = m_runs.try_emplace(start.m_run);
+  if (!result.second) {
+    return result;
+  }
+  Run& run = result.first->second;
+  run.m_entry = entry;
+  run.m_payload = start.m_payload;
+  run.m_demand = start.m_demand;
+  run.m_expected = start.m_expected;
+  run.m_urgency = start.m_urgency;
+  run.m_abandon_at = start.m_abandon_at;
+  run.m_queue_until = start.m_queue_until;
+  run.m_state_since = now;
+  return result;
+}
+
+Resources RunTable::RoomAfterAll(Resources capacity) const {
+  for (const auto& [key, run] : m_runs) {
+    capacity -= run.m_demand;
+  }
+  return capacity;
+}
+
+Resources RunTable::RoomAfterHolders(Resources capacity) const {
+  for (const auto& [key, run] : m_runs) {
+    if (run.HoldsRoom()) {
+      capacity -= run.m_demand;
+    }
+  }
+  return capacity;
+}
+
+size_t RunTable::CountHolders() const {
+  return static_cast<size_t>(std::ranges::count_if(
+      m_runs, [](const auto& item) { return item.second.HoldsRoom(); }));
+}
+
+std::vector<RunTable::Iterator> RunTable::WaitingByUrgency() {
+  std::vector<Iterator> waiting;
+  for (auto found = m_runs.begin(); found != m_runs.end(); ++found) {
+    if (!found->second.HoldsRoom()) {
+      waiting.push_back(found);
+    }
+  }
+  std::ranges::stable_sort(
+      waiting, {}, [](const auto& found) { return found->second.m_urgency; });
+  return waiting;
+}
+
+bool RunTable::HasOtherRun(Iterator found) const {
+  const TaskKey& task = found->first.m_task;
+  const auto first = m_runs.lower_bound(RunKey{task, 0});
+  for (auto other = first; other != m_runs.end() && other->first.m_task == task;
+       ++other) {
+    if (other != found && other->second.HoldsRoom()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool RunTable::NeedsLease() const {
+  return std::ranges::any_of(m_runs, [](const auto& item) {
+    return item.second.HoldsRoom() && !item.second.m_is_reported;
+  });
+}
+
+std::vector<RunKey> RunTable::TakeDueStops(MonoTime now, MonoTime again_at) {
+  std::vector<RunKey> due;
+  for (auto& [key, run] : m_runs) {
+    if (run.m_state == State::kStopping && run.m_stop_again_at <= now) {
+      run.m_stop_again_at = again_at;
+      due.push_back(key);
+    }
+  }
+  return due;
+}
+
+MonoTime RunTable::NextDeadline(MonoTime now) const {
+  MonoTime next = MonoTime::max();
+  for (const auto& [key, run] : m_runs) {
+    if (run.m_abandon_at > now) {
+      next = std::min(next, run.m_abandon_at);
+    }
+    if (run.m_state == State::kWaiting) {
+      next = std::min(next, run.m_queue_until);
+    }
+    if (run.m_state == State::kStopping) {
+      next = std::min(next, run.m_stop_again_at);
+    }
+  }
+  return next;
+}
+
+}  // namespace comfreyshift
