--- a/executor/look_schedule.h
+++ b/executor/look_schedule.h
@@ -28,8 +28,8 @@
   void OnLists(RunnerTime clock, MonoTime now);
   // The look ended without lists that can be used.
   void OnFailure(MonoTime now);
-  // Looks again without a pause.
-  void Hurry(MonoTime now) { m_next_look_at = now; }
+  // Makes the next look due at once.
+  void LookAtOnce(MonoTime now) { m_next_look_at = now; }
   // When the newest look was sent.
   MonoTime sent_at() const { return m_sent_at; }
 
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -227,7 +227,7 @@
 
 void RunExecutor::RaiseToken(MonoTime now) {
   m_token += kTokenStep;
-  m_looks.Hurry(now);
+  m_looks.LookAtOnce(now);
 }
 
 void RunExecutor::ApplyEnded(const RunnerLists& lists, MonoTime now) {
@@ -243,7 +243,7 @@
     }
     RunTable::Run& run = found->second;
     if (row.m_outcome == RunOutcome::kDone) {
-      m_health.OnDone(now - run.m_started_at, run.m_expected, now);
+      m_health.OnDone(now - run.m_started_at, run.m_start.m_expected, now);
     } else if (row.m_outcome == RunOutcome::kFailed) {
       m_health.OnFailure(now);
     }
@@ -268,7 +268,8 @@
     const auto row = listed.find(found->first);
     const bool is_newer = m_looks.sent_at() > run.m_state_since;
     if (row != listed.end()) {
-      m_health.OnProgress(now - run.m_started_at, row->second, run.m_expected);
+      m_health.OnProgress(now - run.m_started_at, row->second,
+                          run.m_start.m_expected);
     } else if (is_newer && (run.m_state == RunTable::State::kRunning ||
                             run.m_state == RunTable::State::kStopped)) {
       // Its end was listed and forgotten, or it never began.
@@ -316,7 +317,7 @@
   for (auto& [key, run] : m_runs) {
     if (!m_entries.IsClaimed(run.m_entry, now)) {
       run.RequestStop(now);
-      run.m_queue_until = std::min(run.m_queue_until, now);
+      run.m_start.m_queue_until = std::min(run.m_start.m_queue_until, now);
     }
   }
   m_entries.Forget(now);
@@ -326,11 +327,12 @@
   for (auto found = m_runs.begin(); found != m_runs.end();) {
     const auto next = std::next(found);
     RunTable::Run& run = found->second;
-    if (run.m_abandon_at <= now) {
+    if (run.m_start.m_abandon_at <= now) {
       run.RequestStop(now);
     }
-    const bool can_start =
-        is_accepting(now) && run.m_queue_until > now && run.m_abandon_at > now;
+    const bool can_start = is_accepting(now) &&
+                           run.m_start.m_queue_until > now &&
+                           run.m_start.m_abandon_at > now;
     if (run.m_state == RunTable::State::kWaiting && !can_start) {
       Finish(found, RunOutcome::kNotStarted, now);
     }
@@ -349,17 +351,18 @@
     if (m_runs.HasOtherRun(found)) {
       continue;
     }
-    if (!run.m_demand.Fits(room) || (m_health.is_on_probation() && held > 0)) {
+    if (!run.m_start.m_demand.Fits(room) ||
+        (m_health.is_on_probation() && held > 0)) {
       break;
     }
-    room -= run.m_demand;
+    room -= run.m_start.m_demand;
     ++held;
     run.SetState(RunTable::State::kStarting, now);
     run.m_started_at = now;
     const RunnerTime lease_until = m_looks.GrantLease(now);
-    m_actions.push_back(
-        OrderStart{m_runner->m_life, found->first, std::move(run.m_payload),
-                   m_token, lease_until, now + m_order_latency.Timeout()});
+    m_actions.push_back(OrderStart{
+        m_runner->m_life, found->first, std::move(run.m_start.m_payload),
+        m_token, lease_until, now + m_order_latency.Timeout()});
     m_is_status_due = true;
   }
 }
--- a/executor/run_table.cc
+++ b/executor/run_table.cc
@@ -25,19 +25,14 @@
   }
   Run& run = result.first->second;
   run.m_entry = entry;
-  run.m_payload = start.m_payload;
-  run.m_demand = start.m_demand;
-  run.m_expected = start.m_expected;
-  run.m_urgency = start.m_urgency;
-  run.m_abandon_at = start.m_abandon_at;
-  run.m_queue_until = start.m_queue_until;
+  run.m_start = start;
   run.m_state_since = now;
   return result;
 }
 
 Resources RunTable::RoomAfterAll(Resources capacity) const {
   for (const auto& [key, run] : m_runs) {
-    capacity -= run.m_demand;
+    capacity -= run.m_start.m_demand;
   }
   return capacity;
 }
@@ -45,7 +40,7 @@
 Resources RunTable::RoomAfterHolders(Resources capacity) const {
   for (const auto& [key, run] : m_runs) {
     if (run.HoldsRoom()) {
-      capacity -= run.m_demand;
+      capacity -= run.m_start.m_demand;
     }
   }
   return capacity;
@@ -63,8 +58,9 @@
       waiting.push_back(found);
     }
   }
-  std::ranges::stable_sort(
-      waiting, {}, [](const auto& found) { return found->second.m_urgency; });
+  std::ranges::stable_sort(waiting, {}, [](const auto& found) {
+    return found->second.m_start.m_urgency;
+  });
   return waiting;
 }
 
@@ -100,11 +96,11 @@
 MonoTime RunTable::NextDeadline(MonoTime now) const {
   MonoTime next = MonoTime::max();
   for (const auto& [key, run] : m_runs) {
-    if (run.m_abandon_at > now) {
-      next = std::min(next, run.m_abandon_at);
+    if (run.m_start.m_abandon_at > now) {
+      next = std::min(next, run.m_start.m_abandon_at);
     }
     if (run.m_state == State::kWaiting) {
-      next = std::min(next, run.m_queue_until);
+      next = std::min(next, run.m_start.m_queue_until);
     }
     if (run.m_state == State::kStopping) {
       next = std::min(next, run.m_stop_again_at);
--- a/executor/run_table.h
+++ b/executor/run_table.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string>
 #include <utility>
 #include <vector>
 
@@ -32,12 +31,9 @@
 
   struct Run {
     ProcessId m_entry;
-    std::string m_payload;
-    Resources m_demand;
-    Microseconds m_expected{0};
-    int64_t m_urgency = 0;
-    MonoTime m_abandon_at;
-    MonoTime m_queue_until;
+    // As the entry asked for it. The payload is moved to the order to start,
+    // and m_queue_until becomes earlier once nobody claims the run.
+    StartRun m_start;
     State m_state = State::kWaiting;
     // Time of the order to start.
     MonoTime m_started_at;
