--- a/tests/standins/role_process.cc
+++ b/tests/standins/role_process.cc
@@ -73,6 +73,7 @@
 void RoleProcess::Start(std::vector<std::string> arguments) {
   arguments.insert(arguments.begin(), COMFREYSHIFT_PROGRAM);
   std::vector<char*> words;
+  words.reserve(arguments.size() + 1);
   for (std::string& argument : arguments) {
     words.push_back(argument.data());
   }
