Answer a reused key with a conflict when the owner knows its content

A caller that sends a key again with other tasks, or from another client, gets 409 with the state "not_run", the reason "key_reused" and the new scope "content": nothing of this submission was run, the one that has the key may have run.

The owner compared a fingerprint of the content, but answered a mismatch as unknown in every case, and compared nothing for held submissions. It now also notes whether tasks of other content may have started under an earlier owner (records found in the takeover, or records lost). Only then the answer stays "unknown_may_have_run". During a takeover other content is redirected until the takeover tells. A retry with the same content attaches as before.

The scope is not "submission": that would tell a caller whose retry differs by mistake that its first sending was not run either.

--- a/dispatch/job_table.h
+++ b/dispatch/job_table.h
@@ -65,6 +65,9 @@
   // Empty once the job has ended and no task can be sent again.
   std::vector<TaskSpec> m_specs;
   uint64_t m_fingerprint = 0;
+  // No task of other content was ever started under the key, here or by an
+  // earlier owner. False when that is not known.
+  bool m_owns_key = false;
   MonoTime m_deadline;
   // Order of arrival.
   uint64_t m_sequence = 0;
--- a/dispatch/messages.cc
+++ b/dispatch/messages.cc
@@ -32,6 +32,8 @@
       return "never_started";
     case NotRunReason::kNoCapacity:
       return "no_capacity";
+    case NotRunReason::kKeyReused:
+      return "key_reused";
   }
   return "unknown";
 }
--- a/dispatch/messages.h
+++ b/dispatch/messages.h
@@ -31,6 +31,7 @@
   kTargetUnreachable,  // The connection to the target was refused.
   kNeverStarted,       // A tombstone keeps it from starting at this agent.
   kNoCapacity,         // All targets that it may use are gone or closed.
+  kKeyReused,          // The key belongs to a submission with other content.
 };
 
 // Returns the name of a reason in snake_case, as answers and logs show it.
@@ -190,7 +191,8 @@
   JobFailure m_failure = JobFailure::kTaskFailed;
   std::string m_detail;
 };
-// No task of the job was started or ever will be.
+// No task of the job was started or ever will be. With kKeyReused it covers the
+// tasks of the refused content only: another owner may take it later.
 struct JobNotRun {
   NotRunReason m_reason = NotRunReason::kNotFresh;
   std::string m_detail;
--- a/dispatch/owner.cc
+++ b/dispatch/owner.cc
@@ -14,6 +14,11 @@
 // Refused jobs may be kept up to this multiple of the limit of all jobs.
 constexpr size_t kRefusedJobsFactor = 2;
 
+JobNotRun RefuseReusedKey() {
+  return {NotRunReason::kKeyReused,
+          "the key belongs to another submission; nothing of this one was run"};
+}
+
 }  // namespace
 
 Owner::Owner(OwnerConfig config, ProcessId self)
@@ -167,6 +172,7 @@
     held.m_partition = partition;
     held.m_cancelled =
         job->m_stop && job->m_stop->m_failure == JobFailure::kCancelled;
+    held.m_owns_key = job->m_owns_key;
     Submission& submission = held.m_submission;
     submission.m_key = job->m_key;
     submission.m_first_sent = job->m_first_sent;
@@ -210,7 +216,7 @@
   }
   if (m_owned.at(partition).m_phase == Phase::kTakingOver) {
     const SubmissionKey key = submission.m_key;
-    m_held[key] = Held{std::move(submission), partition, false};
+    m_held[key] = Held{std::move(submission), partition};
     return SubmitAccepted{false};
   }
   StartJob(now, wall_now, std::move(submission));
@@ -219,14 +225,24 @@
 
 std::optional<SubmitResult> Owner::SubmitKnown(
     const Submission& submission) const {
-  if (m_held.contains(submission.m_key)) {
-    return SubmitAccepted{true};
+  if (const auto held = m_held.find(submission.m_key); held != m_held.end()) {
+    if (Fingerprint(held->second.m_submission) == Fingerprint(submission)) {
+      return SubmitAccepted{true};
+    }
+    if (held->second.m_owns_key) {
+      return SubmitAnswered{RefuseReusedKey()};
+    }
+    // Only the takeover tells whether tasks of this content may have run.
+    return SubmitRedirect{NotRunReason::kNotOwner};
   }
   const Job* job = m_jobs.Find(submission.m_key);
   if (job == nullptr) {
     return std::nullopt;
   }
   if (job->m_fingerprint != Fingerprint(submission)) {
+    if (job->m_owns_key) {
+      return SubmitAnswered{RefuseReusedKey()};
+    }
     return SubmitAnswered{
         JobFailed{JobFailure::kUnknownMayHaveRun,
                   "the key was used for a submission with other content"}};
@@ -288,23 +304,25 @@
   return m_jobs.Add(std::move(job), too_old + kExpirySlack);
 }
 
-void Owner::StartJob(MonoTime now, WallTime wall_now, Submission submission) {
+Job& Owner::StartJob(MonoTime now, WallTime wall_now, Submission submission) {
   const PartitionId partition = PartitionOf(submission.m_key);
   std::vector<StartRecord> records = m_known.Take(partition, submission.m_key);
   const bool resumed = !records.empty();
   Job& job = CreateJob(now, wall_now, std::move(submission), partition);
   if (!Resume(job, std::move(records))) {
     m_runner.EndAsRefused(job);
-    return;
+    return job;
   }
   MarkUnknown(job);
+  job.m_owns_key = !resumed && job.m_unknown == 0;
   if (!resumed && !job.started()) {
     if (auto refused = WhyRefused(wall_now, job)) {
       m_runner.Refuse(job, refused->m_reason, std::move(refused->m_detail));
-      return;
+      return job;
     }
   }
   m_runner.Start(now, job);
+  return job;
 }
 
 std::optional<JobNotRun> Owner::WhyRefused(WallTime wall_now, const Job& job) {
@@ -483,7 +501,8 @@
   });
   for (Held& held : ready) {
     const SubmissionKey key = held.m_submission.m_key;
-    StartJob(now, wall_now, std::move(held.m_submission));
+    Job& job = StartJob(now, wall_now, std::move(held.m_submission));
+    job.m_owns_key |= held.m_owns_key;
     if (held.m_cancelled) {
       Cancel(now, key);
     }
--- a/dispatch/owner.h
+++ b/dispatch/owner.h
@@ -78,7 +78,9 @@
   void OnRevisionConfirmed(MonoTime now, Revision revision);
 
   // Runs a new job, or attaches to the one with the same key. A job refused as
-  // not run stays refused: its key never runs, here or at a later owner.
+  // not run stays refused: its key never runs, here or at a later owner. Other
+  // content under a known key is answered kKeyReused, or "may have run" when an
+  // earlier owner may have run it.
   SubmitResult Submit(MonoTime now, WallTime wall_now, Submission submission);
 
   // Returns the answer of an ended job, or nothing.
@@ -140,6 +142,8 @@
     Submission m_submission;
     PartitionId m_partition = 0;
     bool m_cancelled = false;
+    // See Job.
+    bool m_owns_key = false;
   };
 
   PartitionId PartitionOf(const SubmissionKey& key) const;
@@ -166,7 +170,7 @@
                  PartitionId partition);
   // Returns why a new job is refused, or nothing when it may run.
   std::optional<JobNotRun> WhyRefused(WallTime wall_now, const Job& job);
-  void StartJob(MonoTime now, WallTime wall_now, Submission submission);
+  Job& StartJob(MonoTime now, WallTime wall_now, Submission submission);
   bool Resume(Job& job, std::vector<StartRecord> records);
   void MarkUnknown(Job& job) const;
 
--- a/entry/job_json.cc
+++ b/entry/job_json.cc
@@ -33,6 +33,7 @@
     case NotRunReason::kDenied:
       return 403;
     case NotRunReason::kCancelled:
+    case NotRunReason::kKeyReused:
       return 409;
     case NotRunReason::kQuota:
     case NotRunReason::kQueueFull:
@@ -58,9 +59,16 @@
   return {502, DumpJson(body)};
 }
 
+// Tells whether a refusal covers all that was ever sent under the key, or only
+// the content that came with this sending.
+std::string_view ScopeOf(const JobNotRun& not_run) {
+  return not_run.m_reason == NotRunReason::kKeyReused ? "content"
+                                                      : "submission";
+}
+
 HttpAnswer ToHttp(const JobNotRun& not_run) {
   const Json body = {{"state", "not_run"},
-                     {"scope", "submission"},
+                     {"scope", ScopeOf(not_run)},
                      {"reason", ToString(not_run.m_reason)},
                      {"detail", not_run.m_detail}};
   return {StatusOf(not_run.m_reason), DumpJson(body)};
--- a/rpc/wire.cc
+++ b/rpc/wire.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr auto kLastReason = NotRunReason::kNoCapacity;
+constexpr auto kLastReason = NotRunReason::kKeyReused;
 constexpr auto kLastFailure = JobFailure::kNotRunPartly;
 
 // The longest time left that a peer may state: a day, far above any deadline
--- a/tests/dispatch/owner_test.cc
+++ b/tests/dispatch/owner_test.cc
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 #include "dispatch/dispatch.h"
 
@@ -181,6 +182,50 @@
   EXPECT_TRUE(fixture.m_starts.empty());
 }
 
+// Returns a copy of `job` with the same key and another payload.
+Submission WithOtherPayload(Submission job) {
+  job.m_tasks.front().m_payload += "other";
+  return job;
+}
+
+// Returns the reason of an answer "not run", or nothing for any other result.
+std::optional<NotRunReason> NotRunReasonOf(const SubmitResult& result) {
+  const auto* answered = std::get_if<SubmitAnswered>(&result);
+  const auto* not_run =
+      answered ? std::get_if<JobNotRun>(&answered->m_answer) : nullptr;
+  return not_run ? std::optional(not_run->m_reason) : std::nullopt;
+}
+
+// Guards against "may have run" for content that the owner knows not to have
+// run, and against a retry with the same content that no longer attaches.
+TEST(OwnerTest, KeyWithOtherContentIsAConflict) {
+  Fixture fixture({"r0", "r1"});
+  const Submission job = fixture.MakeSubmission(8, 2);
+  Submission other_client = job;
+  other_client.m_client = "d";
+  Submission retry = job;
+  retry.m_deadline += std::chrono::seconds(1);
+  Owner& owner = *fixture.m_owners.at(fixture.OwnerOf(job.m_key));
+  const auto submit = [&](const Submission& submission) {
+    return owner.Submit(fixture.m_now, fixture.wall(), submission);
+  };
+  submit(job);
+  EXPECT_EQ(NotRunReasonOf(submit(WithOtherPayload(job))),
+            NotRunReason::kKeyReused);
+  EXPECT_EQ(NotRunReasonOf(submit(other_client)), NotRunReason::kKeyReused);
+  const auto attached = submit(retry);
+  ASSERT_TRUE(std::holds_alternative<SubmitAccepted>(attached));
+  EXPECT_TRUE(std::get<SubmitAccepted>(attached).m_attached);
+  fixture.Run();
+  EXPECT_EQ(NotRunReasonOf(submit(WithOtherPayload(job))),
+            NotRunReason::kKeyReused);
+  const auto ended = submit(retry);
+  ASSERT_TRUE(std::holds_alternative<SubmitAnswered>(ended));
+  EXPECT_TRUE(std::holds_alternative<JobComplete>(
+      std::get<SubmitAnswered>(ended).m_answer));
+  EXPECT_EQ(fixture.m_starts.size(), 2U);
+}
+
 // Guards against a takeover that serves while a member which left the table may
 // still start tasks under the old one.
 TEST(TakeoverTest, WaitsForConfirmationAndFAfterLossInAnotherRack) {
@@ -228,6 +273,35 @@
   EXPECT_EQ(starts(), 1U);
 }
 
+// Returns the fixture's table after the owner of `key` was declared dead.
+std::shared_ptr<const PartitionTable> TableWithoutOwnerOf(
+    const Fixture& fixture,
+    const SubmissionKey& key) {
+  TableChange change;
+  change.m_dead.push_back(fixture.OwnerOf(key));
+  return std::make_shared<const PartitionTable>(
+      ApplyChange(fixture.m_table, change, fixture.wall(), kRetention));
+}
+
+Owner& NextOwner(Fixture& fixture,
+                 const PartitionTable& table,
+                 const SubmissionKey& key) {
+  return *fixture.m_owners.at(*table.m_partitions[key.Partition(16)].m_owner);
+}
+
+// Answers the requests of a takeover by `owner` with what all starters know.
+void CollectRecords(Fixture& fixture, Owner& owner) {
+  owner.Tick(fixture.m_now, fixture.wall());
+  for (OwnerAction& action : owner.TakeActions()) {
+    if (auto* collect = std::get_if<SendCollect>(&action)) {
+      owner.OnCollectReply(fixture.m_now, fixture.wall(), collect->m_to,
+                           collect->m_command,
+                           fixture.m_starters.at(collect->m_to)
+                               .OnCollect(fixture.m_now, collect->m_command));
+    }
+  }
+}
+
 // Guards against a later owner that runs a key whose caller was told "not run".
 TEST(TakeoverTest, RefusalOutlivesItsOwner) {
   Fixture fixture({"r0", "r1", "r2"});
@@ -238,32 +312,68 @@
   fixture.Run();
   ASSERT_TRUE(
       std::holds_alternative<JobNotRun>(fixture.m_answers.at(job.m_key)));
-  TableChange change;
-  change.m_dead.push_back(dead);
-  const auto table = std::make_shared<const PartitionTable>(
-      ApplyChange(fixture.m_table, change, fixture.wall(), kRetention));
-  const ProcessId next = *table->m_partitions[job.m_key.Partition(16)].m_owner;
-  Owner& owner = *fixture.m_owners.at(next);
+  const auto table = TableWithoutOwnerOf(fixture, job.m_key);
+  Owner& owner = NextOwner(fixture, *table, job.m_key);
   // The reason for the refusal is gone by then.
   fixture.m_inventory.m_clients["stranger"] = {};
   fixture.m_inventory.m_rules["stranger"] = {"stranger", {"*"}};
   owner.SetInventory(fixture.m_now,
                      std::make_shared<Inventory>(fixture.WithTargets()));
   owner.SetTable(fixture.m_now, fixture.wall(), 2, table);
-  owner.Tick(fixture.m_now, fixture.wall());
-  for (OwnerAction& action : owner.TakeActions()) {
-    if (auto* collect = std::get_if<SendCollect>(&action)) {
-      owner.OnCollectReply(fixture.m_now, fixture.wall(), collect->m_to,
-                           collect->m_command,
-                           fixture.m_starters.at(collect->m_to)
-                               .OnCollect(fixture.m_now, collect->m_command));
-    }
-  }
+  CollectRecords(fixture, owner);
   owner.Submit(fixture.m_now, fixture.wall(), job);
   ASSERT_TRUE(owner.Fetch(job.m_key).has_value());
   EXPECT_TRUE(std::holds_alternative<JobNotRun>(*owner.Fetch(job.m_key)));
 }
 
+// Guards against a conflict, which says that nothing was run, for content whose
+// tasks an earlier owner may have run, and against the answer of other content
+// for a key that waits for the end of a takeover.
+TEST(TakeoverTest, OtherContentIsNoConflictWhenAnEarlierOwnerMayHaveRunIt) {
+  Fixture fixture({"r0", "r1", "r2"});
+  const Submission job = fixture.MakeSubmission(9, 2);
+  const ProcessId dead = fixture.OwnerOf(job.m_key);
+  fixture.m_owners.at(dead)->Submit(fixture.m_now, fixture.wall(), job);
+  fixture.Run();
+  ASSERT_TRUE(
+      std::holds_alternative<JobComplete>(fixture.m_answers.at(job.m_key)));
+  const auto table = TableWithoutOwnerOf(fixture, job.m_key);
+  Owner& owner = NextOwner(fixture, *table, job.m_key);
+  const auto submit = [&](const Submission& submission) {
+    return owner.Submit(fixture.m_now, fixture.wall(), submission);
+  };
+  owner.SetTable(fixture.m_now, fixture.wall(), 2, table);
+  // This owner sees the other content first.
+  EXPECT_TRUE(
+      std::holds_alternative<SubmitAccepted>(submit(WithOtherPayload(job))));
+  EXPECT_TRUE(
+      std::holds_alternative<SubmitAccepted>(submit(WithOtherPayload(job))));
+  EXPECT_TRUE(std::holds_alternative<SubmitRedirect>(submit(job)));
+  CollectRecords(fixture, owner);
+  const auto result = submit(job);
+  ASSERT_TRUE(std::holds_alternative<SubmitAnswered>(result));
+  const auto* failed =
+      std::get_if<JobFailed>(&std::get<SubmitAnswered>(result).m_answer);
+  ASSERT_NE(failed, nullptr);
+  EXPECT_EQ(failed->m_failure, JobFailure::kUnknownMayHaveRun);
+}
+
+// Guards against a takeover that makes each later reuse of a key unknown: no
+// task of this key had started under an earlier owner.
+TEST(TakeoverTest, OtherContentIsAConflictForAJobFirstSeenAfterATakeover) {
+  Fixture fixture({"r0", "r1", "r2"});
+  fixture.m_now += std::chrono::minutes(1);
+  const Submission job = fixture.MakeSubmission(10, 2);
+  const auto table = TableWithoutOwnerOf(fixture, job.m_key);
+  Owner& owner = NextOwner(fixture, *table, job.m_key);
+  owner.SetTable(fixture.m_now, fixture.wall(), 2, table);
+  owner.Submit(fixture.m_now, fixture.wall(), job);
+  CollectRecords(fixture, owner);
+  EXPECT_EQ(NotRunReasonOf(owner.Submit(fixture.m_now, fixture.wall(),
+                                        WithOtherPayload(job))),
+            NotRunReason::kKeyReused);
+}
+
 // Guards against a refusal that its sender may tell although a newer owner has
 // collected from the holder already and will run the job.
 TEST(StarterTest, AdoptsNothingFromSupersededOwner) {
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <functional>
+
 #include "dispatch/dispatch.h"
 
 namespace comfreyshift {
@@ -137,9 +139,13 @@
 }
 
 // Lets an agent leave cleanly after the reply of a task was lost there. All
-// other agents then tell the record with `outcome` that it handed over. Returns
-// the answer of the job, if it has one.
-std::optional<JobAnswer> AnswerAfterCleanLeave(const TaskOutcome& outcome) {
+// other agents then tell the record with `outcome` that it handed over. Calls
+// `watch` with the owner and the job while the job is held until then, and
+// again afterwards. Returns the answer of the job, if it has one.
+std::optional<JobAnswer> AnswerAfterCleanLeave(
+    const TaskOutcome& outcome,
+    const std::function<void(Owner&, const Submission&)>& watch =
+        [](Owner&, const Submission&) {}) {
   PartitionTable table = MakeTable({"r0", "r1", "r2"});
   Inventory inventory;
   inventory.m_zones["z"] = {};
@@ -166,6 +172,7 @@
   owner.OnReplyLost(kNow, agent, {job.m_key, 0});
   owner.SetTable(kNow, kWall, 2,
                  std::make_shared<PartitionTable>(Without(table, {}, {agent})));
+  watch(owner, job);
   owner.Tick(kNow, kWall);
   for (const OwnerAction& action : owner.TakeActions()) {
     const auto* collect = std::get_if<SendCollect>(&action);
@@ -179,6 +186,7 @@
     }
     owner.OnCollectReply(kNow, kWall, collect->m_to, collect->m_command, reply);
   }
+  watch(owner, job);
   return owner.Fetch(job.m_key);
 }
 
@@ -201,5 +209,26 @@
             JobFailure::kUnknownMayHaveRun);
 }
 
+// Guards against "may have run" for other content under the key of a job that
+// the owner held for a while, although it had the job all the time.
+TEST(OwnerTest, OtherContentIsAConflictWhileAJobIsHeldAndAfterwards) {
+  int conflicts = 0;
+  const auto submit_other = [&](Owner& owner, Submission job) {
+    job.m_tasks.front().m_payload = "other";
+    const SubmitResult result = owner.Submit(kNow, kWall, job);
+    const auto* answered = std::get_if<SubmitAnswered>(&result);
+    ASSERT_NE(answered, nullptr);
+    const auto* not_run = std::get_if<JobNotRun>(&answered->m_answer);
+    ASSERT_NE(not_run, nullptr);
+    EXPECT_EQ(not_run->m_reason, NotRunReason::kKeyReused);
+    ++conflicts;
+  };
+  const auto answer =
+      AnswerAfterCleanLeave(TaskDone{{200, "done"}, {}}, submit_other);
+  EXPECT_EQ(conflicts, 2);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_TRUE(std::holds_alternative<JobComplete>(*answer));
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/entry/job_json_test.cc
+++ b/tests/entry/job_json_test.cc
@@ -67,5 +67,16 @@
   EXPECT_EQ(body["answers"][1]["status"], 201);
 }
 
+// Guards against a conflict that reads like "no task was started under this
+// key": the tasks of the submission that has the key may have run.
+TEST(JobJsonTest, ReusedKeyIsAConflictOfTheContentOnly) {
+  const HttpAnswer reused =
+      ToHttp(SessionAnswer(JobAnswer(JobNotRun{NotRunReason::kKeyReused, ""})));
+  EXPECT_EQ(reused.m_status, 409);
+  EXPECT_EQ(Json::parse(reused.m_body)["state"], "not_run");
+  EXPECT_EQ(Json::parse(reused.m_body)["reason"], "key_reused");
+  EXPECT_EQ(Json::parse(reused.m_body)["scope"], "content");
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/rpc/wire_test.cc
+++ b/tests/rpc/wire_test.cc
@@ -82,6 +82,13 @@
   EXPECT_GT(rejected, 0);
 }
 
+// Guards against a new reason that every receiver rejects as out of range.
+TEST(WireTest, ReadsTheNewestReason) {
+  const auto newest = static_cast<uint8_t>(NotRunReason::kKeyReused);
+  EXPECT_EQ(wire_codec::ReadReason(newest), NotRunReason::kKeyReused);
+  EXPECT_THROW(wire_codec::ReadReason(newest + 1), kj::Exception);
+}
+
 TEST(WireTest, RejectsReasonsAndKeysOutOfRange) {
   EXPECT_THROW(wire_codec::ReadReason(200), kj::Exception);
   const kj::byte bytes[15] = {};
