--- a/http/server.cc
+++ b/http/server.cc
@@ -1,8 +1,6 @@
 #include "http/server.h"
 
 #include <libsoup/soup.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <map>
 #include <utility>
@@ -10,6 +8,7 @@
 
 #include "http/message_socket.h"
 #include "http/server_connection.h"
+#include "http/server_listener.h"
 #include "http/soup_server.h"
 
 namespace comfreyshift {
@@ -24,10 +23,6 @@
 // Idle connections are looked for this many times within the timeout.
 constexpr int64_t kIdleChecks = 3;
 
-// Connections that may wait to be accepted; GLib's default of 10 refuses
-// bursts.
-constexpr int kBacklog = 1024;
-
 std::vector<std::string> SplitPath(std::string_view path) {
   std::vector<std::string> parts;
   while (!path.empty()) {
@@ -68,22 +63,15 @@
   }
 };
 
-HttpError TakeError(HttpErrorCode code, GError* error) {
-  HttpError taken{code, error->message};
-  g_error_free(error);
-  return taken;
-}
-
 }  // namespace
 
 struct HttpServer::Impl {
   Impl(uint64_t max_body_bytes, Milliseconds idle_timeout)
-      : m_service(g_socket_service_new()),
+      : m_listener([this](GSocketConnection* connection, GIOStream* stream) {
+          Accept(connection, stream);
+        }),
         m_max_body_bytes(max_body_bytes),
         m_idle_timeout(idle_timeout) {
-    g_socket_listener_set_backlog(G_SOCKET_LISTENER(m_service), kBacklog);
-    g_signal_connect(m_service, "incoming", G_CALLBACK(&Impl::OnIncoming),
-                     this);
     m_idle_source =
         g_timeout_add(static_cast<guint>(idle_timeout.count() / kIdleChecks),
                       &Impl::OnIdleCheck, this);
@@ -99,32 +87,18 @@
       g_signal_handlers_disconnect_by_data(message, this);
       request->Close();
     }
-    CloseListener();
-    g_object_unref(m_service);
-    g_clear_object(&m_certificate);
+    m_listener.Close();
     m_connections.clear();
   }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  // The listener is not libsoup's own, because soup_server_disconnect() breaks
-  // the connections of requests in progress too.
-  static gboolean OnIncoming(GSocketService*,
-                             GSocketConnection* connection,
-                             GObject*,
-                             Impl* self) {
-    GSocket* socket = g_socket_connection_get_socket(connection);
-    // Answers are written at once instead of waiting for more to send.
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-    GIOStream* stream = self->Wrap(connection);
-    if (stream != nullptr) {
-      self->m_connections[socket] = std::make_shared<ServerConnection>(
-          connection, stream,
-          [self](ServerConnection& ready) { self->Serve(ready); },
-          [self](ServerConnection& gone) { self->OnGone(gone); });
-    }
-    g_clear_object(&stream);
-    return TRUE;
+  void Accept(GSocketConnection* connection, GIOStream* stream) {
+    m_connections[g_socket_connection_get_socket(connection)] =
+        std::make_shared<ServerConnection>(
+            connection, stream,
+            [this](ServerConnection& ready) { Serve(ready); },
+            [this](ServerConnection& gone) { OnGone(gone); });
   }
 
   // Hands a connection to libsoup, which reads the next request.
@@ -139,15 +113,6 @@
                    connection.remote());
   }
 
-  // Returns the stream to serve on a connection, which the caller unrefs.
-  GIOStream* Wrap(GSocketConnection* connection) const {
-    if (m_certificate == nullptr) {
-      return G_IO_STREAM(g_object_ref(connection));
-    }
-    return g_tls_server_connection_new(G_IO_STREAM(connection), m_certificate,
-                                       nullptr);
-  }
-
   // Returns the server object that accepts next.
   const std::shared_ptr<SoupServerHandle>& CurrentServer() {
     if (m_server == nullptr || m_server->is_used_up()) {
@@ -207,12 +172,6 @@
     return found == m_connections.end() ? nullptr : found->second.get();
   }
 
-  void CloseListener() {
-    g_signal_handlers_disconnect_by_data(m_service, this);
-    g_socket_service_stop(m_service);
-    g_socket_listener_close(G_SOCKET_LISTENER(m_service));
-  }
-
   // Called by libsoup when the headers of a request are read.
   static void OnHeaders(SoupServer*,
                         SoupServerMessage* message,
@@ -286,7 +245,7 @@
   // unless it ends.
   static void OnWroteBody(SoupServerMessage* message, Impl* self) {
     ServerConnection* connection = self->ConnectionOf(message);
-    if (connection == nullptr || self->m_certificate != nullptr ||
+    if (connection == nullptr || self->m_listener.uses_tls() ||
         connection->is_gone() || !KeepsAlive(message)) {
       return;
     }
@@ -329,7 +288,7 @@
     }
     if (connection->is_gone()) {
       self->ReapLater();
-    } else if (self->m_certificate == nullptr || !KeepsAlive(message)) {
+    } else if (!self->m_listener.uses_tls() || !KeepsAlive(message)) {
       connection->MarkGone();
     }
   }
@@ -373,7 +332,7 @@
   // the socket below it. On TLS connections the body is dropped as it comes.
   void RefuseFromHead(HttpRequest& request) const {
     GSocket* socket = SocketOf(request.m_message);
-    if (socket == nullptr || m_certificate != nullptr) {
+    if (socket == nullptr || m_listener.uses_tls()) {
       return;
     }
     constexpr std::string_view kAnswer =
@@ -453,8 +412,7 @@
     }
   }
 
-  GSocketService* m_service;
-  GTlsCertificate* m_certificate = nullptr;
+  ServerListener m_listener;
   uint64_t m_max_body_bytes;
   Milliseconds m_idle_timeout;
   std::vector<Route> m_routes;
@@ -480,37 +438,11 @@
 Result<void, HttpError> HttpServer::UseTls(
     const std::filesystem::path& certificate,
     const std::filesystem::path& private_key) {
-  GError* error = nullptr;
-  GTlsCertificate* loaded = g_tls_certificate_new_from_files(
-      certificate.c_str(), private_key.c_str(), &error);
-  if (loaded == nullptr) {
-    return TakeError(HttpErrorCode::kTls, error);
-  }
-  g_clear_object(&m_impl->m_certificate);
-  m_impl->m_certificate = loaded;
-  return outcome::success();
+  return m_impl->m_listener.UseTls(certificate, private_key);
 }
 
 Result<Address, HttpError> HttpServer::Listen(const Address& address) {
-  GError* error = nullptr;
-  GSocketAddress* socket_address = g_inet_socket_address_new_from_string(
-      address.m_host.c_str(), address.m_port);
-  if (socket_address == nullptr) {
-    return HttpError{HttpErrorCode::kListen,
-                     address.m_host + " is not an IP number"};
-  }
-  GSocketAddress* effective = nullptr;
-  const bool is_listening = g_socket_listener_add_address(
-      G_SOCKET_LISTENER(m_impl->m_service), socket_address,
-      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, &effective, &error);
-  g_object_unref(socket_address);
-  if (!is_listening) {
-    return TakeError(HttpErrorCode::kListen, error);
-  }
-  const guint16 port =
-      g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(effective));
-  g_object_unref(effective);
-  return Address{address.m_host, port};
+  return m_impl->m_listener.Listen(address);
 }
 
 void HttpServer::AddRoute(std::string_view method,
@@ -533,7 +465,7 @@
 }
 
 void HttpServer::Stop(std::function<void()> done) {
-  m_impl->CloseListener();
+  m_impl->m_listener.Close();
   m_impl->m_is_stopping = true;
   m_impl->m_done = std::move(done);
   EndConnections();
