Share the fleet of the platform's process tests

The fixture of processes_test.cc becomes PlatformFleet in files of its own, so that tests of values of other writers can use it. StartEntry() replaces the entry, requests take any headers instead of one id, and BecomeReady() waits for the agents that there are. No test has changed otherwise.

--- /dev/null
+++ b/tests/platform/platform_fleet.cc
@@ -0,0 +1,146 @@
+#include "tests/platform/platform_fleet.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "tests/standins/platform_documents.h"
+#include "tests/standins/test_ports.h"
+
+namespace comfreyshift {
+
+namespace {
+
+constexpr uint64_t kFirstConfigVersion = 7;
+
+}  // namespace
+
+void RunFor(Milliseconds time) {
+  const MonoTime end = BootClock::now() + time;
+  while (BootClock::now() < end) {
+    g_main_context_iteration(nullptr, FALSE);
+    g_usleep(500);
+  }
+}
+
+bool RunUntil(const std::function<bool()>& is_true) {
+  const MonoTime end = BootClock::now() + std::chrono::seconds(10);
+  while (!is_true()) {
+    if (BootClock::now() >= end) {
+      return false;
+    }
+    g_main_context_iteration(nullptr, FALSE);
+    g_usleep(500);
+  }
+  return true;
+}
+
+void PlatformFleet::SetUp() {
+  m_clients = TestAddress(0);
+  m_readiness = TestAddress(1);
+  for (size_t i = 0; i < kAgents; ++i) {
+    m_runners.push_back(std::make_unique<RunnerStandin>(
+        "i-" + std::to_string(i), TestAddress(2 + i), Milliseconds(100)));
+    StartAgent(i);
+  }
+  StartEntry();
+  HttpClientOptions options;
+  options.m_base_url = "http://" + m_clients.ToString();
+  m_client = HttpClient::Make(options).value();
+  options.m_base_url = "http://" + m_readiness.ToString();
+  m_prober = HttpClient::Make(options).value();
+}
+
+std::string PlatformFleet::EntrySettings() const {
+  return EntrySettingsText("entry", m_clients, m_readiness,
+                           TestAddress(6).m_port, m_entry_store.address());
+}
+
+void PlatformFleet::StartEntry() {
+  m_entry.reset();
+  m_entry = std::make_unique<PlatformProcess>(
+      "platform-entry", "entry", EntrySettings(), TestAddress(10).m_port);
+}
+
+void PlatformFleet::StartAgent(size_t index) {
+  const std::string name = "agent-" + std::to_string(index);
+  m_agents.resize(kAgents);
+  m_agents[index].reset();
+  m_agents[index] = std::make_unique<PlatformProcess>(
+      "platform-agent", name,
+      AgentSettingsText(name, TestAddress(2 + index),
+                        TestAddress(7 + index).m_port,
+                        m_runners[index]->address(), m_store.address()),
+      TestAddress(11 + index).m_port);
+}
+
+std::shared_ptr<Answer> PlatformFleet::Send(const std::string& method,
+                                            const std::string& path,
+                                            const std::string& body,
+                                            const HttpHeaders& headers) {
+  HttpCall call;
+  call.m_method = method;
+  call.m_path = path;
+  call.m_body = body;
+  call.m_headers = headers;
+  call.m_headers["Host"] = "h.example";
+  call.m_deadline = BootClock::now() + std::chrono::seconds(8);
+  auto answer = std::make_shared<Answer>();
+  m_client->Send(std::move(call), [answer](const HttpCallResult& result) {
+    answer->m_is_there = true;
+    if (result) {
+      answer->m_status = result.value().m_status;
+      answer->m_body = result.value().m_body;
+      answer->m_headers = result.value().m_headers;
+    }
+  });
+  return answer;
+}
+
+std::shared_ptr<Answer> PlatformFleet::SubmitJob(uint32_t tasks,
+                                                 const HttpHeaders& headers) {
+  char id[17];
+  std::snprintf(id, sizeof(id), "%016x", ++m_jobs);
+  return Send("POST", std::string("/p/") + id,
+              JobText(tasks, Milliseconds(100)), headers);
+}
+
+bool PlatformFleet::IsReady() {
+  HttpCall call;
+  call.m_method = "GET";
+  call.m_path = "/api/readyz";
+  call.m_deadline = BootClock::now() + std::chrono::seconds(1);
+  const auto result = m_prober->SendAndWait(std::move(call));
+  return result && result.value().m_status == 200;
+}
+
+void PlatformFleet::BecomeReady() {
+  m_store.Put("op/config", ConfigText(kFirstConfigVersion));
+  ASSERT_TRUE(RunUntil([this]() { return IsReady(); }));
+  ASSERT_TRUE(RunUntil([this]() {
+    return std::ranges::all_of(m_agents, [](const auto& agent) {
+      return agent == nullptr || Count(*agent, "runner_accepting") > 0;
+    });
+  }));
+  RunFor(Milliseconds(200));
+}
+
+size_t PlatformFleet::Count(const PlatformProcess& process,
+                            const std::string& event) {
+  const std::string log = process.Log();
+  const std::string pattern = "\"event\":\"" + event + "\"";
+  size_t count = 0;
+  for (size_t at = log.find(pattern); at != std::string::npos;
+       at = log.find(pattern, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+uint64_t PlatformFleet::Starts() const {
+  return m_runners[0]->runner().starts() + m_runners[1]->runner().starts();
+}
+
+}  // namespace comfreyshift
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -5,170 +5,20 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
-#include <functional>
+#include <memory>
 #include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
 
-#include "http/http.h"
-#include "tests/platform/runner_standin.h"
-#include "tests/standins/fault_proxy.h"
+#include "tests/platform/platform_fleet.h"
 #include "tests/standins/platform_documents.h"
-#include "tests/standins/platform_store_standin.h"
-#include "tests/standins/role_process.h"
-#include "tests/standins/test_ports.h"
 
 namespace comfreyshift {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr uint64_t kFirstConfigVersion = 7;
-
-void RunFor(Milliseconds time) {
-  const MonoTime end = BootClock::now() + time;
-  while (BootClock::now() < end) {
-    g_main_context_iteration(nullptr, FALSE);
-    g_usleep(500);
-  }
-}
-
-// Runs the main loop until `is_true`; false after ten seconds.
-bool RunUntil(const std::function<bool()>& is_true) {
-  const MonoTime end = BootClock::now() + std::chrono::seconds(10);
-  while (!is_true()) {
-    if (BootClock::now() >= end) {
-      return false;
-    }
-    g_main_context_iteration(nullptr, FALSE);
-    g_usleep(500);
-  }
-  return true;
-}
-
-struct Answer {
-  bool m_is_there = false;
-  int m_status = 0;
-  std::string m_body;
-  HttpHeaders m_headers;
-};
-
-class PlatformProcessesTest : public testing::Test {
- protected:
-  static constexpr size_t kAgents = 2;
-
-  void SetUp() override {
-    m_clients = TestAddress(0);
-    m_readiness = TestAddress(1);
-    for (size_t i = 0; i < kAgents; ++i) {
-      m_runners.push_back(std::make_unique<RunnerStandin>(
-          "i-" + std::to_string(i), TestAddress(2 + i), Milliseconds(100)));
-      StartAgent(i);
-    }
-    m_entry = std::make_unique<PlatformProcess>(
-        "platform-entry", "entry", EntrySettings(), TestAddress(10).m_port);
-    HttpClientOptions options;
-    options.m_base_url = "http://" + m_clients.ToString();
-    m_client = HttpClient::Make(options).value();
-    options.m_base_url = "http://" + m_readiness.ToString();
-    m_prober = HttpClient::Make(options).value();
-  }
-
-  std::string EntrySettings() const {
-    return EntrySettingsText("entry", m_clients, m_readiness,
-                             TestAddress(6).m_port, m_entry_store.address());
-  }
-
-  void StartAgent(size_t index) {
-    const std::string name = "agent-" + std::to_string(index);
-    m_agents.resize(kAgents);
-    m_agents[index].reset();
-    m_agents[index] = std::make_unique<PlatformProcess>(
-        "platform-agent", name,
-        AgentSettingsText(name, TestAddress(2 + index),
-                          TestAddress(7 + index).m_port,
-                          m_runners[index]->address(), m_store.address()),
-        TestAddress(11 + index).m_port);
-  }
-
-  std::shared_ptr<Answer> Send(const std::string& method,
-                               const std::string& path,
-                               const std::string& body = "",
-                               const std::string& request_id = "",
-                               const HttpHeaders& more_headers = {}) {
-    HttpCall call;
-    call.m_method = method;
-    call.m_path = path;
-    call.m_body = body;
-    call.m_headers = {{"Host", "h.example"}, {"Request-Id", request_id}};
-    call.m_headers.insert(more_headers.begin(), more_headers.end());
-    call.m_deadline = BootClock::now() + std::chrono::seconds(8);
-    auto answer = std::make_shared<Answer>();
-    m_client->Send(std::move(call), [answer](const HttpCallResult& result) {
-      answer->m_is_there = true;
-      if (result) {
-        answer->m_status = result.value().m_status;
-        answer->m_body = result.value().m_body;
-        answer->m_headers = result.value().m_headers;
-      }
-    });
-    return answer;
-  }
-
-  std::shared_ptr<Answer> SubmitJob(uint32_t tasks,
-                                    const std::string& request_id = "") {
-    char id[17];
-    std::snprintf(id, sizeof(id), "%016x", ++m_jobs);
-    return Send("POST", std::string("/p/") + id,
-                JobText(tasks, Milliseconds(100)), request_id);
-  }
-
-  bool IsReady() {
-    HttpCall call;
-    call.m_method = "GET";
-    call.m_path = "/api/readyz";
-    call.m_deadline = BootClock::now() + std::chrono::seconds(1);
-    const auto result = m_prober->SendAndWait(std::move(call));
-    return result && result.value().m_status == 200;
-  }
-
-  // Puts a configuration in force and waits until jobs can be served.
-  void BecomeReady() {
-    m_store.Put("op/config", ConfigText(kFirstConfigVersion));
-    ASSERT_TRUE(RunUntil([this]() { return IsReady(); }));
-    ASSERT_TRUE(RunUntil([this]() {
-      return Count(*m_agents[0], "runner_accepting") > 0 &&
-             Count(*m_agents[1], "runner_accepting") > 0;
-    }));
-    RunFor(Milliseconds(200));
-  }
-
-  static size_t Count(const PlatformProcess& process,
-                      const std::string& event) {
-    const std::string log = process.Log();
-    const std::string pattern = "\"event\":\"" + event + "\"";
-    size_t count = 0;
-    for (size_t at = log.find(pattern); at != std::string::npos;
-         at = log.find(pattern, at + 1)) {
-      ++count;
-    }
-    return count;
-  }
-
-  uint64_t Starts() const {
-    return m_runners[0]->runner().starts() + m_runners[1]->runner().starts();
-  }
-
-  PlatformStoreStandin m_store;
-  // Between the entry and the store.
-  FaultProxy m_entry_store{m_store.address()};
-  Address m_clients;
-  Address m_readiness;
-  std::vector<std::unique_ptr<RunnerStandin>> m_runners;
-  std::vector<std::unique_ptr<PlatformProcess>> m_agents;
-  std::unique_ptr<PlatformProcess> m_entry;
-  std::shared_ptr<HttpClient> m_client;
-  std::shared_ptr<HttpClient> m_prober;
-  uint32_t m_jobs = 0;
-};
+using PlatformProcessesTest = PlatformFleet;
 
 TEST_F(PlatformProcessesTest, ServesJobsAndRefusesWhatItCannot) {
   ASSERT_TRUE(
@@ -179,7 +29,7 @@
   EXPECT_EQ(early->m_status, 503);  // There is no configuration yet.
 
   BecomeReady();
-  const auto job = SubmitJob(12, "request-1");
+  const auto job = SubmitJob(12, {{"Request-Id", "request-1"}});
   const auto unknown = Send("POST", "/other/0000000000000001", "{}");
   const auto malformed = Send("POST", "/p/00000000000000aa", "[]");
   const auto state = Send("GET", "/p/00000000000000ab");
@@ -289,7 +139,7 @@
   const std::string body = JobText(1, Milliseconds(100));
   for (const char* patience : {"9223372036854775807", "10000000000000000",
                                "99999999999999999999999"}) {
-    const auto job = Send("POST", "/p/00000000000000fa", body, "",
+    const auto job = Send("POST", "/p/00000000000000fa", body,
                           {{"Deadline-Remaining", patience}});
     ASSERT_TRUE(RunUntil([&]() { return job->m_is_there; })) << patience;
     EXPECT_EQ(job->m_status, 200) << patience << " " << job->m_body;
