--- a/tests/platform/odd_input_test.cc
+++ b/tests/platform/odd_input_test.cc
@@ -175,5 +175,27 @@
   ExpectAllServe();
 }
 
+// What stands in the store under an agent's own name is its last record or that
+// of another writer; an agent that ended by it would do so at each start.
+TEST_F(OddInputTest, AnAgentWithAnOddRecordStarts) {
+  BecomeReady();
+  for (const std::string& record : OddRecords()) {
+    m_agents[0]->Signal(SIGKILL);
+    ASSERT_TRUE(RunUntil([this]() { return m_agents[0]->HasExited(); }));
+    m_store.Put(AgentKey("agent-0"), record);
+    StartAgent(0);
+    EXPECT_TRUE(RunUntil(
+        [this]() { return Count(*m_agents[0], "runner_accepting") == 1; }));
+    EXPECT_TRUE(
+        RunUntil([this]() { return Count(*m_agents[0], "registered") > 0; }));
+    EXPECT_EQ(Count(*m_agents[0], "malformed_record"), 1U)
+        << record.substr(0, 99);
+  }
+  RunFor(Milliseconds(500));
+  EXPECT_EQ(AnswerTo(SubmitJob(12))->m_status, 200);
+  EXPECT_GT(m_runners[0]->runner().starts(), 0U);
+  ExpectAllServe();
+}
+
 }  // namespace
 }  // namespace comfreyshift
