--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -35,17 +35,6 @@
   EXPECT_NE(no_ports.error().find("port_range"), std::string::npos);
 }
 
-// A grace period that does not fit ended in the past: a stop cut all requests.
-TEST(PlatformSettingsTest, AnImpossibleGracePeriodIsRejected) {
-  std::string text(kFile);
-  const std::string field = "grace_s=6";
-  text.replace(text.find(field), field.size(), "grace_s=9223372036854775807");
-  EXPECT_FALSE(ParseSettings(text));
-  text = kFile;
-  text.replace(text.find(field), field.size(), "grace_s=-1");
-  EXPECT_FALSE(ParseSettings(text));
-}
-
 TEST(PlatformSettingsTest, AnImpossibleRemoteFactorIsRejected) {
   const std::string text =
       "node_name=a\nip=10.1.0.14\nport_range=7720,7735\n"
@@ -60,5 +49,23 @@
   }
 }
 
+// The time is added to the clock when the process stops.
+TEST(PlatformSettingsTest, AnImpossibleGracePeriodIsRejected) {
+  const std::string text =
+      "node_name=a\nip=10.1.0.14\nport_range=7720,7735\n"
+      "platform.address=10.1.0.9:1\n";
+  EXPECT_EQ(ParseSettings(text).value().m_grace_period, Milliseconds(6000));
+  EXPECT_EQ(
+      ParseSettings(text + "bounds.grace_s=3600\n").value().m_grace_period,
+      std::chrono::hours(1));
+  for (const char* wrong :
+       {"-1", "3601", "9223372036854775807", "9223372036854775808", "x"}) {
+    const auto settings =
+        ParseSettings(text + "bounds.grace_s=" + wrong + "\n");
+    ASSERT_FALSE(settings) << wrong;
+    EXPECT_NE(settings.error().find("bounds.grace_s"), std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace comfreyshift::platform
