--- a/tests/platform/odd_input_test.cc
+++ b/tests/platform/odd_input_test.cc
@@ -14,6 +14,7 @@
 
 #include "platform/registration.h"
 #include "tests/platform/platform_fleet.h"
+#include "tests/standins/platform_documents.h"
 #include "tests/standins/test_ports.h"
 
 namespace comfreyshift {
@@ -175,6 +176,23 @@
   ExpectAllServe();
 }
 
+// Changes that cannot be read must not keep an entry from later ones.
+TEST_F(OddInputTest, AConfigurationAfterUnreadableChangesIsApplied) {
+  BecomeReady();
+  m_store.SpoilHistory();
+  m_store.Put("op/config", ConfigText(9));
+  EXPECT_TRUE(RunUntil([this]() {
+    return m_entry->Log().find("\"version\":9") != std::string::npos;
+  }));
+  EXPECT_GT(Count(*m_entry, "malformed_answer"), 0U);
+  // It follows again.
+  m_store.Put("op/config", ConfigText(11));
+  EXPECT_TRUE(RunUntil([this]() {
+    return m_entry->Log().find("\"version\":11") != std::string::npos;
+  }));
+  ExpectAllServe();
+}
+
 // What stands in the store under an agent's own name is its last record or that
 // of another writer; an agent that ended by it would do so at each start.
 TEST_F(OddInputTest, AnAgentWithAnOddRecordStarts) {
--- a/tests/standins/platform_store_standin.cc
+++ b/tests/standins/platform_store_standin.cc
@@ -87,6 +87,10 @@
   }
 }
 
+void PlatformStoreStandin::SpoilHistory() {
+  m_spoiled = ++m_revision;
+}
+
 void PlatformStoreStandin::EndLeases() {
   m_leases.clear();
   std::vector<std::string> keys;
@@ -188,6 +192,8 @@
 void PlatformStoreStandin::AnswerWatch(const Watch& watch) {
   if (m_is_down) {
     watch.m_request->Reply(503, kJson, "{}");
+  } else if (watch.m_after < m_spoiled) {
+    watch.m_request->Reply(200, kJson, "{\"events\":");
   } else {
     watch.m_request->Reply(200, kJson,
                            EventsAfter(watch.m_prefix, watch.m_after));
--- a/tests/standins/platform_store_standin.h
+++ b/tests/standins/platform_store_standin.h
@@ -32,6 +32,8 @@
   void set_is_down(bool is_down) { m_is_down = is_down; }
   // Watches from before now are told that their history is gone.
   void Compact();
+  // Watches from before now are answered with text that is not JSON.
+  void SpoilHistory();
   // All leases end; their items go.
   void EndLeases();
   // Processes' writes go through `rewrite`, which gets the key and the value.
@@ -86,6 +88,7 @@
   std::vector<Watch> m_watches;
   uint64_t m_revision = 100;
   uint64_t m_compacted = 0;
+  uint64_t m_spoiled = 0;
   uint64_t m_next_id = 1;
   std::map<uint64_t, bool> m_leases;
   bool m_is_down = false;
