Keep the connection to an agent whose record has a copy

Cause: the entry took whatever answered at an address for the agent of the record, and connected to one address once for each name. It now ends a connection whose agent has another name, logs agent_misnamed and tries again 5 s later, and has one connection to an address at a time.

--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr Milliseconds kReconnectPause{100};
+// An address at which another agent has answered is tried again after this
+// time.
+constexpr Milliseconds kMisnamedPause{5000};
 // Connections are looked over this often; at each tick that took a seventh of
 // an entry's time with 66 agents.
 constexpr Milliseconds kConnectionRound{20};
@@ -48,6 +51,7 @@
     Peer& peer = m_peers[name];
     if (peer.m_address != address && peer.m_session) {
       peer.m_session->Close();
+      peer.m_connect_at = MonoTime();
       m_scheduler.OnAgentDisconnected(name, BootClock::now());
     }
     peer.m_address = address;
@@ -149,11 +153,21 @@
     m_relay.OnAgentLost(name);
   }
   const bool is_closed = !peer.m_session || !peer.m_session->is_open();
-  if (is_closed && now >= peer.m_connect_at) {
+  if (is_closed && now >= peer.m_connect_at &&
+      !HasOtherSessionAt(name, peer.m_address)) {
     Connect(name, peer, now);
   }
 }
 
+bool EntryNode::HasOtherSessionAt(const std::string& name,
+                                  const Address& address) const {
+  return std::ranges::any_of(m_peers, [&](const auto& item) {
+    const Peer& peer = item.second;
+    return item.first != name && peer.m_address == address && peer.m_session &&
+           peer.m_session->is_open();
+  });
+}
+
 void EntryNode::Connect(const std::string& name, Peer& peer, MonoTime now) {
   peer.m_connect_at = now + kReconnectPause;
   peer.m_session = LinkSession::Connect(
@@ -169,12 +183,7 @@
 void EntryNode::OnMessage(const std::string& name, const LinkMessage& message) {
   const MonoTime now = BootClock::now();
   std::visit(Overloaded{
-                 [&](const Welcome& welcome) {
-                   LogEvent(LogLevel::kInfo, "fleet", "agent_connected",
-                            {{"agent", name},
-                             {"incarnation", welcome.m_agent.m_incarnation}});
-                   m_scheduler.OnAgentConnected(name, welcome.m_agent, now);
-                 },
+                 [&](const Welcome& welcome) { OnWelcome(name, welcome, now); },
                  [&](const RunnerStatus& status) {
                    m_scheduler.OnStatus(name, status, now);
                  },
@@ -191,6 +200,23 @@
   m_ticker.Wake();
 }
 
+void EntryNode::OnWelcome(const std::string& name,
+                          const Welcome& welcome,
+                          MonoTime now) {
+  if (welcome.m_agent.m_name != name) {
+    LogEvent(LogLevel::kWarning, "fleet", "agent_misnamed",
+             {{"agent", name}, {"answered", welcome.m_agent.m_name}});
+    if (const auto found = m_peers.find(name); found != m_peers.end()) {
+      found->second.m_session->Close();
+      found->second.m_connect_at = now + kMisnamedPause;
+    }
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "fleet", "agent_connected",
+           {{"agent", name}, {"incarnation", welcome.m_agent.m_incarnation}});
+  m_scheduler.OnAgentConnected(name, welcome.m_agent, now);
+}
+
 void EntryNode::OnClosed(const std::string& name,
                          const std::shared_ptr<LinkSession>& session) {
   const auto found = m_peers.find(name);
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -65,8 +65,14 @@
   MonoTime Tick(MonoTime now);
   void LookOverConnections(MonoTime now);
   void KeepConnected(const std::string& name, Peer& peer, MonoTime now);
+  // Whether a record of another name has a connection to `address`. An agent
+  // keeps only the last connection of an entry; a second one would cut the
+  // first.
+  bool HasOtherSessionAt(const std::string& name, const Address& address) const;
   void Connect(const std::string& name, Peer& peer, MonoTime now);
   void OnMessage(const std::string& name, const LinkMessage& message);
+  // A record may name the address of an agent of another name.
+  void OnWelcome(const std::string& name, const Welcome& welcome, MonoTime now);
   void OnClosed(const std::string& name,
                 const std::shared_ptr<LinkSession>& session);
   void Perform(const SchedulerAction& action);
--- a/tests/platform/odd_input_test.cc
+++ b/tests/platform/odd_input_test.cc
@@ -150,6 +150,25 @@
   ExpectAllServe();
 }
 
+// A copy of an agent's record under another name must not cost the entry its
+// connection to the agent, neither when it comes later nor when it is there
+// first.
+TEST_F(OddInputTest, CopiesOfARecordCutNoConnections) {
+  BecomeReady();
+  m_store.Put(AgentKey("a-copy"), RecordText(TestAddress(7), ""));
+  m_store.Put(AgentKey("z-copy"), RecordText(TestAddress(7), ""));
+  RunFor(Milliseconds(1000));
+  EXPECT_EQ(Count(*m_entry, "agent_disconnected"), 0U);
+  EXPECT_EQ(AnswerTo(SubmitJob(12))->m_status, 200);
+  StartEntry();
+  BecomeReady();
+  RunFor(Milliseconds(1000));
+  EXPECT_EQ(Count(*m_entry, "agent_connected"), 2U);
+  EXPECT_EQ(Count(*m_entry, "agent_disconnected"), 0U);
+  EXPECT_EQ(AnswerTo(SubmitJob(12))->m_status, 200);
+  ExpectAllServe();
+}
+
 // A heartbeat that cannot be read must neither end the agent nor count as one,
 // so that later ones look old.
 TEST_F(OddInputTest, OddHeartbeatsAreRejected) {
