Let a record that is gone not keep an entry from a new agent at its address

An address is used again within seconds of a machine's loss. The connection of a record that is not listed any more may be open and silent then; it does not count against the one that is listed.

--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -163,7 +163,8 @@
                                   const Address& address) const {
   return std::ranges::any_of(m_peers, [&](const auto& item) {
     const Peer& peer = item.second;
-    return item.first != name && peer.m_address == address && peer.m_session &&
+    return item.first != name && peer.m_is_listed &&
+           peer.m_address == address && peer.m_session &&
            peer.m_session->is_open();
   });
 }
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -65,9 +65,9 @@
   MonoTime Tick(MonoTime now);
   void LookOverConnections(MonoTime now);
   void KeepConnected(const std::string& name, Peer& peer, MonoTime now);
-  // Whether a record of another name has a connection to `address`. An agent
-  // keeps only the last connection of an entry; a second one would cut the
-  // first.
+  // Whether a listed record of another name has a connection to `address`. An
+  // agent keeps only the last connection of an entry; a second one would cut
+  // the first. A record that is gone may have left its address to a new agent.
   bool HasOtherSessionAt(const std::string& name, const Address& address) const;
   void Connect(const std::string& name, Peer& peer, MonoTime now);
   void OnMessage(const std::string& name, const LinkMessage& message);
