Reject answers of the store without a revision

What callers see: none while the store is right; an entry or agent that gets such an answer asks for the same changes again without a pause, and the store's rate is used up. Cause: a missing revision was read as 0.

--- a/tests/platform/store_wire_test.cc
+++ b/tests/platform/store_wire_test.cc
@@ -77,10 +77,19 @@
   EXPECT_FALSE(DecodeLease(R"({"lease_id":18446744073709551615})"));
   const auto range =
       DecodeRange(R"({"items":[{"key":"k","value":"","revision":1e300}],)"
-                  R"("at_rev":-1})");
+                  R"("at_rev":530})");
   ASSERT_TRUE(range);
   EXPECT_EQ(range.value().m_items[0].m_revision, 0U);
-  EXPECT_EQ(range.value().m_revision, 0U);
+}
+
+// The next watch would begin before all changes, and be answered with the same
+// ones at once, again and again.
+TEST(StoreWireTest, RejectsAnswersWithoutARevision) {
+  for (const char* revision :
+       {"", R"(,"at_rev":0)", R"(,"at_rev":-1)", R"(,"at_rev":1e300)"}) {
+    EXPECT_FALSE(DecodeRange(R"({"items":[])" + std::string(revision) + "}"));
+    EXPECT_FALSE(DecodeEvents(R"({"events":[])" + std::string(revision) + "}"));
+  }
 }
 
 }  // namespace
