--- a/tests/json/parse_test.cc
+++ b/tests/json/parse_test.cc
@@ -64,7 +64,9 @@
   EXPECT_EQ(ReadInteger(Json(INT64_MAX), all), INT64_MAX);
 }
 
-RC_GTEST_PROP(ParseTest, AnyBytesAreParsedOrRejected, (const std::string& text)) {
+RC_GTEST_PROP(ParseTest,
+              AnyBytesAreParsedOrRejected,
+              (const std::string& text)) {
   const auto json = ParseJson(text);
   if (json) {
     RC_ASSERT(ParseJson(DumpJson(*json)) == json);
