--- a/tests/platform/job_wire_test.cc
+++ b/tests/platform/job_wire_test.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tests/platform/wire_texts.h"
+
 namespace comfreyshift::platform {
 namespace {
 
@@ -13,13 +15,6 @@
     R"({"task_spec":"text","best_effort":true,"steps":[{"count":4,"cpu":500,)"
     R"("mem_mb":256,"est_runtime_ms":900}]})";
 
-// A value of many levels, as another writer could send it.
-std::string Nested(size_t depth) {
-  return std::string(depth, '[') + std::string(depth, ']');
-}
-
-constexpr size_t kTooDeep = 400'000;
-
 TEST(JobWireTest, ReadsAJob) {
   const auto job = DecodeJob(kJob);
   ASSERT_TRUE(job);
--- a/tests/platform/store_wire_test.cc
+++ b/tests/platform/store_wire_test.cc
@@ -4,24 +4,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tests/platform/wire_texts.h"
+
 namespace comfreyshift::platform {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr const char* kHeartbeat =
-    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
-    R"("slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,)"
-    R"("mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,)"
-    R"("born":1789171779000,"seq":4})";
-
-// A value of many levels, as another writer could send it.
-std::string Nested(size_t depth) {
-  return std::string(depth, '[') + std::string(depth, ']');
-}
-
-constexpr size_t kTooDeep = 400'000;
-
 TEST(StoreWireTest, ReadsWhatTheStoreHolds) {
   const auto range =
       DecodeRange(R"({"items":[{"key":"k","value":"bm9kZS0x","revision":412}],)"
