Believe the record of the latest attempt when records of a task differ

What callers see: a task no longer runs twice when its partition moves twice in a row and a former owner still notes an earlier attempt as sent to another agent.

Cause: owner a2 (epoch 1) sends the task to a0, which is cut off. The partition moves to a1 (epoch 2), which settles the attempt at a0 and places the task at a2. a1 is removed and a2 (epoch 3) collects two records that have not ended: its own note "sent to a0" and its agent's record of the task at a2. They counted alike, and the one added first was kept. a0 says "not started", and the task starts again at a1. Records now carry the attempt that placed the task, on the wire too (StartRecord epoch and attempt); the later one counts. A task sent to an agent that left cleanly without a record of it still counts last.

Records of processes from before this change carry no attempt and count as the earliest; among themselves they are treated as before, but in a mixed fleet the fault stays possible.

--- a/dispatch/job_runner.cc
+++ b/dispatch/job_runner.cc
@@ -157,6 +157,7 @@
   JobTask& task = job.m_tasks[index];
   task.m_state = TaskState::kSent;
   task.m_attempt = ++m_attempts;
+  task.m_placed = {job.m_epoch, task.m_attempt};
   task.m_agent = m_targets.AgentAt(target);
   ++job.m_outstanding;
   ++m_outstanding;
@@ -407,6 +408,7 @@
 
 void JobRunner::Resume(Job& job, StartRecord record) {
   JobTask& task = job.m_tasks[record.m_task.m_index];
+  task.m_placed = record.m_attempt;
   auto* done = std::get_if<TaskDone>(&record.m_outcome);
   if (record.m_ended && done != nullptr) {
     task.m_state = TaskState::kDone;
--- a/dispatch/job_table.cc
+++ b/dispatch/job_table.cc
@@ -90,7 +90,8 @@
                        job.m_first_sent,
                        {},
                        true,
-                       TaskNotStarted{end.m_reason}});
+                       TaskNotStarted{end.m_reason},
+                       {}});
     return;
   }
   for (uint32_t i = 0; i < job.m_tasks.size(); ++i) {
@@ -98,6 +99,7 @@
     StartRecord record;
     record.m_task = {job.m_key, i};
     record.m_first_sent = job.m_first_sent;
+    record.m_attempt = task.m_placed;
     record.m_ended = true;
     switch (task.m_state) {
       case TaskState::kDone:
--- a/dispatch/job_table.h
+++ b/dispatch/job_table.h
@@ -32,6 +32,8 @@
   uint8_t m_tries = 0;
   // The attempt that is out.
   uint64_t m_attempt = 0;
+  // The attempt, of this owner or an earlier one, that placed the task last.
+  AttemptId m_placed;
   // The agent of the last attempt.
   std::shared_ptr<const ProcessId> m_agent;
   TaskAnswer m_answer;
--- a/dispatch/known_records.cc
+++ b/dispatch/known_records.cc
@@ -1,19 +1,29 @@
 #include "dispatch/known_records.h"
 
+#include <tuple>
 #include <utility>
 
 namespace comfreyshift {
 
 namespace {
 
-// An answer tells the most, then a running task whose agent can still be asked.
-// A running task at an agent that is gone may never have started there, so that
-// a record of its start tells more.
-int Knowledge(const StartRecord& record, const PartitionTable& table) {
-  if (!record.m_ended) {
-    return table.Find(record.m_agent) != nullptr ? 2 : 0;
+// An answer tells the most, and a task that was sent to an agent which left
+// without a record of it tells nothing. Of the others the later attempt counts,
+// since a task is placed again only after a certain "not started" for the
+// attempt before. Of one attempt, a running task whose agent can still be asked
+// tells more than one that may have run.
+using Knowledge = std::tuple<int, AttemptId, bool>;
+
+Knowledge KnowledgeOf(const StartRecord& record, const PartitionTable& table) {
+  if (record.m_ended) {
+    const bool answered =
+        !std::holds_alternative<TaskMayHaveRun>(record.m_outcome);
+    return {answered ? 2 : 1, record.m_attempt, false};
+  }
+  if (table.NeverStartedAt(record.m_agent)) {
+    return {0, record.m_attempt, false};
   }
-  return std::holds_alternative<TaskMayHaveRun>(record.m_outcome) ? 1 : 3;
+  return {1, record.m_attempt, table.Find(record.m_agent) != nullptr};
 }
 
 }  // namespace
@@ -25,7 +35,7 @@
   const auto [found, inserted] = records.try_emplace(record.m_task);
   if (inserted) {
     ++m_size;
-  } else if (Knowledge(record, table) <= Knowledge(found->second, table)) {
+  } else if (KnowledgeOf(record, table) <= KnowledgeOf(found->second, table)) {
     return;
   }
   found->second = std::move(record);
--- a/dispatch/messages.h
+++ b/dispatch/messages.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_MESSAGES_H_
 #define DISPATCH_MESSAGES_H_
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -116,6 +117,15 @@
 // Task index of a record that refuses the whole job as not run.
 inline constexpr uint32_t kWholeJob = UINT32_MAX;
 
+// Orders the commands for one task: first by the partition's epoch, then by the
+// attempts of one owner.
+struct AttemptId {
+  Epoch m_epoch = 0;
+  uint64_t m_attempt = 0;
+
+  auto operator<=>(const AttemptId&) const = default;
+};
+
 // One start as its agent recorded it, or the refusal of a whole job.
 struct StartRecord {
   TaskRef m_task;
@@ -125,6 +135,8 @@
   // False while the task runs.
   bool m_ended = false;
   TaskOutcome m_outcome;
+  // The attempt that placed the task at the agent; settling does not raise it.
+  AttemptId m_attempt;
 };
 
 struct PartitionEpoch {
--- a/dispatch/owner.cc
+++ b/dispatch/owner.cc
@@ -184,12 +184,6 @@
   }
 }
 
-bool Owner::NeverStartedAt(const ProcessId& agent) const {
-  const auto left_at = m_table->LeftCleanlyAt(agent);
-  // A member lost meanwhile may have had the records that it handed over.
-  return left_at && m_table->LatestLoss() + kTakeoverTime < *left_at;
-}
-
 void Owner::SetInventory(MonoTime now,
                          std::shared_ptr<const Inventory> inventory) {
   m_inventory = std::move(inventory);
@@ -366,7 +360,8 @@
           "an earlier owner refused the job"};
       continue;
     }
-    const bool unstarted = !record.m_ended && NeverStartedAt(record.m_agent);
+    const bool unstarted =
+        !record.m_ended && m_table->NeverStartedAt(record.m_agent);
     if (index < job.m_tasks.size() && !unstarted) {
       started = true;
       m_runner.Resume(job, std::move(record));
@@ -390,6 +385,7 @@
   for (JobTask& task : job.m_tasks) {
     if (task.m_state == TaskState::kWaiting) {
       task.m_state = TaskState::kUnknown;
+      task.m_placed = {job.m_epoch, 0};
       ++job.m_unknown;
     }
   }
--- a/dispatch/owner.h
+++ b/dispatch/owner.h
@@ -154,8 +154,6 @@
   // asks all agents for the records that these handed over.
   void RecheckLeft(MonoTime now, const PartitionTable* before);
   void HoldJobs(MonoTime now, PartitionId partition);
-  // True when a task without a record that was sent there did not start.
-  bool NeverStartedAt(const ProcessId& agent) const;
   void FinishTakeovers(MonoTime now, WallTime wall_now);
   void SubmitHeld(MonoTime now, WallTime wall_now, PartitionId partition);
 
--- a/dispatch/partition_table.cc
+++ b/dispatch/partition_table.cc
@@ -273,6 +273,12 @@
   return std::nullopt;
 }
 
+bool PartitionTable::NeverStartedAt(const ProcessId& agent) const {
+  const auto left_at = LeftCleanlyAt(agent);
+  // A member lost meanwhile may have had the records that it handed over.
+  return left_at && LatestLoss() + kTakeoverTime < *left_at;
+}
+
 WallTime PartitionTable::LatestChange() const {
   WallTime latest;
   for (const Partition& partition : m_partitions) {
--- a/dispatch/partition_table.h
+++ b/dispatch/partition_table.h
@@ -70,6 +70,9 @@
   // nothing for any other one.
   std::optional<WallTime> LeftCleanlyAt(const ProcessId& id) const;
 
+  // True when a task without a record that was sent there did not start.
+  bool NeverStartedAt(const ProcessId& agent) const;
+
   // Returns the proposer's time of the latest change that moved a partition or
   // removed an agent.
   WallTime LatestChange() const;
--- a/dispatch/record_table.cc
+++ b/dispatch/record_table.cc
@@ -30,6 +30,7 @@
   copy.m_ended = record.m_state == RecordState::kEnded ||
                  record.m_state == RecordState::kTombstone;
   copy.m_outcome = record.m_outcome;
+  copy.m_attempt = record.m_attempt;
 }
 
 }  // namespace
--- a/dispatch/record_table.h
+++ b/dispatch/record_table.h
@@ -1,7 +1,6 @@
 #ifndef DISPATCH_RECORD_TABLE_H_
 #define DISPATCH_RECORD_TABLE_H_
 
-#include <compare>
 #include <cstdint>
 #include <queue>
 #include <unordered_map>
@@ -12,15 +11,6 @@
 
 namespace comfreyshift {
 
-// Orders the commands for one task: first by the partition's epoch, then by the
-// attempts of one owner.
-struct AttemptId {
-  Epoch m_epoch = 0;
-  uint64_t m_attempt = 0;
-
-  auto operator<=>(const AttemptId&) const = default;
-};
-
 enum class RecordState : uint8_t {
   // The task must not start here under this attempt or an older one.
   kTombstone,
--- a/dispatch/starter.cc
+++ b/dispatch/starter.cc
@@ -88,6 +88,9 @@
   }
   TaskRecord& record =
       m_records.Add(command.m_partition, task, command.m_first_sent);
+  const bool superseded = attempt <= record.m_attempt;
+  // A record that answers a later attempt tells of that attempt too.
+  record.m_attempt = std::max(record.m_attempt, attempt);
   if (record.m_state == RecordState::kEnded) {
     Reply(token, command.m_attempt, task, record.m_outcome);
     return;
@@ -96,12 +99,11 @@
     record.m_waiting.push_back({token, command.m_attempt});
     return;
   }
-  if (attempt <= record.m_attempt) {
+  if (superseded) {
     Reply(token, command.m_attempt, task,
           TaskNotStarted{NotRunReason::kNeverStarted});
     return;
   }
-  record.m_attempt = attempt;
   if (const auto reason = WhyNotStart(now, wall_now, command)) {
     Reply(token, command.m_attempt, task, TaskNotStarted{*reason});
     return;
@@ -262,11 +264,17 @@
   }
   TaskRecord& record = m_records.Add(PartitionOf(adopted.m_task.m_key),
                                      adopted.m_task, adopted.m_first_sent);
-  const bool known = record.m_state != RecordState::kTombstone &&
-                     !std::holds_alternative<TaskMayHaveRun>(record.m_outcome);
+  const bool older =
+      adopted.m_attempt < record.m_attempt &&
+      (!adopted.m_ended ||
+       std::holds_alternative<TaskMayHaveRun>(adopted.m_outcome));
+  const bool known =
+      record.m_state != RecordState::kTombstone &&
+      (older || !std::holds_alternative<TaskMayHaveRun>(record.m_outcome));
   if (known) {
     return;
   }
+  record.m_attempt = adopted.m_attempt;
   record.m_agent = adopted.m_agent;
   record.m_state = RecordState::kEnded;
   // The outcome of a task that its agent left running is lost.
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -104,6 +104,8 @@
   ended @2 :Bool;
   outcome @3 :TaskOutcome;
   agent @4 :ProcessId;
+  epoch @5 :UInt64;
+  attempt @6 :UInt64;
 }
 
 struct PartitionEpoch {
--- a/rpc/peer.capnp.h
+++ b/rpc/peer.capnp.h
@@ -309,7 +309,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83e60a28f7bcb390, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(83e60a28f7bcb390, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2306,6 +2306,10 @@
   inline bool hasAgent() const;
   inline  ::comfreyshift::wire::ProcessId::Reader getAgent() const;
 
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2361,6 +2365,12 @@
   inline void adoptAgent(::capnp::Orphan< ::comfreyshift::wire::ProcessId>&& value);
   inline ::capnp::Orphan< ::comfreyshift::wire::ProcessId> disownAgent();
 
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6913,6 +6923,34 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StartRecord::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StartRecord::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StartRecord::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StartRecord::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StartRecord::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StartRecord::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t PartitionEpoch::Reader::getPartition() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/rpc/wire.cc
+++ b/rpc/wire.cc
@@ -310,8 +310,10 @@
   for (const auto record : in) {
     records.push_back({Read(record.getTask()),
                        ReadWallTime(record.getFirstSentMs()),
-                       Read(record.getAgent()), record.getEnded(),
-                       Read(record.getOutcome())});
+                       Read(record.getAgent()),
+                       record.getEnded(),
+                       Read(record.getOutcome()),
+                       {record.getEpoch(), record.getAttempt()}});
   }
   return records;
 }
@@ -324,6 +326,8 @@
     Write(records[i].m_agent, out[i].initAgent());
     out[i].setEnded(records[i].m_ended);
     Write(records[i].m_outcome, out[i].initOutcome());
+    out[i].setEpoch(records[i].m_attempt.m_epoch);
+    out[i].setAttempt(records[i].m_attempt.m_attempt);
   }
 }
 
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -106,7 +106,7 @@
   for (uint64_t i = 0;; ++i) {
     const SubmissionKey key = SubmissionKey::Make(kWall, i, i);
     if (table.m_partitions[key.Partition(kPartitions)].m_owner == owner) {
-      return {{key, 0}, kWall, Id(0), true, TaskDone{{200, "x"}, {}}};
+      return {{key, 0}, kWall, Id(0), true, TaskDone{{200, "x"}, {}}, {}};
     }
   }
 }
@@ -182,7 +182,8 @@
     CollectReply reply;
     reply.m_accepted = true;
     if (collect->m_to != Id(0)) {
-      reply.m_records.push_back({{job.m_key, 0}, kWall, agent, true, outcome});
+      reply.m_records.push_back(
+          {{job.m_key, 0}, kWall, agent, true, outcome, {}});
     }
     owner.OnCollectReply(kNow, kWall, collect->m_to, collect->m_command, reply);
   }
--- a/tests/rpc/wire_test.cc
+++ b/tests/rpc/wire_test.cc
@@ -21,6 +21,7 @@
     record.m_first_sent = WallTime(Milliseconds(1000 + i));
     record.m_agent = {"agent-" + std::to_string(i), i};
     record.m_ended = i % 2 == 0;
+    record.m_attempt = {i + 2, i + 3};
     record.m_outcome = TaskNotStarted{NotRunReason::kQueueFull};
     reply.m_records.push_back(std::move(record));
   }
@@ -43,6 +44,7 @@
     EXPECT_EQ(got.m_records[i].m_task, sent.m_records[i].m_task);
     EXPECT_EQ(got.m_records[i].m_agent, sent.m_records[i].m_agent);
     EXPECT_EQ(got.m_records[i].m_ended, sent.m_records[i].m_ended);
+    EXPECT_EQ(got.m_records[i].m_attempt, sent.m_records[i].m_attempt);
     EXPECT_EQ(got.m_records[i].m_outcome.index(),
               sent.m_records[i].m_outcome.index());
   }
