--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -275,7 +275,8 @@
            kWall,
            MakeAgent(agent).m_id,
            true,
-           TaskDone{{200, std::string(kAnswerBytes, 'a')}, {}}});
+           TaskDone{{200, std::string(kAnswerBytes, 'a')}, {}},
+           {}});
     }
     jobs.push_back(std::move(job));
   }
