Bound what a frame from a peer may decode to

Cause: the decoder of link messages took every number as it came, and a frame whose pointers share content decoded to as many messages as its list claimed. ChangedBytesGiveAnErrorOrFewMessages found a frame of about 500 bytes that became 2,098,702 messages, some hundred megabytes, more than the memory of an agent (128 MB): one malformed message would have ended the process. Change: a frame holds at most as many messages as words, and the reader visits each word four times at most; times, clocks, resources and slowness out of range make the frame malformed, which closes the connection.

--- a/link/codec.cc
+++ b/link/codec.cc
@@ -16,10 +16,23 @@
 
 constexpr size_t kLengthPrefixBytes = 4;
 
+// Limits what is read of a frame. Reading a valid message visits some of its
+// parts more than once.
+constexpr uint64_t kMaxReadsOfAWord = 4;
+constexpr uint64_t kMinTraversalLimitWords = 1024;
+
 // Remaining times from a peer are clamped to this: far longer than any real
 // deadline, and short enough not to overflow a time point.
 constexpr Microseconds kMaxTimeLeft = std::chrono::hours(24);
 
+// Numbers outside of these ranges come from a defective peer. Sums of numbers
+// within them do not overflow.
+constexpr int64_t kMaxResource = 1'000'000'000'000'000;
+constexpr double kMaxSlowness = 1e6;
+constexpr Microseconds kMaxRunTime{1'000'000'000'000'000'000};
+// Agents' clocks count from the start of their machine.
+constexpr MonoTime kMaxAgentClock{std::chrono::hours(1'000'000)};
+
 kj::StringPtr Text(const std::string& text) {
   return {text.c_str(), text.size()};
 }
@@ -32,8 +45,30 @@
   return time.time_since_epoch().count();
 }
 
-MonoTime FromWire(int64_t time) {
-  return MonoTime(Microseconds(time));
+MonoTime ReadAgentClock(int64_t time_us) {
+  const MonoTime clock{Microseconds(time_us)};
+  KJ_REQUIRE(clock >= MonoTime() && clock <= kMaxAgentClock,
+             "agent clock out of range");
+  return clock;
+}
+
+Microseconds ReadDuration(int64_t time_us, Microseconds limit) {
+  const Microseconds time(time_us);
+  KJ_REQUIRE(time >= Microseconds(0) && time <= limit, "time out of range");
+  return time;
+}
+
+int64_t ReadResource(int64_t amount) {
+  KJ_REQUIRE(amount >= -kMaxResource && amount <= kMaxResource,
+             "resource out of range");
+  return amount;
+}
+
+double ReadSlowness(double slowness) {
+  // Written so that it also fails for what is not a number.
+  KJ_REQUIRE(slowness > 0.0 && slowness <= kMaxSlowness,
+             "slowness out of range");
+  return slowness;
 }
 
 MonoTime ReadDeadline(int64_t time_left_us, MonoTime now) {
@@ -60,7 +95,8 @@
 }
 
 Resources Read(link_wire::Resources::Reader wire) {
-  return {wire.getCpuMillis(), wire.getMemoryMb(), wire.getGpus()};
+  return {ReadResource(wire.getCpuMillis()), ReadResource(wire.getMemoryMb()),
+          ReadResource(wire.getGpus())};
 }
 
 // Encodes one message, with an overload for each message type.
@@ -159,17 +195,17 @@
   start.m_service = ToString(wire.getService());
   start.m_payload = ToString(wire.getPayload());
   start.m_demand = Read(wire.getDemand());
-  start.m_expected = Microseconds(wire.getExpectedUs());
+  start.m_expected = ReadDuration(wire.getExpectedUs(), kMaxRunTime);
   start.m_queue_priority = wire.getUrgency();
   start.m_abandon_at = ReadDeadline(wire.getAbandonInUs(), now);
   start.m_queue_until = ReadDeadline(wire.getQueueForUs(), now);
-  start.m_agent_clock = FromWire(wire.getAgentClockUs());
+  start.m_agent_clock = ReadAgentClock(wire.getAgentClockUs());
   return start;
 }
 
 RunnerStatus ReadRunnerStatus(link_wire::RunnerStatus::Reader wire) {
   RunnerStatus status;
-  status.m_agent_clock = FromWire(wire.getAgentClockUs());
+  status.m_agent_clock = ReadAgentClock(wire.getAgentClockUs());
   status.m_sequence = wire.getSequence();
   status.m_is_accepting = wire.getIsAccepting();
   status.m_service = ToString(wire.getService());
@@ -179,7 +215,7 @@
   }
   status.m_capacity = Read(wire.getCapacity());
   status.m_free = Read(wire.getFree());
-  status.m_slowness = wire.getSlowness();
+  status.m_slowness = ReadSlowness(wire.getSlowness());
   status.m_runner_start_time_ms = wire.getRunnerBornMs();
   return status;
 }
@@ -188,7 +224,7 @@
   KJ_REQUIRE(wire.getOutcome() <= static_cast<uint8_t>(RunOutcome::kNotStarted),
              "unknown run outcome");
   return {Read(wire.getRun()), static_cast<RunOutcome>(wire.getOutcome()),
-          wire.getHasRun(), Microseconds(wire.getRunTimeUs())};
+          wire.getHasRun(), ReadDuration(wire.getRunTimeUs(), kMaxRunTime)};
 }
 
 RelayAnswer ReadRelayAnswer(link_wire::RelayAnswer::Reader wire) {
@@ -208,8 +244,8 @@
                       wire.getWelcome().getIncarnation()}};
     case link_wire::Message::CLAIM:
       return EntryHeartbeat{
-          FromWire(wire.getClaim().getAgentClockUs()),
-          Microseconds(wire.getClaim().getStatusIntervalUs())};
+          ReadAgentClock(wire.getClaim().getAgentClockUs()),
+          ReadDuration(wire.getClaim().getStatusIntervalUs(), kMaxTimeLeft)};
     case link_wire::Message::START_RUN:
       return ReadStartRun(wire.getStartRun(), now);
     case link_wire::Message::STOP_RUN:
@@ -235,9 +271,16 @@
   // words.
   std::vector<capnp::word> words(frame.size() / sizeof(capnp::word));
   std::memcpy(words.data(), frame.data(), words.size() * sizeof(capnp::word));
+  // Pointers in a defective frame may share content, so that a few bytes decode
+  // to far more memory than a process has.
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords =
+      kMaxReadsOfAWord * words.size() + kMinTraversalLimitWords;
   capnp::FlatArrayMessageReader reader(
-      kj::ArrayPtr<const capnp::word>(words.data(), words.size()));
-  for (const auto wire : reader.getRoot<link_wire::Batch>().getMessages()) {
+      kj::ArrayPtr<const capnp::word>(words.data(), words.size()), options);
+  const auto batch = reader.getRoot<link_wire::Batch>().getMessages();
+  KJ_REQUIRE(batch.size() <= words.size(), "more messages than words");
+  for (const auto wire : batch) {
     messages.push_back(ReadMessage(wire, now));
   }
 }
--- a/tests/link/codec_test.cc
+++ b/tests/link/codec_test.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <limits>
+#include <random>
+
 namespace comfreyshift {
 namespace {
 
@@ -101,6 +105,78 @@
   EXPECT_GT(std::get<RelayRead>(decoded[1]).m_give_up_at, received_at);
 }
 
+RunnerStatus MakeStatus() {
+  RunnerStatus status;
+  status.m_agent_clock = kNow;
+  return status;
+}
+
+// Returns messages that each hold one number that no sound process sends.
+std::vector<LinkMessage> MessagesWithNumbersOutOfRange() {
+  RunnerStatus endless = MakeStatus();
+  endless.m_slowness = std::numeric_limits<double>::infinity();
+  RunnerStatus not_a_number = MakeStatus();
+  not_a_number.m_slowness = std::numeric_limits<double>::quiet_NaN();
+  RunnerStatus motionless = MakeStatus();
+  motionless.m_slowness = 0.0;
+  RunnerStatus huge = MakeStatus();
+  huge.m_free.m_cpu_millis = std::numeric_limits<int64_t>::min();
+  RunnerStatus late = MakeStatus();
+  late.m_agent_clock = MonoTime::max();
+  StartRun greedy = MakeStartRun();
+  greedy.m_demand.m_memory_mb = std::numeric_limits<int64_t>::max();
+  StartRun endless_run = MakeStartRun();
+  endless_run.m_expected = Microseconds::max();
+  StartRun early = MakeStartRun();
+  early.m_agent_clock = MonoTime::min();
+  return {endless,
+          not_a_number,
+          motionless,
+          huge,
+          late,
+          greedy,
+          endless_run,
+          early,
+          EntryHeartbeat{kNow, Microseconds::max()},
+          EntryHeartbeat{kNow, Microseconds(-1)},
+          RunReport{
+              {{"j", 0, 1}, 2}, RunOutcome::kDone, true, Microseconds::min()}};
+}
+
+// Guards against numbers of a defective peer that overflow in later sums, which
+// is undefined behaviour.
+TEST(LinkCodecTest, RejectsNumbersOutOfRange) {
+  for (const LinkMessage& message : MessagesWithNumbersOutOfRange()) {
+    std::string bytes;
+    EncodeBatch(std::vector<LinkMessage>{message}, kNow, bytes);
+    std::vector<LinkMessage> decoded;
+    EXPECT_EQ(DecodeBatches(bytes, kNow, decoded), FrameError::kMalformed)
+        << "message type " << message.index();
+  }
+}
+
+// Guards against a decoder that fails on changed bytes other than by an error,
+// and against a small frame that decodes to more messages than fit in memory.
+TEST(LinkCodecTest, ChangedBytesGiveAnErrorOrFewMessages) {
+  constexpr int kCases = 20'000;
+  constexpr int kMaxChanges = 8;
+  std::string valid;
+  EncodeBatch(std::vector<LinkMessage>{MakeStartRun(), MakeStatus()}, kNow,
+              valid);
+  std::mt19937 random(20261205);  // NOLINT(bugprone-random-generator-seed)
+  for (int i = 0; i < kCases; ++i) {
+    std::string input = valid;
+    const auto changes = 1 + random() % kMaxChanges;
+    for (size_t change = 0; change < changes; ++change) {
+      // The length prefix stays: a longer frame would only be waited for.
+      input[4 + random() % (input.size() - 4)] = static_cast<char>(random());
+    }
+    std::vector<LinkMessage> decoded;
+    DecodeBatches(input, kNow, decoded);
+    EXPECT_LE(decoded.size(), valid.size() / sizeof(uint64_t));
+  }
+}
+
 // Guards against frames that are lost or misread when the network splits the
 // stream at an arbitrary byte.
 TEST(LinkCodecTest, DecodesFramesThatArriveInPieces) {
