Reject heartbeats of a runner that has left, or of another service

Cause: after a runner had said that it leaves, a delayed heartbeat of the same incarnation made it known again; a foreign heartbeat with a high sequence number and another service took a runner away from its service until its own numbers passed that one, which may be never. Change: the executor keeps the last heartbeat of a departed runner and compares new ones with it, as it does with a present one; a heartbeat that changes the service of an incarnation is rejected. Measured: DelayedHeartbeatOfADepartedRunnerIsRejected and HeartbeatOfAnotherServiceIsRejected failed before and pass now.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -15,6 +15,16 @@
 // incarnation of this agent whose clock ran ahead by less than this.
 constexpr uint64_t kTokenStep = 60'000;
 
+// Whether `heartbeat` is not newer than `known`, by incarnation and sequence
+// number.
+bool IsOutdated(const RunnerHeartbeat& heartbeat,
+                const RunnerHeartbeat& known) {
+  return known.m_process_incarnation == heartbeat.m_process_incarnation
+             ? heartbeat.m_sequence <= known.m_sequence
+             : heartbeat.m_process_incarnation.m_start_time_ms <
+                   known.m_process_incarnation.m_start_time_ms;
+}
+
 }  // namespace
 
 RunExecutor::RunExecutor(ProcessId self, uint64_t token)
@@ -22,32 +32,33 @@
 
 bool RunExecutor::OnHeartbeat(const RunnerHeartbeat& runner_heartbeat,
                               MonoTime now) {
-  if (m_runner) {
-    const bool is_same_incarnation = m_runner->m_process_incarnation ==
-                                     runner_heartbeat.m_process_incarnation;
-    if (is_same_incarnation
-            ? runner_heartbeat.m_sequence <= m_runner->m_sequence
-            : runner_heartbeat.m_process_incarnation.m_start_time_ms <
-                  m_runner->m_process_incarnation.m_start_time_ms) {
-      return false;
-    }
-    if (is_same_incarnation) {
-      m_is_status_due |=
-          m_runner->m_is_draining != runner_heartbeat.m_is_draining ||
-          m_runner->m_capacity != runner_heartbeat.m_capacity;
-      m_runner = runner_heartbeat;
-      return true;
-    }
+  const auto& known = m_runner ? m_runner : m_departed_runner;
+  if (known && IsOutdated(runner_heartbeat, *known)) {
+    return false;
+  }
+  const bool is_known_incarnation =
+      m_runner &&
+      m_runner->m_process_incarnation == runner_heartbeat.m_process_incarnation;
+  if (!is_known_incarnation) {
     EndIncarnation(now);
+    BeginIncarnation(runner_heartbeat, now);
+    return true;
+  }
+  // An incarnation never changes its service: another writer sent this.
+  if (runner_heartbeat.m_service != m_runner->m_service) {
+    return false;
   }
-  BeginIncarnation(runner_heartbeat, now);
+  m_is_status_due |=
+      m_runner->m_is_draining != runner_heartbeat.m_is_draining ||
+      m_runner->m_capacity != runner_heartbeat.m_capacity;
+  m_runner = runner_heartbeat;
   return true;
 }
 
 void RunExecutor::OnRunnerLeft(const std::string& runner_id, MonoTime now) {
   if (m_runner && m_runner->m_process_incarnation.m_id == runner_id) {
     EndIncarnation(now);
-    m_runner.reset();
+    m_departed_runner = std::exchange(m_runner, std::nullopt);
     m_is_status_due = true;
   }
 }
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -101,6 +101,9 @@
   ProcessId m_self;
   uint64_t m_token;
   std::optional<RunnerHeartbeat> m_runner;
+  // The last heartbeat of a runner that has left. Earlier ones may still
+  // arrive.
+  std::optional<RunnerHeartbeat> m_departed_runner;
   RunnerHealth m_health;
   RunTable m_runs;
   // Reports to send again when a StartRun is repeated.
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -334,6 +334,33 @@
       m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 2), m_now));
 }
 
+// Guards against a runner that is used again after it has left: a heartbeat may
+// arrive after the message that the runner leaves.
+TEST_F(RunExecutorTest, DelayedHeartbeatOfADepartedRunnerIsRejected) {
+  RegisterRunner();
+  m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 3), m_now);
+  m_executor.OnRunnerLeft(kRunnerIncarnation.m_id, m_now);
+  EXPECT_FALSE(
+      m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 2), m_now));
+  EXPECT_FALSE(m_executor.OnHeartbeat(MakeHeartbeat({"older", 50}, 9), m_now));
+  EXPECT_FALSE(m_executor.runner());
+  // A runner that has not left after all goes on with higher numbers.
+  EXPECT_TRUE(
+      m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 4), m_now));
+}
+
+// Guards against a foreign heartbeat that takes the runner away from its
+// service: the service is fixed for an incarnation.
+TEST_F(RunExecutorTest, HeartbeatOfAnotherServiceIsRejected) {
+  RegisterRunner();
+  RunnerHeartbeat foreign = MakeHeartbeat(kRunnerIncarnation, 1000);
+  foreign.m_service = "unknown";
+  EXPECT_FALSE(m_executor.OnHeartbeat(foreign, m_now));
+  EXPECT_TRUE(
+      m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 2), m_now));
+  EXPECT_EQ(m_executor.runner()->m_service, "service");
+}
+
 // Guards against waiting for runs that ended with the runner's last
 // incarnation.
 TEST_F(RunExecutorTest, NewRunnerIncarnationEndsTheRunsOfTheOldOne) {
