--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -55,12 +55,13 @@
   return true;
 }
 
-void RunExecutor::OnRunnerLeft(const std::string& runner_id, MonoTime now) {
+bool RunExecutor::OnRunnerLeft(const std::string& runner_id, MonoTime now) {
   if (m_runner && m_runner->m_process_incarnation.m_id == runner_id) {
     EndIncarnation(now);
     m_departed_runner = std::exchange(m_runner, std::nullopt);
     m_is_status_due = true;
   }
+  return !m_runner;
 }
 
 void RunExecutor::BeginIncarnation(const RunnerHeartbeat& runner_heartbeat,
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -36,7 +36,8 @@
   // incarnation, or not newer than the last one of its incarnation.
   bool OnHeartbeat(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
   // The runner has left for good.
-  void OnRunnerLeft(const std::string& runner_id, MonoTime now);
+  // Returns whether no runner remains.
+  bool OnRunnerLeft(const std::string& runner_id, MonoTime now);
   void OnClosedZones(const ClosedZones& zones, MonoTime now);
   // Starts no more runs from now on, because the process is stopping.
   void Drain(MonoTime now);
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -47,9 +47,9 @@
   return is_new;
 }
 
-void AgentNode::OnRunnerLeft(const std::string& runner_id) {
-  m_executor.OnRunnerLeft(runner_id, BootClock::now());
+bool AgentNode::OnRunnerLeft(const std::string& runner_id) {
   m_ticker.Wake();
+  return m_executor.OnRunnerLeft(runner_id, BootClock::now());
 }
 
 void AgentNode::Drain() {
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -49,7 +49,8 @@
 
   // Handles a heartbeat of the runner. Returns false if it is out of date.
   bool OnHeartbeat(const RunnerHeartbeat& report);
-  void OnRunnerLeft(const std::string& runner_id);
+  // Returns whether no runner remains.
+  bool OnRunnerLeft(const std::string& runner_id);
   void Drain();
 
   // Sets the function that serves RelayRead messages of entries. Without one,
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -200,6 +200,26 @@
   EXPECT_EQ(m_runners[1]->runner().overloads(), 0U);
 }
 
+// Guards against a runner that is used again after it has left: an agent that
+// restarts reads its runner's last heartbeat from the store.
+TEST_F(PlatformProcessesTest, RestartedAgentForgetsARunnerThatHasLeft) {
+  ConfigureAndWaitUntilReady();
+  m_runners[0]->Leave();
+  ASSERT_TRUE(
+      RunUntil([this]() { return m_runners[0]->is_leave_acknowledged(); }));
+  RunFor(Milliseconds(200));
+  const uint64_t earlier_starts = m_runners[0]->runner().starts();
+  StartAgent(0);
+  ASSERT_TRUE(RunUntil(
+      [this]() { return CountEvents(*m_agents[0], "registered") > 0; }));
+  RunFor(Milliseconds(500));
+  EXPECT_EQ(CountEvents(*m_agents[0], "runner_remembered"), 0U);
+  const auto job = SubmitJob(4);
+  ASSERT_TRUE(RunUntil([&]() { return job->m_has_arrived; }));
+  EXPECT_EQ(job->m_status, 200) << job->m_body;
+  EXPECT_EQ(m_runners[0]->runner().starts(), earlier_starts);
+}
+
 // Guards against runs that hold capacity after their client has disconnected.
 TEST_F(PlatformProcessesTest, ClientDisconnectStopsItsRuns) {
   ConfigureAndWaitUntilReady();
--- a/tests/platform/runner_standin.cc
+++ b/tests/platform/runner_standin.cc
@@ -73,7 +73,7 @@
   const MonoTime now = BootClock::now();
   self->m_runner.Advance(now);
   self->AnswerPolls(now);
-  if (now >= self->m_heartbeat_at) {
+  if (!self->m_has_left && now >= self->m_heartbeat_at) {
     self->m_heartbeat_at = now + kHeartbeatInterval;
     self->SendHeartbeat();
   }
@@ -101,6 +101,17 @@
   m_heartbeats->Send(std::move(call), [](const HttpCallResult&) {});
 }
 
+void RunnerStandin::Leave() {
+  m_has_left = true;
+  HttpCall call;
+  call.m_method = "DELETE";
+  call.m_path = "/api/instances/" + m_id;
+  call.m_deadline = BootClock::now() + Milliseconds(1000);
+  m_heartbeats->Send(std::move(call), [this](const HttpCallResult& result) {
+    m_is_leave_acknowledged = result.has_value();
+  });
+}
+
 bool RunnerStandin::RejectIfMisdirected(const RequestPointer& request) const {
   if (request->Header("Target-Instance") == m_id) {
     return false;
--- a/tests/platform/runner_standin.h
+++ b/tests/platform/runner_standin.h
@@ -28,6 +28,10 @@
   const RunnerEmulation& runner() const { return m_runner; }
   // Sets the state that later heartbeats report.
   void set_is_draining(bool is_draining) { m_is_draining = is_draining; }
+  // Tells the agent that the runner leaves, and ends its heartbeats. It goes on
+  // answering requests.
+  void Leave();
+  bool is_leave_acknowledged() const { return m_is_leave_acknowledged; }
 
  private:
   using RequestPointer = std::shared_ptr<HttpRequest>;
@@ -55,6 +59,8 @@
   MonoTime m_heartbeat_at;
   uint64_t m_sequence = 0;
   bool m_is_draining = false;
+  bool m_has_left = false;
+  bool m_is_leave_acknowledged = false;
   guint m_timer = 0;
 };
 
