--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -36,7 +36,8 @@
   // incarnation, or not newer than the last one of its incarnation.
   bool OnHeartbeat(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
   // The runner has left for good.
-  void OnRunnerLeft(const std::string& runner_id, MonoTime now);
+  // Returns whether no runner remains.
+  bool OnRunnerLeft(const std::string& runner_id, MonoTime now);
   void OnClosedZones(const ClosedZones& zones, MonoTime now);
   // Starts no more runs from now on, because the process is stopping.
   void Drain(MonoTime now);
@@ -73,6 +74,10 @@
   bool has_runs() const { return !m_runs.is_empty(); }
   bool is_accepting(MonoTime now) const;
   Resources FreeCapacity() const;
+  // See EntryTable::IdleTimeout.
+  Microseconds IdleTimeout(const ProcessId& entry) const {
+    return m_entries.IdleTimeout(entry);
+  }
   const std::optional<RunnerHeartbeat>& runner() const { return m_runner; }
   const RunnerHealth& health() const { return m_health; }
 
@@ -101,6 +106,9 @@
   ProcessId m_self;
   uint64_t m_token;
   std::optional<RunnerHeartbeat> m_runner;
+  // The last heartbeat of a runner that has left. Earlier ones may still
+  // arrive.
+  std::optional<RunnerHeartbeat> m_departed_runner;
   RunnerHealth m_health;
   RunTable m_runs;
   // Reports to send again when a StartRun is repeated.
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -10,11 +10,11 @@
 
 namespace {
 
-// Connections on which nothing has arrived for this long are closed. Entries
-// send a heartbeat at least every second. The runs of an entry whose heartbeats
-// cease are stopped earlier (kEntryHeartbeatTimeout), whether or not its
-// connection is open.
-constexpr Milliseconds kEntryIdleTimeout{2500};
+// How often the agent looks for connections on which nothing arrives any more.
+// The runs of an entry whose heartbeats cease are stopped earlier
+// (kEntryHeartbeatTimeout), whether or not its connection is open.
+constexpr Milliseconds kIdleCheckInterval{100};
+constexpr Milliseconds kMaxTickInterval{1000};
 
 }  // namespace
 
@@ -47,9 +47,9 @@
   return is_new;
 }
 
-void AgentNode::OnRunnerLeft(const std::string& runner_id) {
-  m_executor.OnRunnerLeft(runner_id, BootClock::now());
+bool AgentNode::OnRunnerLeft(const std::string& runner_id) {
   m_ticker.Wake();
+  return m_executor.OnRunnerLeft(runner_id, BootClock::now());
 }
 
 void AgentNode::Drain() {
@@ -64,7 +64,7 @@
   }
   LinkSession::FlushAll();
   LogAcceptingChange(now);
-  return std::min(m_executor.NextDeadline(now), now + kEntryIdleTimeout);
+  return std::min(m_executor.NextDeadline(now), now + kMaxTickInterval);
 }
 
 void AgentNode::LogAcceptingChange(MonoTime now) {
@@ -110,9 +110,13 @@
 }
 
 void AgentNode::CloseIdleSessions(MonoTime now) {
+  if (now < m_next_idle_check_at) {
+    return;
+  }
+  m_next_idle_check_at = now + kIdleCheckInterval;
   std::vector<SessionPointer> idle_sessions;
   for (const auto& [entry, session] : m_sessions) {
-    if (now >= session->last_received() + kEntryIdleTimeout) {
+    if (now >= session->last_received() + m_executor.IdleTimeout(entry)) {
       idle_sessions.push_back(session);
     }
   }
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -49,7 +49,8 @@
 
   // Handles a heartbeat of the runner. Returns false if it is out of date.
   bool OnHeartbeat(const RunnerHeartbeat& report);
-  void OnRunnerLeft(const std::string& runner_id);
+  // Returns whether no runner remains.
+  bool OnRunnerLeft(const std::string& runner_id);
   void Drain();
 
   // Sets the function that serves RelayRead messages of entries. Without one,
@@ -85,6 +86,7 @@
   StoreReadFunction m_store_read;
   NodeMetrics& m_metrics;
   std::unique_ptr<LinkListener> m_listener;
+  MonoTime m_next_idle_check_at;
   bool m_was_accepting = false;
   // Connections whose Hello has arrived.
   std::map<ProcessId, SessionPointer> m_sessions;
