Take no orders from an incarnation of an entry that has been replaced

Cause: the messages of two incarnations of an entry come on two connections, so an agent that was paused may read the later one's Hello first and the earlier one's StartRun after it. The Hello ended the liveness of the earlier incarnation, but the StartRun, whose clock value was still fresh, restored it and was carried out for a process that no longer exists. Change: the agent remembers that an incarnation has been replaced and rejects its StartRuns and heartbeats, in whichever order the two connect. Measured: ReplacedIncarnationOfAnEntryStartsNothing and SuccessorOutlivesALateConnectionOfItsPredecessor failed before and pass now.

--- a/executor/entry_table.cc
+++ b/executor/entry_table.cc
@@ -16,12 +16,17 @@
 }  // namespace
 
 void EntryTable::OnConnected(const ProcessId& entry, MonoTime now) {
-  for (auto& [id, known] : m_entries) {
-    if (id.m_name == entry.m_name && id.m_incarnation < entry.m_incarnation) {
-      known.m_alive_until = now;
+  Entry& known = m_entries[entry];
+  for (auto& [id, other] : m_entries) {
+    if (id.m_name != entry.m_name) {
+      continue;
     }
+    if (id.m_incarnation < entry.m_incarnation) {
+      other.m_is_replaced = true;
+      other.m_alive_until = now;
+    }
+    known.m_is_replaced |= id.m_incarnation > entry.m_incarnation;
   }
-  Entry& known = m_entries[entry];
   known.m_is_connected = true;
   known.m_sequence = 0;
   known.m_is_status_due = true;
@@ -44,7 +49,8 @@
                                   const EntryHeartbeat& heartbeat,
                                   MonoTime now) {
   const auto found = m_entries.find(entry);
-  if (found == m_entries.end() || heartbeat.m_agent_clock > now) {
+  if (found == m_entries.end() || found->second.m_is_replaced ||
+      heartbeat.m_agent_clock > now) {
     return;
   }
   Entry& known = found->second;
@@ -65,7 +71,7 @@
   }
   found->second.m_sequence = start.m_sequence;
   const bool is_entry_alive =
-      start.m_agent_clock <= now &&
+      !found->second.m_is_replaced && start.m_agent_clock <= now &&
       now < start.m_agent_clock + kEntryHeartbeatTimeout;
   if (is_entry_alive) {
     ExtendLiveness(found->second, start.m_agent_clock);
--- a/executor/entry_table.h
+++ b/executor/entry_table.h
@@ -30,7 +30,8 @@
                         const EntryHeartbeat& heartbeat,
                         MonoTime now);
   // Applies the sequence number and the heartbeat that a StartRun carries.
-  // Returns false if the heartbeat has expired.
+  // Returns false if the heartbeat has expired or a later incarnation of the
+  // entry has connected.
   bool ApplyStartRun(const ProcessId& entry,
                      const StartRun& start,
                      MonoTime now);
@@ -61,6 +62,8 @@
  private:
   struct Entry {
     bool m_is_connected = false;
+    // Whether a later incarnation of the entry has connected.
+    bool m_is_replaced = false;
     uint64_t m_sequence = 0;
     // Minimum interval of statuses to this entry.
     Microseconds m_status_interval{0};
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -376,6 +376,37 @@
   EXPECT_FALSE(m_executor.is_accepting(m_now));
 }
 
+// Guards against two incarnations of an entry that both act: what the earlier
+// one has sent may be read after the later one has connected.
+TEST_F(RunExecutorTest, ReplacedIncarnationOfAnEntryStartsNothing) {
+  const ProcessId successor{kEntry.m_name, kEntry.m_incarnation + 1};
+  Connect();
+  RegisterRunner();
+  Connect(successor);
+  Start(0, 1000);
+  EXPECT_TRUE(m_starts.empty());
+  ASSERT_NE(FindReport(0), nullptr);
+  EXPECT_EQ(FindReport(0)->m_outcome, RunOutcome::kNotStarted);
+  m_executor.OnEntryHeartbeat(kEntry, {m_now}, m_now);
+  Start(1, 1000);
+  EXPECT_TRUE(m_starts.empty());
+  Start(2, 1000, 0, successor);
+  EXPECT_EQ(m_starts.size(), 1U);
+}
+
+// Guards against a late connection of an earlier incarnation that takes the
+// place of its successor.
+TEST_F(RunExecutorTest, SuccessorOutlivesALateConnectionOfItsPredecessor) {
+  const ProcessId successor{kEntry.m_name, kEntry.m_incarnation + 1};
+  RegisterRunner();
+  Connect(successor);
+  Connect();
+  Start(0, 1000);
+  EXPECT_TRUE(m_starts.empty());
+  Start(1, 1000, 0, successor);
+  EXPECT_EQ(m_starts.size(), 1U);
+}
+
 // Guards against a run that waits for a runner which takes no more work,
 // instead of being reported so that its entry can place the task elsewhere.
 TEST_F(RunExecutorTest, DrainingRunnerGetsNoNewRuns) {
