--- a/bench/load_replay.cc
+++ b/bench/load_replay.cc
@@ -77,7 +77,7 @@
            fleet.DrainRunner(i);
          }
        }},
-      {"late-orders", [&]() { fleet.LoseOrders(0.06, third); }},
+      {"late-orders", [&]() { fleet.LoseRequests(0.06, third); }},
   };
   const auto found = begin.find(scenario);
   if (found == begin.end()) {
--- a/emulator/fleet_emulation.cc
+++ b/emulator/fleet_emulation.cc
@@ -54,7 +54,7 @@
 }
 
 void FleetEmulation::Post(MonoTime at, std::function<void()> action) {
-  m_events.push({std::max(at, m_now), m_next_order++, std::move(action)});
+  m_events.push({std::max(at, m_now), m_next_sequence++, std::move(action)});
 }
 
 void FleetEmulation::At(Microseconds at, std::function<void()> action) {
@@ -161,7 +161,7 @@
   agent.m_id = {AgentName(index), wall};
   agent.m_executor = std::make_unique<RunExecutor>(agent.m_id, wall);
   agent.m_heard.clear();
-  agent.m_looks.clear();
+  agent.m_polls.clear();
   SendHeartbeat(index);
   WakeAgent(index);
 }
@@ -172,8 +172,8 @@
     return;
   }
   entry.m_tick_at = m_now;
-  Post(m_now, [this, index, life = entry.m_process_incarnation]() {
-    if (m_entries[index]->m_process_incarnation == life) {
+  Post(m_now, [this, index, incarnation = entry.m_process_incarnation]() {
+    if (m_entries[index]->m_process_incarnation == incarnation) {
       TickEntry(index);
     }
   });
@@ -185,11 +185,11 @@
   if (entry.m_scheduler == nullptr) {
     return;
   }
-  const uint64_t life = entry.m_process_incarnation;
+  const uint64_t incarnation = entry.m_process_incarnation;
   const auto tick_at = [&](MonoTime at) {
     entry.m_tick_at = std::max(at, m_now + Milliseconds(1));
-    Post(entry.m_tick_at, [this, index, life, at = entry.m_tick_at]() {
-      if (m_entries[index]->m_process_incarnation == life &&
+    Post(entry.m_tick_at, [this, index, incarnation, at = entry.m_tick_at]() {
+      if (m_entries[index]->m_process_incarnation == incarnation &&
           m_entries[index]->m_tick_at == at) {
         TickEntry(index);
       }
@@ -222,8 +222,8 @@
     return;
   }
   agent.m_tick_at = m_now;
-  Post(m_now, [this, index, life = agent.m_process_incarnation]() {
-    if (m_agents[index]->m_process_incarnation == life) {
+  Post(m_now, [this, index, incarnation = agent.m_process_incarnation]() {
+    if (m_agents[index]->m_process_incarnation == incarnation) {
       TickAgent(index);
     }
   });
@@ -235,11 +235,11 @@
   if (agent.m_executor == nullptr) {
     return;
   }
-  const uint64_t life = agent.m_process_incarnation;
+  const uint64_t incarnation = agent.m_process_incarnation;
   const auto tick_at = [&](MonoTime at) {
     agent.m_tick_at = std::max(at, m_now + Milliseconds(1));
-    Post(agent.m_tick_at, [this, index, life, at = agent.m_tick_at]() {
-      if (m_agents[index]->m_process_incarnation == life &&
+    Post(agent.m_tick_at, [this, index, incarnation, at = agent.m_tick_at]() {
+      if (m_agents[index]->m_process_incarnation == incarnation &&
           m_agents[index]->m_tick_at == at) {
         TickAgent(index);
       }
@@ -257,11 +257,11 @@
         }
       }
     } else if (const auto* start = std::get_if<StartRequest>(&action)) {
-      Order(index, *start);
+      SendRequest(index, *start);
     } else if (const auto* stop = std::get_if<StopRequest>(&action)) {
-      Order(index, *stop);
+      SendRequest(index, *stop);
     } else {
-      Order(index, std::get<PollRequest>(action));
+      SendRequest(index, std::get<PollRequest>(action));
     }
   }
   tick_at(agent.m_executor->NextDeadline(m_now));
@@ -269,24 +269,24 @@
 
 void FleetEmulation::SendHeartbeat(size_t index) {
   Agent& agent = *m_agents[index];
-  const uint64_t life = agent.m_process_incarnation;
+  const uint64_t incarnation = agent.m_process_incarnation;
   if (agent.m_executor == nullptr) {
     return;
   }
-  RunnerHeartbeat report;
-  report.m_process_incarnation = agent.m_runner->life();
-  report.m_service = "service";
-  report.m_zone = "zone-" + std::to_string(index % 4);
-  report.m_labels = {RackOf(index)};
-  report.m_capacity = agent.m_runner->capacity();
-  report.m_is_draining = agent.m_is_draining;
-  report.m_sequence = ++agent.m_heartbeats;
+  RunnerHeartbeat heartbeat;
+  heartbeat.m_process_incarnation = agent.m_runner->incarnation();
+  heartbeat.m_service = "service";
+  heartbeat.m_zone = "zone-" + std::to_string(index % 4);
+  heartbeat.m_labels = {RackOf(index)};
+  heartbeat.m_capacity = agent.m_runner->capacity();
+  heartbeat.m_is_draining = agent.m_is_draining;
+  heartbeat.m_sequence = ++agent.m_heartbeats;
   if (agent.m_frozen_until <= m_now) {
-    agent.m_executor->OnHeartbeat(report, m_now);
+    agent.m_executor->OnHeartbeat(heartbeat, m_now);
     WakeAgent(index);
   }
-  Post(m_now + kHeartbeatInterval, [this, index, life]() {
-    if (m_agents[index]->m_process_incarnation == life) {
+  Post(m_now + kHeartbeatInterval, [this, index, incarnation]() {
+    if (m_agents[index]->m_process_incarnation == incarnation) {
       SendHeartbeat(index);
     }
   });
@@ -311,8 +311,8 @@
     Post(m_now + kResendDelay, [this, job, next]() { Submit(job, next); });
   }
   Post(m_now + kRestartDelay,
-       [this, index, life = entry.m_process_incarnation]() {
-         if (m_entries[index]->m_process_incarnation == life) {
+       [this, index, incarnation = entry.m_process_incarnation]() {
+         if (m_entries[index]->m_process_incarnation == incarnation) {
            StartEntry(index);
          }
        });
@@ -323,15 +323,15 @@
   ++agent.m_process_incarnation;
   agent.m_executor.reset();
   agent.m_tick_at = MonoTime::max();
-  agent.m_looks.clear();
+  agent.m_polls.clear();
   for (const auto& entry : m_entries) {
     if (entry->m_scheduler && entry->m_heard.erase(index) > 0) {
       entry->m_scheduler->OnAgentDisconnected(AgentName(index), m_now);
     }
   }
   Post(m_now + kRestartDelay,
-       [this, index, life = agent.m_process_incarnation]() {
-         if (m_agents[index]->m_process_incarnation == life) {
+       [this, index, incarnation = agent.m_process_incarnation]() {
+         if (m_agents[index]->m_process_incarnation == incarnation) {
            StartAgent(index);
          }
        });
@@ -360,7 +360,7 @@
   m_agents[index]->m_runner->Restart(m_now);
 }
 
-void FleetEmulation::LoseOrders(double share, Microseconds length) {
+void FleetEmulation::LoseRequests(double share, Microseconds length) {
   m_order_loss = share;
   m_order_loss_until = m_now + length;
 }
--- a/emulator/fleet_emulation.h
+++ b/emulator/fleet_emulation.h
@@ -30,7 +30,7 @@
   size_t m_runners_per_rack = 0;
   double m_remote_factor = kDefaultRemoteFactor;
   Microseconds m_link_delay{1400};
-  Microseconds m_order_delay{500};
+  Microseconds m_request_delay{500};
   uint64_t m_seed = 1;
 };
 
@@ -64,7 +64,7 @@
   void HoldLink(size_t entry, size_t agent, Microseconds length);
   void CrashRunner(size_t agent);
   // Share of orders that get no answer and are carried out 2 to 8 s later.
-  void LoseOrders(double share, Microseconds length);
+  void LoseRequests(double share, Microseconds length);
   void DrainRunner(size_t agent);
   void CloseZone(const std::string& zone);
 
@@ -87,13 +87,13 @@
   struct Agent;
   struct Event {
     MonoTime m_at;
-    uint64_t m_order;
+    uint64_t m_sequence;
     std::function<void()> m_action;
   };
   struct Later {
     bool operator()(const Event& left, const Event& right) const {
-      return std::tie(left.m_at, left.m_order) >
-             std::tie(right.m_at, right.m_order);
+      return std::tie(left.m_at, left.m_sequence) >
+             std::tie(right.m_at, right.m_sequence);
     }
   };
 
@@ -124,13 +124,15 @@
   void WakeEntry(size_t index);
   void WakeAgent(size_t index);
   void SendHeartbeat(size_t index);
-  void Order(size_t agent, const StartRequest& order);
-  void Order(size_t agent, const StopRequest& order);
-  void Order(size_t agent, const PollRequest& order);
-  void AnswerLook(size_t agent, uint64_t life, const PollRequest& order);
+  void SendRequest(size_t agent, const StartRequest& request);
+  void SendRequest(size_t agent, const StopRequest& request);
+  void SendRequest(size_t agent, const PollRequest& request);
+  void AnswerPoll(size_t agent,
+                  uint64_t incarnation,
+                  const PollRequest& request);
   void WatchRunner(size_t agent);
   void CheckDoubleRuns();
-  bool IsOrderLost();
+  bool IsRequestLost();
   Microseconds LateDelay();
 
   FleetOptions m_options;
@@ -138,7 +140,7 @@
   std::mt19937_64 m_random;
   MonoTime m_start;
   MonoTime m_now;
-  uint64_t m_next_order = 0;
+  uint64_t m_next_sequence = 0;
   std::priority_queue<Event, std::vector<Event>, Later> m_events;
   std::vector<std::unique_ptr<Entry>> m_entries;
   std::vector<std::unique_ptr<Agent>> m_agents;
--- a/emulator/fleet_links.cc
+++ b/emulator/fleet_links.cc
@@ -18,16 +18,17 @@
 
 // Connects again and again until the agent answers, as an entry does.
 void FleetEmulation::Connect(size_t entry_index, size_t agent_index) {
-  const uint64_t life = m_entries[entry_index]->m_process_incarnation;
+  const uint64_t incarnation = m_entries[entry_index]->m_process_incarnation;
   if (m_entries[entry_index]->m_scheduler == nullptr) {
     return;
   }
   TryConnect(entry_index, agent_index);
-  Post(m_now + kReconnectPause, [this, entry_index, agent_index, life]() {
-    if (m_entries[entry_index]->m_process_incarnation == life) {
-      Connect(entry_index, agent_index);
-    }
-  });
+  Post(m_now + kReconnectPause,
+       [this, entry_index, agent_index, incarnation]() {
+         if (m_entries[entry_index]->m_process_incarnation == incarnation) {
+           Connect(entry_index, agent_index);
+         }
+       });
 }
 
 void FleetEmulation::TryConnect(size_t entry_index, size_t agent_index) {
@@ -75,11 +76,12 @@
   if (IsCut(entry, agent) || !m_entries[entry]->m_heard.contains(agent)) {
     return;
   }
-  const uint64_t life = m_entries[entry]->m_process_incarnation;
-  Post(ArrivalAt(entry, agent), [this, entry, life, agent, sent_at = m_now,
-                                 message = std::move(message)]() {
-    DeliverToAgent(entry, life, agent, sent_at, message);
-  });
+  const uint64_t incarnation = m_entries[entry]->m_process_incarnation;
+  Post(ArrivalAt(entry, agent),
+       [this, entry, incarnation, agent, sent_at = m_now,
+        message = std::move(message)]() {
+         DeliverToAgent(entry, incarnation, agent, sent_at, message);
+       });
 }
 
 void FleetEmulation::SendToEntryLater(size_t agent,
@@ -122,8 +124,8 @@
     agent.m_executor->OnStartRun(entry, received, m_now);
   } else if (const auto* stop = std::get_if<StopRun>(&message)) {
     agent.m_executor->OnStopRun(entry, *stop, m_now);
-  } else if (const auto* claim = std::get_if<EntryHeartbeat>(&message)) {
-    agent.m_executor->OnEntryHeartbeat(entry, *claim, m_now);
+  } else if (const auto* heartbeat = std::get_if<EntryHeartbeat>(&message)) {
+    agent.m_executor->OnEntryHeartbeat(entry, *heartbeat, m_now);
   }
   WakeAgent(agent_index);
 }
--- a/emulator/fleet_processes.h
+++ b/emulator/fleet_processes.h
@@ -24,7 +24,7 @@
 
 // An entry, which can be killed, frozen and restarted.
 struct FleetEmulation::Entry {
-  // Number of the life; tells messages to an earlier one apart.
+  // Number of the incarnation; tells messages to an earlier one apart.
   uint64_t m_process_incarnation = 1;
   std::unique_ptr<JobScheduler> m_scheduler;
   MonoTime m_frozen_until;
@@ -38,7 +38,7 @@
 
 // An agent, which can be killed, frozen and restarted, and its runner.
 struct FleetEmulation::Agent {
-  // Number of the life; tells messages to an earlier one apart.
+  // Number of the incarnation; tells messages to an earlier one apart.
   uint64_t m_process_incarnation = 1;
   std::unique_ptr<RunExecutor> m_executor;
   std::unique_ptr<RunnerEmulation> m_runner;
@@ -48,12 +48,12 @@
   uint64_t m_heartbeats = 0;
   // Last message of each entry on its connection.
   std::map<size_t, MonoTime> m_heard;
-  // Looks that wait for an end.
+  // Polls that wait for an end.
   struct Waiting {
     uint64_t m_process_incarnation;
-    PollRequest m_order;
+    PollRequest m_request;
   };
-  std::vector<Waiting> m_looks;
+  std::vector<Waiting> m_polls;
   // When WatchRunner is called next.
   MonoTime m_watch_at = MonoTime::max();
   ProcessId m_id;
--- a/emulator/runner_emulation.cc
+++ b/emulator/runner_emulation.cc
@@ -18,11 +18,11 @@
 
 }  // namespace
 
-RunnerEmulation::RunnerEmulation(RunnerIncarnation life,
+RunnerEmulation::RunnerEmulation(RunnerIncarnation incarnation,
                                  Resources capacity,
                                  double slowness,
                                  const Behaviours& behaviours)
-    : m_process_incarnation(std::move(life)),
+    : m_process_incarnation(std::move(incarnation)),
       m_capacity(capacity),
       m_slowness(slowness),
       m_behaviours(behaviours) {}
@@ -44,27 +44,27 @@
   m_lease_until = std::max(m_lease_until, until);
 }
 
-StartResult RunnerEmulation::Start(const StartRequest& order, MonoTime now) {
+StartResult RunnerEmulation::Start(const StartRequest& request, MonoTime now) {
   Advance(now);
-  if (order.m_process_incarnation != m_process_incarnation) {
+  if (request.m_process_incarnation != m_process_incarnation) {
     return StartResult::kOtherIncarnation;
   }
-  if (IsFenced(order.m_fencing_token)) {
+  if (IsFenced(request.m_fencing_token)) {
     return StartResult::kFenced;
   }
-  Renew(order.m_lease_until);
-  if (m_running.contains(order.m_run)) {
+  Renew(request.m_lease_until);
+  if (m_running.contains(request.m_run)) {
     return StartResult::kStarted;
   }
-  const auto closed = m_closed_numbers.find(order.m_run.m_task);
+  const auto closed = m_closed_numbers.find(request.m_run.m_task);
   if (closed != m_closed_numbers.end() &&
-      order.m_run.m_number <= closed->second) {
+      request.m_run.m_number <= closed->second) {
     return StartResult::kNumberTooLow;
   }
   if (m_lease_until < Clock(now)) {
     return StartResult::kRejected;
   }
-  const TaskBehaviour& task = m_behaviours.at(order.m_run.m_task);
+  const TaskBehaviour& task = m_behaviours.at(request.m_run.m_task);
   Running run;
   run.m_demand = task.m_demand;
   run.m_started_at = now;
@@ -75,8 +75,8 @@
     run.m_left = Scale(run.m_left, m_remote_factor);
   }
   run.m_fails = task.m_always_fails || m_fails_all;
-  m_running[order.m_run] = run;
-  m_started_jobs.insert(order.m_run.m_task.m_job);
+  m_running[request.m_run] = run;
+  m_started_jobs.insert(request.m_run.m_task.m_job);
   ++m_starts;
   if (!UsedRoom().Fits(m_capacity)) {
     ++m_overloads;
@@ -84,37 +84,37 @@
   return StartResult::kStarted;
 }
 
-StopResult RunnerEmulation::Stop(const StopRequest& order, MonoTime now) {
+StopResult RunnerEmulation::Stop(const StopRequest& request, MonoTime now) {
   Advance(now);
-  if (order.m_process_incarnation != m_process_incarnation) {
+  if (request.m_process_incarnation != m_process_incarnation) {
     return StopResult::kOtherIncarnation;
   }
-  if (IsFenced(order.m_fencing_token)) {
+  if (IsFenced(request.m_fencing_token)) {
     return StopResult::kFenced;
   }
-  uint64_t& closed = m_closed_numbers[order.m_run.m_task];
-  closed = std::max(closed, order.m_run.m_number);
-  if (m_running.contains(order.m_run)) {
-    End(order.m_run, RunOutcome::kStopped);
+  uint64_t& closed = m_closed_numbers[request.m_run.m_task];
+  closed = std::max(closed, request.m_run.m_number);
+  if (m_running.contains(request.m_run)) {
+    End(request.m_run, RunOutcome::kStopped);
   }
   return StopResult::kAccepted;
 }
 
-std::variant<RunLists, PollFailure> RunnerEmulation::Look(
-    const PollRequest& order,
+std::variant<RunLists, PollFailure> RunnerEmulation::Poll(
+    const PollRequest& request,
     MonoTime now) {
   Advance(now);
-  if (order.m_process_incarnation != m_process_incarnation) {
+  if (request.m_process_incarnation != m_process_incarnation) {
     return PollFailure::kOtherIncarnation;
   }
-  if (IsFenced(order.m_fencing_token)) {
+  if (IsFenced(request.m_fencing_token)) {
     return PollFailure::kFenced;
   }
-  if (order.m_lease_until) {
-    Renew(*order.m_lease_until);
+  if (request.m_lease_until) {
+    Renew(*request.m_lease_until);
   }
   std::erase_if(m_ended, [&](const EndedRun& row) {
-    return row.m_number <= order.m_acknowledged_ends;
+    return row.m_number <= request.m_acknowledged_ends;
   });
   Measure(now);
   RunLists lists;
--- a/emulator/runner_emulation.h
+++ b/emulator/runner_emulation.h
@@ -32,14 +32,14 @@
  public:
   using Behaviours = std::map<TaskKey, TaskBehaviour>;
 
-  RunnerEmulation(RunnerIncarnation life,
+  RunnerEmulation(RunnerIncarnation incarnation,
                   Resources capacity,
                   double slowness,
                   const Behaviours& behaviours);
 
-  StartResult Start(const StartRequest& order, MonoTime now);
-  StopResult Stop(const StopRequest& order, MonoTime now);
-  std::variant<RunLists, PollFailure> Look(const PollRequest& order,
+  StartResult Start(const StartRequest& request, MonoTime now);
+  StopResult Stop(const StopRequest& request, MonoTime now);
+  std::variant<RunLists, PollFailure> Poll(const PollRequest& request,
                                            MonoTime now);
   // Ends what is due by `now`.
   void Advance(MonoTime now);
@@ -47,7 +47,7 @@
   MonoTime NextEnd() const;
   // Whether an end is listed that has not been acknowledged.
   bool has_news() const { return !m_ended.empty(); }
-  // Everything it runs ends unseen, and it begins a new life.
+  // Everything it runs ends unseen, and it begins a new incarnation.
   void Restart(MonoTime now);
 
   // Tasks whose data is on another rack take `remote_factor` times as long.
@@ -59,10 +59,10 @@
   // Keys of the tasks at work.
   std::vector<TaskKey> Working() const;
   Resources UsedRoom() const;
-  // Ids of all jobs of which a task has started in any life.
+  // Ids of all jobs of which a task has started in any incarnation.
   const std::set<std::string>& StartedJobs() const { return m_started_jobs; }
   const Resources& capacity() const { return m_capacity; }
-  const RunnerIncarnation& life() const { return m_process_incarnation; }
+  const RunnerIncarnation& incarnation() const { return m_process_incarnation; }
   uint64_t starts() const { return m_starts; }
   double lost_core_seconds() const { return m_lost_core_seconds; }
   // Starts that brought it over its capacity.
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-// How often the agent looks for connections on which nothing arrives any more.
+// How often the agent checks for connections on which nothing arrives any more.
 // The runs of an entry whose heartbeats cease are stopped earlier
 // (kEntryHeartbeatTimeout), whether or not its connection is open.
 constexpr Milliseconds kIdleCheckInterval{100};
--- a/net/loop_timer.h
+++ b/net/loop_timer.h
@@ -23,7 +23,7 @@
   LoopTimer& operator=(const LoopTimer&) = delete;
 
   // Replaces the deadline. MonoTime::max() stops the timer; a deadline that has
-  // passed makes the call in the loop's next turn.
+  // passed makes the call in the loop's next iteration.
   void Set(MonoTime deadline);
 
  private:
--- a/net/socket_poller.h
+++ b/net/socket_poller.h
@@ -10,26 +10,26 @@
 
 namespace comfreyshift {
 
-// What is to be known of a socket.
+// The events of a socket that a watch reports.
 enum class SocketInterest : uint8_t {
-  // It can be read, as long as it can.
+  // Level-triggered: the socket is readable.
   kInput,
-  // It can be read or written, as long as it can.
+  // Level-triggered: the socket is readable or writable.
   kInputAndOutput,
-  // More has arrived, or the peer has closed its side; once for each.
+  // Edge-triggered: more input has arrived, or the peer has closed its side.
   kArrivals,
 };
 
-// What has happened on a socket.
+// An event on a watched socket.
 struct SocketEvents {
   // The peer has closed its side, or the connection is broken. Bytes that
   // arrived before may still be read.
   bool m_is_hung_up = false;
 };
 
-// Watches many sockets through one source of the main loop. A turn of GLib's
-// loop visits every source, so one source a connection would make each turn
-// cost as much as there are connections. Use from one thread only.
+// Watches many sockets through one epoll source of the main loop. An iteration
+// of GLib's loop visits every source, so with one source per connection its
+// cost would grow with the number of connections. Use from one thread only.
 class SocketPoller {
  public:
   using ReadyFunction = std::function<void(SocketEvents)>;
@@ -41,7 +41,7 @@
   SocketPoller(const SocketPoller&) = delete;
   SocketPoller& operator=(const SocketPoller&) = delete;
 
-  // Calls `on_ready` for what the interest says, and when the connection is
+  // Calls `on_ready` for the events of `interest`, and when the connection is
   // broken. Returns 0 and logs when the socket cannot be watched.
   WatchId Add(int socket, SocketInterest interest, ReadyFunction on_ready);
   void SetInterest(WatchId watch, SocketInterest interest);
@@ -50,10 +50,10 @@
   // The socket has been closed already; its number may be in use again.
   void Forget(WatchId watch) { m_watches.erase(watch); }
 
-  // Calls `function` once, after the input of this turn of the loop. Calls that
-  // are made by such a function wait for the next turn.
+  // Calls `function` once, after the input of this iteration of the loop.
+  // Functions added by such a function are called in the next iteration.
   void CallAfterInput(std::function<void()> function);
-  // Makes the calls that wait for the end of the input now.
+  // Calls the functions added by CallAfterInput now.
   void RunDeferred();
 
  private:
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -21,8 +21,8 @@
 constexpr double kIntervalTolerance = 1.5;
 // How often the scheduler checks which heartbeats are due.
 constexpr Milliseconds kHeartbeatCheckInterval{20};
-// How often the scheduler looks for runs of agents that have fallen silent. A
-// look visits all agents, so it isn't made at each tick.
+// How often the scheduler checks for runs of agents that have fallen silent.
+// The check visits all agents.
 constexpr Milliseconds kLossCheckInterval{20};
 // A connection on which no status arrives may be dead without ever being
 // closed.
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -164,8 +164,8 @@
   bool m_is_draining = false;
   std::optional<MonoTime> m_last_tick;
   MonoTime m_next_heartbeats_at;
-  // When to look for runs of lost agents next; in the past once an agent's
-  // incarnation or state has changed.
+  // When runs of lost agents are checked for next; at once after a change of an
+  // agent's incarnation.
   MonoTime m_next_loss_check_at;
   // Status interval of the agents in the watch set.
   Microseconds m_watched_interval{0};
--- a/tests/emulator/load_test.cc
+++ b/tests/emulator/load_test.cc
@@ -86,7 +86,7 @@
   EXPECT_GE(Play(kNoPhase,
                  [](FleetEmulation& fleet) {
                    fleet.At(kThird,
-                            [&fleet]() { fleet.LoseOrders(0.06, kThird); });
+                            [&fleet]() { fleet.LoseRequests(0.06, kThird); });
                  }),
             kTargetWorth);
 }
--- a/tests/emulator/promises_test.cc
+++ b/tests/emulator/promises_test.cc
@@ -83,7 +83,7 @@
       fleet.CrashRunner(agent);
       return;
     case Fault::kLoseOrders:
-      fleet.LoseOrders(0.05 * static_cast<double>(where % 10), length);
+      fleet.LoseRequests(0.05 * static_cast<double>(where % 10), length);
       return;
     case Fault::kHang:
       fleet.runner(agent).set_hangs(where % 2 == 0, fleet.now());
--- a/tests/platform/runner_standin.cc
+++ b/tests/platform/runner_standin.cc
@@ -173,7 +173,7 @@
   const MonoTime now = BootClock::now();
   decoded_request.m_answer_by =
       now + Milliseconds(body.value("wait_ms", int64_t{0}));
-  m_runner.Look(decoded_request, now);
+  m_runner.Poll(decoded_request, now);
   m_pending_polls.push_back({request, decoded_request});
   AnswerPolls(now);
 }
@@ -183,7 +183,7 @@
     if (!m_runner.has_news() && poll.m_request_fields.m_answer_by > now) {
       return false;
     }
-    const auto answer = m_runner.Look(poll.m_request_fields, now);
+    const auto answer = m_runner.Poll(poll.m_request_fields, now);
     const auto* lists = std::get_if<RunLists>(&answer);
     if (lists == nullptr) {
       poll.m_request->ReplyJson(409, {{"clock_ms", 1}, {"reason", "fence"}});
