--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <stdarg.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -1136,6 +1137,9 @@
     const std::string port = std::to_string(FreePort("127.0.0.1"));
     m_pid = fork();
     if (m_pid == 0) {
+      // Nothing outlives the case, even if it is killed. Start() is called from
+      // the main thread, which lives as long as the process.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int fd =
           open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
       dup2(fd, STDOUT_FILENO);
