--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -18,7 +18,7 @@
   Fleet fleet;
   fleet.AddSite();
   fleet.Start();
-  fleet.BeginTraffic(140, 2, 200);
+  fleet.BeginTraffic(170, 2, 200);
 
   SleepMs(1000);
   fleet.store().Put("op/evacuate/zona-sur", "{}");
@@ -41,7 +41,7 @@
     fleet.entry(0).m_process->Signal(SIGCONT, "awake");
   }
   const int64_t awake_at = NowMs();
-  SleepUntil(awake_at + 12'000);
+  SleepUntil(awake_at + 16'000);
   const int64_t end = NowMs();
   fleet.EndTraffic();
 
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -10,7 +10,7 @@
 constexpr int64_t kHeartbeatMs = 1500;
 // How long the runner is down.
 constexpr int64_t kDownMs = 100;
-constexpr int kCrashes = 12;
+constexpr int kCrashes = 18;
 // The heartbeat keeps its rhythm, so that the new life's first one comes at any
 // time in the first interval; each crash has another in its first half.
 constexpr int64_t kPhaseStepMs = kHeartbeatMs / 2 / kCrashes;
@@ -26,7 +26,7 @@
   fleet.Start();
   fleet.BeginTraffic(25, 4, 500);
   for (int crash = 0; crash < kCrashes; ++crash) {
-    SleepMs(5000);
+    SleepMs(4000);
     if (TroubleIsOn()) {
       Runner& runner =
           *fleet.agent(static_cast<size_t>(crash) % fleet.agents()).m_runner;
--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -24,6 +24,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -1182,6 +1183,10 @@
     kill(pid, SIGKILL);
     waitpid(pid, nullptr, 0);
   }
+  if (!g_folder.empty() && std::getenv("KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(g_folder, ignored);
+  }
   Record("exit %d", code);
   std::fprintf(stderr, "exit %d\n", code);
   _exit(code);
@@ -1197,7 +1202,9 @@
     Finish(2);
   }
   g_folder = folder;
-  std::fprintf(stderr, "logs of the processes: %s\n", folder);
+  if (std::getenv("KEEP_LOGS") != nullptr) {
+    std::fprintf(stderr, "logs of the processes: %s\n", folder);
+  }
   Record("TROUBLE=%d", TroubleIsOn() ? 1 : 0);
 }
 
