Verify heartbeats of other incarnations with the runner itself

Hypotheses: (1) the agent replaces its runner on the word of the heartbeat and reports all runs as stopped; (2) the entries lose the agent and place the tasks again; (3) the leases lapse because polls go to the wrong id. Evidence, from the agent's log and the case's record: in the millisecond of the foreign heartbeat the agent logs run_not_done with outcome stopped for all runs and runner_not_accepting with the foreign id; its entries stay connected, no lease lapses, and the runner ends the runs as done 0.2 to 0.5 s later.

Cause: a heartbeat, which anyone may send and which may be late, was taken as proof that the runner had ended.

Change: a heartbeat of an incarnation that is not the known one is held until the runner has answered a poll that is addressed to that incarnation with lists of that start time. A 421 or lists of another start time reject it. So the runner's own answer decides, also for late heartbeats, for one that arrives before the runner's own, for the one remembered in the store, and for a runner whose clock was set back. Logs: heartbeat_unverified, heartbeat_verified, heartbeat_rejected; counter heartbeats_rejected_total.

Tests: HeartbeatThatTheRunnerDeniesChangesNothing, RunnerIsAcceptedAfterAForeignHeartbeat, VerificationIsRepeatedUntilTheRunnerAnswers, RunnerIsReplacedByOneWithAnEarlierStartTime and, with real processes, ForeignHeartbeatLeavesTheRunnerItsWork (30 starts for 20 tasks): all seen to fail without the change. Two older tests took a new incarnation from the heartbeat alone, which was the fault; they now let the runner answer and keep their assertions.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -9,6 +9,8 @@
 
 // Interval of stop requests for a run until one is acknowledged.
 constexpr Milliseconds kStopRetryInterval{60};
+// Delay of the next poll that verifies a heartbeat after an inconclusive one.
+constexpr Milliseconds kVerificationRetryDelay{50};
 // Maximum time between two calls of Tick.
 constexpr Milliseconds kMaxTickInterval{150};
 // If the runner has seen a higher token than ours, it came from an earlier
@@ -25,6 +27,11 @@
                    known.m_process_incarnation.m_start_time_ms;
 }
 
+bool IsListOf(const RunnerIncarnation& incarnation, const RunLists& lists) {
+  return !lists.m_start_time_ms ||
+         *lists.m_start_time_ms == incarnation.m_start_time_ms;
+}
+
 }  // namespace
 
 RunExecutor::RunExecutor(ProcessId self, uint64_t token)
@@ -32,20 +39,20 @@
 
 bool RunExecutor::OnHeartbeat(const RunnerHeartbeat& runner_heartbeat,
                               MonoTime now) {
-  const auto& known = m_runner ? m_runner : m_departed_runner;
-  if (known && IsOutdated(runner_heartbeat, *known)) {
-    return false;
-  }
   const bool is_known_incarnation =
       m_runner &&
       m_runner->m_process_incarnation == runner_heartbeat.m_process_incarnation;
   if (!is_known_incarnation) {
-    EndIncarnation(now);
-    BeginIncarnation(runner_heartbeat, now);
-    return true;
+    const bool has_departed = !m_runner && m_departed_runner &&
+                              IsOutdated(runner_heartbeat, *m_departed_runner);
+    if (!has_departed) {
+      m_unverified_heartbeats.Add(runner_heartbeat, now);
+    }
+    return false;
   }
   // An incarnation never changes its service: another writer sent this.
-  if (runner_heartbeat.m_service != m_runner->m_service) {
+  if (IsOutdated(runner_heartbeat, *m_runner) ||
+      runner_heartbeat.m_service != m_runner->m_service) {
     return false;
   }
   m_is_status_due |=
@@ -56,6 +63,7 @@
 }
 
 bool RunExecutor::OnRunnerLeft(const std::string& runner_id, MonoTime now) {
+  m_unverified_heartbeats.RemoveRunner(runner_id);
   if (m_runner && m_runner->m_process_incarnation.m_id == runner_id) {
     EndIncarnation(now);
     m_departed_runner = std::exchange(m_runner, std::nullopt);
@@ -220,6 +228,10 @@
     const RunnerIncarnation& incarnation,
     const std::variant<RunLists, PollFailure>& result,
     MonoTime now) {
+  if (m_unverified_heartbeats.Contains(incarnation)) {
+    OnVerificationResult(incarnation, result, now);
+    return;
+  }
   if (!m_runner || m_runner->m_process_incarnation != incarnation) {
     return;
   }
@@ -231,11 +243,39 @@
     return;
   }
   const auto& lists = std::get<RunLists>(result);
-  if (lists.m_start_time_ms &&
-      *lists.m_start_time_ms != incarnation.m_start_time_ms) {
+  if (!IsListOf(incarnation, lists)) {
     m_poll_schedule.OnFailure(now);
     return;
   }
+  ApplyLists(lists, now);
+}
+
+void RunExecutor::OnVerificationResult(
+    const RunnerIncarnation& incarnation,
+    const std::variant<RunLists, PollFailure>& result,
+    MonoTime now) {
+  if (const auto* failure = std::get_if<PollFailure>(&result)) {
+    if (*failure == PollFailure::kOtherIncarnation) {
+      m_unverified_heartbeats.Take(incarnation);
+      return;
+    }
+    if (*failure == PollFailure::kFenced) {
+      RaiseToken(now);
+    }
+    m_unverified_heartbeats.RetryAt(incarnation, now + kVerificationRetryDelay);
+    return;
+  }
+  const auto& lists = std::get<RunLists>(result);
+  const auto heartbeat = m_unverified_heartbeats.Take(incarnation);
+  if (!IsListOf(incarnation, lists)) {
+    return;
+  }
+  EndIncarnation(now);
+  BeginIncarnation(*heartbeat, now);
+  ApplyLists(lists, now);
+}
+
+void RunExecutor::ApplyLists(const RunLists& lists, MonoTime now) {
   m_poll_schedule.OnLists(lists.m_clock, now);
   ApplyEndedRuns(lists, now);
   ApplyActiveRuns(lists, now);
@@ -450,6 +490,18 @@
   m_actions.push_back(poll);
 }
 
+void RunExecutor::SendVerificationPolls(MonoTime now) {
+  for (const RunnerIncarnation& incarnation :
+       m_unverified_heartbeats.TakeDue(now)) {
+    PollRequest poll;
+    poll.m_process_incarnation = incarnation;
+    poll.m_fencing_token = m_token;
+    poll.m_answer_by = now;
+    poll.m_give_up_at = now + m_request_latency.Timeout();
+    m_actions.push_back(poll);
+  }
+}
+
 RunnerStatus RunExecutor::MakeStatus(MonoTime now) const {
   RunnerStatus status;
   status.m_agent_clock = now;
@@ -488,6 +540,7 @@
   StartWaitingRuns(now);
   SendStops(now);
   SendPoll(now);
+  SendVerificationPolls(now);
   SendStatuses(now);
   return std::exchange(m_actions, {});
 }
@@ -497,7 +550,8 @@
   if (m_runner) {
     next = std::min(next, m_poll_schedule.NextPollAt(NeedsLists()));
   }
-  next = std::min(next, m_runs.NextDeadline(now));
+  next = std::min(
+      {next, m_runs.NextDeadline(now), m_unverified_heartbeats.NextPollAt()});
   if (m_health.retry_at() > now) {
     next = std::min(next, m_health.retry_at());
   }
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -17,6 +17,7 @@
 #include "executor/run_table.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
+#include "executor/unverified_heartbeats.h"
 #include "jobs/jobs.h"
 #include "link/link.h"
 
@@ -32,8 +33,9 @@
   // earlier incarnations of this agent.
   RunExecutor(ProcessId self, uint64_t token);
 
-  // Takes a heartbeat of the runner. Returns false if it is of an earlier
-  // incarnation, or not newer than the last one of its incarnation.
+  // Takes a heartbeat. Returns whether it is the newest of the runner's known
+  // incarnation. One of another incarnation takes effect only after the runner
+  // itself has answered a poll as that incarnation.
   bool OnHeartbeat(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
   // The runner has left for good.
   // Returns whether no runner remains.
@@ -80,10 +82,19 @@
   }
   const std::optional<RunnerHeartbeat>& runner() const { return m_runner; }
   const RunnerHealth& health() const { return m_health; }
+  // Whether a heartbeat of this incarnation has not been verified yet.
+  bool IsUnverified(const RunnerIncarnation& incarnation) const {
+    return m_unverified_heartbeats.Contains(incarnation);
+  }
 
  private:
   void BeginIncarnation(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
   void EndIncarnation(MonoTime now);
+  // Handles the result of a poll that verifies a heartbeat.
+  void OnVerificationResult(const RunnerIncarnation& incarnation,
+                            const std::variant<RunLists, PollFailure>& result,
+                            MonoTime now);
+  void ApplyLists(const RunLists& lists, MonoTime now);
   void Finish(RunTable::Iterator found, RunOutcome outcome, MonoTime now);
   void Report(const RunKey& key,
               RunTable::Run& run,
@@ -100,6 +111,7 @@
   // Whether the runner's lists are needed for more than its reachability.
   bool NeedsLists() const;
   void SendPoll(MonoTime now);
+  void SendVerificationPolls(MonoTime now);
   void SendStatuses(MonoTime now);
   RunnerStatus MakeStatus(MonoTime now) const;
 
@@ -109,6 +121,7 @@
   // The last heartbeat of a runner that has left. Earlier ones may still
   // arrive.
   std::optional<RunnerHeartbeat> m_departed_runner;
+  UnverifiedHeartbeats m_unverified_heartbeats;
   RunnerHealth m_health;
   RunTable m_runs;
   // Reports to send again when a StartRun is repeated.
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -42,7 +42,12 @@
 }
 
 bool AgentNode::OnHeartbeat(const RunnerHeartbeat& report) {
+  const RunnerIncarnation& incarnation = report.m_process_incarnation;
+  const bool was_unverified = m_executor.IsUnverified(incarnation);
   const bool is_new = m_executor.OnHeartbeat(report, BootClock::now());
+  if (!was_unverified && m_executor.IsUnverified(incarnation)) {
+    LogHeartbeatEvent("heartbeat_unverified", incarnation);
+  }
   m_ticker.Wake();
   return is_new;
 }
@@ -261,10 +266,34 @@
       [this, alive = m_is_alive, incarnation = request.m_process_incarnation](
           const std::variant<RunLists, PollFailure>& result) {
         if (*alive) {
-          m_executor.OnPollResult(incarnation, result, BootClock::now());
-          m_ticker.Wake();
+          OnPollResult(incarnation, result);
         }
       });
 }
 
+void AgentNode::OnPollResult(
+    const RunnerIncarnation& incarnation,
+    const std::variant<RunLists, PollFailure>& result) {
+  const bool was_unverified = m_executor.IsUnverified(incarnation);
+  m_executor.OnPollResult(incarnation, result, BootClock::now());
+  if (was_unverified && !m_executor.IsUnverified(incarnation)) {
+    const auto& runner = m_executor.runner();
+    const bool is_runner =
+        runner && runner->m_process_incarnation == incarnation;
+    LogHeartbeatEvent(is_runner ? "heartbeat_verified" : "heartbeat_rejected",
+                      incarnation);
+    if (!is_runner) {
+      m_metrics.Count("heartbeats_rejected_total");
+    }
+  }
+  m_ticker.Wake();
+}
+
+void AgentNode::LogHeartbeatEvent(const char* event,
+                                  const RunnerIncarnation& incarnation) {
+  LogEvent(
+      LogLevel::kInfo, "fleet", event,
+      {{"runner", incarnation.m_id}, {"born_ms", incarnation.m_start_time_ms}});
+}
+
 }  // namespace comfreyshift
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -47,7 +47,8 @@
   // reason if listening on `address` fails.
   bool Listen(const Address& address);
 
-  // Handles a heartbeat of the runner. Returns false if it is out of date.
+  // Handles a heartbeat. Returns false if it is out of date, or not verified
+  // yet to be the runner's.
   bool OnHeartbeat(const RunnerHeartbeat& report);
   // Returns whether no runner remains.
   bool OnRunnerLeft(const std::string& runner_id);
@@ -80,6 +81,10 @@
   void CallRunner(const StartRequest& request);
   void CallRunner(const StopRequest& request);
   void CallRunner(const PollRequest& request);
+  void OnPollResult(const RunnerIncarnation& incarnation,
+                    const std::variant<RunLists, PollFailure>& result);
+  static void LogHeartbeatEvent(const char* event,
+                                const RunnerIncarnation& incarnation);
 
   RunExecutor m_executor;
   RunnerApi m_runner_api;
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -73,12 +73,27 @@
   }
 
   void AnswerPoll(RunLists lists) {
+    AnswerPollAs(kRunnerIncarnation, std::move(lists));
+  }
+
+  // Answers the poll of an incarnation.
+  void AnswerPollAs(const RunnerIncarnation& incarnation, RunLists lists) {
     lists.m_clock = std::chrono::duration_cast<RunnerTime>(m_now - kStart) +
                     RunnerTime(5000);
-    m_executor.OnPollResult(kRunnerIncarnation, lists, m_now);
+    m_executor.OnPollResult(incarnation, lists, m_now);
     Tick();
   }
 
+  size_t CountPolls(const RunnerIncarnation& incarnation) const {
+    return static_cast<size_t>(std::ranges::count(
+        m_polls, incarnation, &PollRequest::m_process_incarnation));
+  }
+
+  void ExpectRunnerIs(const RunnerIncarnation& incarnation) const {
+    ASSERT_TRUE(m_executor.runner());
+    EXPECT_EQ(m_executor.runner()->m_process_incarnation, incarnation);
+  }
+
   void Start(uint32_t index,
              int64_t cpu,
              int64_t urgency = 0,
@@ -340,13 +355,20 @@
   RegisterRunner();
   m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 3), m_now);
   m_executor.OnRunnerLeft(kRunnerIncarnation.m_id, m_now);
+  m_polls.clear();
   EXPECT_FALSE(
       m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 2), m_now));
   EXPECT_FALSE(m_executor.OnHeartbeat(MakeHeartbeat({"older", 50}, 9), m_now));
   EXPECT_FALSE(m_executor.runner());
+  Tick();
+  EXPECT_TRUE(m_polls.empty());
   // A runner that has not left after all goes on with higher numbers.
+  m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 4), m_now);
+  Tick();
+  AnswerPoll({});
+  ExpectRunnerIs(kRunnerIncarnation);
   EXPECT_TRUE(
-      m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 4), m_now));
+      m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 5), m_now));
 }
 
 // Guards against a foreign heartbeat that takes the runner away from its
@@ -369,13 +391,91 @@
   Start(0, 1000);
   m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
                               m_now);
-  m_executor.OnHeartbeat(MakeHeartbeat({"runner", 200}, 1), m_now);
+  const RunnerIncarnation successor{"runner", 200};
+  m_executor.OnHeartbeat(MakeHeartbeat(successor, 1), m_now);
   Tick();
+  RunLists lists;
+  lists.m_start_time_ms = successor.m_start_time_ms;
+  lists.m_running = {{Key(9), 10.0}};
+  AnswerPollAs(successor, lists);
   ASSERT_NE(FindReport(0), nullptr);
   EXPECT_EQ(FindReport(0)->m_outcome, RunOutcome::kStopped);
   EXPECT_FALSE(m_executor.is_accepting(m_now));
 }
 
+// Guards against a heartbeat of another writer, or a late one of an earlier
+// incarnation, that ends the runner's work: its tasks would be started
+// elsewhere while they run here.
+TEST_F(RunExecutorTest, HeartbeatThatTheRunnerDeniesChangesNothing) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  const RunnerIncarnation other_id{"x-1", 5000};
+  const RunnerIncarnation other_start_time{"runner", 5000};
+  EXPECT_FALSE(m_executor.OnHeartbeat(MakeHeartbeat(other_id, 1), m_now));
+  EXPECT_FALSE(
+      m_executor.OnHeartbeat(MakeHeartbeat(other_start_time, 1), m_now));
+  Tick();
+  m_executor.OnPollResult(other_id, PollFailure::kOtherIncarnation, m_now);
+  RunLists lists;
+  lists.m_start_time_ms = kRunnerIncarnation.m_start_time_ms;
+  lists.m_running = {{Key(0), 10.0}};
+  AnswerPollAs(other_start_time, lists);
+  ExpectRunnerIs(kRunnerIncarnation);
+  EXPECT_EQ(FindReport(0), nullptr);
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  EXPECT_TRUE(
+      m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 2), m_now));
+  m_polls.clear();
+  Advance(Milliseconds(200));
+  EXPECT_EQ(CountPolls(other_id), 0U);
+  EXPECT_EQ(CountPolls(other_start_time), 0U);
+}
+
+// Guards against a foreign heartbeat that arrives before the runner's own and
+// keeps the runner from ever getting work.
+TEST_F(RunExecutorTest, RunnerIsAcceptedAfterAForeignHeartbeat) {
+  Connect();
+  const RunnerIncarnation foreign{"x-1", 5000};
+  m_executor.OnHeartbeat(MakeHeartbeat(foreign, 99), m_now);
+  m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 1), m_now);
+  Tick();
+  EXPECT_FALSE(m_executor.runner());
+  AnswerPoll({});
+  m_executor.OnPollResult(foreign, PollFailure::kOtherIncarnation, m_now);
+  Tick();
+  ExpectRunnerIs(kRunnerIncarnation);
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+}
+
+// Guards against a runner that stays unknown because the poll that verifies its
+// heartbeat was lost.
+TEST_F(RunExecutorTest, VerificationIsRepeatedUntilTheRunnerAnswers) {
+  m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 1), m_now);
+  Tick();
+  ASSERT_EQ(CountPolls(kRunnerIncarnation), 1U);
+  m_executor.OnPollResult(kRunnerIncarnation, PollFailure::kNoResponse, m_now);
+  EXPECT_FALSE(m_executor.runner());
+  Advance(Milliseconds(100));
+  ASSERT_EQ(CountPolls(kRunnerIncarnation), 2U);
+  AnswerPoll({});
+  ExpectRunnerIs(kRunnerIncarnation);
+}
+
+// Guards against a runner whose start time lies before that of its predecessor,
+// because the clock of its machine was set back, and which gets no work.
+TEST_F(RunExecutorTest, RunnerIsReplacedByOneWithAnEarlierStartTime) {
+  RegisterRunner();
+  const RunnerIncarnation successor{"successor", 50};
+  m_executor.OnHeartbeat(MakeHeartbeat(successor, 1), m_now);
+  Tick();
+  AnswerPollAs(successor, {});
+  ExpectRunnerIs(successor);
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+}
+
 // Guards against two incarnations of an entry that both act: what the earlier
 // one has sent may be read after the later one has connected.
 TEST_F(RunExecutorTest, ReplacedIncarnationOfAnEntryStartsNothing) {
--- a/tests/platform/malformed_input_test.cc
+++ b/tests/platform/malformed_input_test.cc
@@ -99,11 +99,13 @@
     m_store.Put(AgentKey(""), RecordText(TestAddress(7), ""));
   }
 
-  std::shared_ptr<PendingResponse> PutHeartbeat(const std::string& body) {
+  std::shared_ptr<PendingResponse> PutHeartbeat(
+      const std::string& body,
+      const std::string& runner_id = "i-0") {
     HttpClientOptions options;
     options.m_base_url = "http://" + TestAddress(2).ToString();
     m_client = HttpClient::Make(options).value();
-    return WaitForResponse(Send("PUT", "/api/instances/i-0", body));
+    return WaitForResponse(Send("PUT", "/api/instances/" + runner_id, body));
   }
 
   static std::shared_ptr<PendingResponse> WaitForResponse(
@@ -190,6 +192,34 @@
   ExpectAllRunning();
 }
 
+// Guards against a foreign heartbeat that takes the place of the agent's
+// runner: its runs would be started again elsewhere while they go on, and it
+// would get no more work, also after a restart of the agent.
+TEST_F(MalformedInputTest, ForeignHeartbeatLeavesTheRunnerItsWork) {
+  ConfigureAndWaitUntilReady();
+  const auto job = SubmitJob(20);
+  RunFor(Milliseconds(50));
+  const std::string foreign =
+      ReplaceFirst(ReplaceFirst(HeartbeatText("ready"), "\"born\":1",
+                                "\"born\":9000000000000"),
+                   "\"service\":\"service\"", "\"service\":\"unknown\"");
+  const auto client = m_client;
+  EXPECT_EQ(PutHeartbeat(foreign, "x-1")->m_status, 200);
+  EXPECT_EQ(PutHeartbeat(foreign)->m_status, 200);
+  m_client = client;
+  EXPECT_EQ(WaitForResponse(job)->m_status, 200);
+  EXPECT_EQ(StartCount(), 20U);
+  EXPECT_EQ(CountEvents(*m_agents[0], "heartbeat_rejected"), 2U);
+  RunFor(Milliseconds(1000));  // Two heartbeats of the runner.
+  StartAgent(0);
+  ASSERT_TRUE(RunUntil(
+      [this]() { return CountEvents(*m_agents[0], "runner_accepting") > 0; }));
+  const uint64_t earlier_starts = m_runners[0]->runner().starts();
+  EXPECT_EQ(WaitForResponse(SubmitJob(20))->m_status, 200);
+  EXPECT_GT(m_runners[0]->runner().starts(), earlier_starts);
+  ExpectAllRunning();
+}
+
 // Guards against a stack overflow: the body of one client would end the entry
 // and the jobs of all clients.
 TEST_F(MalformedInputTest, TooDeeplyNestedJobIsRejected) {
