Let a restarted runner's own lists tell which runs go on

Hypotheses: (1) starts that reached the new life before its first heartbeat are reported as stopped while they run; (2) the same leases are held by both lives; (3) late starts are carried out after the rerun.

Cause: an incarnation was taken to end with all started runs. But a request names only the runner's id, which a restarted runner keeps, so that a run may be in either life. Every list named the new life, and was thrown away for it.

Change: lists or a verified heartbeat of another start time under the same id begin a new incarnation that keeps the runs. The token rises, so that the runner rejects start requests that are still on their way; only lists that it returns after having seen that token decide: a listed run goes on, another one has ended with the earlier life, one without an answer is stopped first. Nothing new starts before the heartbeat tells the new life's capacity and labels. Leases there count with the runner's maximum, because their ends were computed from the earlier clock.

Tests: RunThatARestartedRunnerListsGoesOn, RunGoesOnWhenTheHeartbeatTellsOfTheRestart, LateStartsAreFencedBeforeARestartedRunnersListsCount, RunOnARestartedRunnerThatGoesSilentKeepsItsLease.

--- a/emulator/runner_emulation.cc
+++ b/emulator/runner_emulation.cc
@@ -40,19 +40,25 @@
   return false;
 }
 
-void RunnerEmulation::Renew(RunnerTime until) {
-  m_lease_until = std::max(m_lease_until, until);
+// A request names the id only, which the runner keeps when it restarts.
+bool RunnerEmulation::IsAddressed(const RunnerIncarnation& target) const {
+  return target.m_id == m_process_incarnation.m_id;
+}
+
+void RunnerEmulation::Renew(RunnerTime until, MonoTime now) {
+  m_lease_until =
+      std::max(m_lease_until, std::min(until, Clock(now) + kMaxRunnerLease));
 }
 
 StartResult RunnerEmulation::Start(const StartRequest& request, MonoTime now) {
   Advance(now);
-  if (request.m_process_incarnation != m_process_incarnation) {
+  if (!IsAddressed(request.m_process_incarnation)) {
     return StartResult::kOtherIncarnation;
   }
   if (IsFenced(request.m_fencing_token)) {
     return StartResult::kFenced;
   }
-  Renew(request.m_lease_until);
+  Renew(request.m_lease_until, now);
   if (m_running.contains(request.m_run)) {
     return StartResult::kStarted;
   }
@@ -86,7 +92,7 @@
 
 StopResult RunnerEmulation::Stop(const StopRequest& request, MonoTime now) {
   Advance(now);
-  if (request.m_process_incarnation != m_process_incarnation) {
+  if (!IsAddressed(request.m_process_incarnation)) {
     return StopResult::kOtherIncarnation;
   }
   if (IsFenced(request.m_fencing_token)) {
@@ -104,14 +110,14 @@
     const PollRequest& request,
     MonoTime now) {
   Advance(now);
-  if (request.m_process_incarnation != m_process_incarnation) {
+  if (!IsAddressed(request.m_process_incarnation)) {
     return PollFailure::kOtherIncarnation;
   }
   if (IsFenced(request.m_fencing_token)) {
     return PollFailure::kFenced;
   }
   if (request.m_lease_until) {
-    Renew(*request.m_lease_until);
+    Renew(*request.m_lease_until, now);
   }
   std::erase_if(m_ended, [&](const EndedRun& row) {
     return row.m_number <= request.m_acknowledged_ends;
@@ -119,6 +125,7 @@
   Measure(now);
   RunLists lists;
   lists.m_clock = Clock(now);
+  lists.m_start_time_ms = m_process_incarnation.m_start_time_ms;
   lists.m_ended = m_ended;
   for (const auto& [key, run] : m_running) {
     const double left =
--- a/emulator/runner_emulation.h
+++ b/emulator/runner_emulation.h
@@ -81,7 +81,8 @@
   using RunTable = std::map<RunKey, Running>;
 
   bool IsFenced(uint64_t token);
-  void Renew(RunnerTime until);
+  bool IsAddressed(const RunnerIncarnation& target) const;
+  void Renew(RunnerTime until, MonoTime now);
   RunnerTime Clock(MonoTime now) const;
   void Measure(MonoTime now);
   MonoTime EndOf(const Running& run) const;
--- a/executor/poll_schedule.h
+++ b/executor/poll_schedule.h
@@ -1,6 +1,7 @@
 #ifndef EXECUTOR_POLL_SCHEDULE_H_
 #define EXECUTOR_POLL_SCHEDULE_H_
 
+#include <algorithm>
 #include <optional>
 
 #include "core/core.h"
@@ -45,6 +46,10 @@
   // Returns the end to which a poll renews the leases of all runs, or nothing
   // if they cannot be renewed.
   std::optional<RunnerTime> RenewLeases(MonoTime now);
+  // Leases may run until `expires_at`, whatever was requested.
+  void ExtendLeases(MonoTime expires_at) {
+    m_lease_expires_at = std::max(m_lease_expires_at, expires_at);
+  }
   // Whether all leases have expired, even if the runner's clock is slow by
   // kRunnerClockDriftFactor.
   bool HaveLeasesExpired(MonoTime now) const;
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -51,11 +51,13 @@
     return false;
   }
   // An incarnation never changes its service: another writer sent this.
-  if (IsOutdated(runner_heartbeat, *m_runner) ||
-      runner_heartbeat.m_service != m_runner->m_service) {
+  if (m_is_runner_described &&
+      (IsOutdated(runner_heartbeat, *m_runner) ||
+       runner_heartbeat.m_service != m_runner->m_service)) {
     return false;
   }
   m_is_status_due |=
+      !std::exchange(m_is_runner_described, true) ||
       m_runner->m_is_draining != runner_heartbeat.m_is_draining ||
       m_runner->m_capacity != runner_heartbeat.m_capacity;
   m_runner = runner_heartbeat;
@@ -75,6 +77,7 @@
 void RunExecutor::BeginIncarnation(const RunnerHeartbeat& runner_heartbeat,
                                    MonoTime now) {
   m_runner = runner_heartbeat;
+  m_is_runner_described = true;
   m_health.Reset();
   m_orphaned_runs.clear();
   m_acknowledged_ends = 0;
@@ -83,7 +86,38 @@
   m_is_status_due = true;
 }
 
-// All started runs have ended with the old incarnation of the runner.
+void RunExecutor::OnRunnerRestarted(int64_t start_time_ms, MonoTime now) {
+  RunnerIncarnation incarnation = m_runner->m_process_incarnation;
+  incarnation.m_start_time_ms = start_time_ms;
+  if (const auto heartbeat = m_unverified_heartbeats.Take(incarnation)) {
+    ResumeInIncarnation(*heartbeat, now);
+    return;
+  }
+  RunnerHeartbeat undescribed = *m_runner;
+  undescribed.m_process_incarnation = incarnation;
+  ResumeInIncarnation(undescribed, now);
+  m_is_runner_described = false;
+}
+
+// A started run may be in either incarnation, since its start request reached
+// whichever was there. The lists and the answers of the new one tell, but only
+// once it has seen a higher token: from then on it rejects start requests that
+// were sent before and are still on their way.
+void RunExecutor::ResumeInIncarnation(const RunnerHeartbeat& runner_heartbeat,
+                                      MonoTime now) {
+  BeginIncarnation(runner_heartbeat, now);
+  ++m_token;
+  if (m_runs.NeedsLease()) {
+    m_poll_schedule.ExtendLeases(now + kMaxRunnerLease);
+  }
+}
+
+bool RunExecutor::IsSentToRunner(const RunnerIncarnation& incarnation) const {
+  return m_runner && m_runner->m_process_incarnation.m_id == incarnation.m_id;
+}
+
+// All started runs have ended with the old incarnation of the runner, whose id
+// the new one does not have.
 void RunExecutor::EndIncarnation(MonoTime now) {
   for (auto run = m_runs.begin(); run != m_runs.end();) {
     const auto next = std::next(run);
@@ -170,8 +204,7 @@
                                    StartResult result,
                                    MonoTime now) {
   const auto found = m_runs.Find(key);
-  if (found == m_runs.end() || !m_runner ||
-      m_runner->m_process_incarnation != incarnation) {
+  if (found == m_runs.end() || !IsSentToRunner(incarnation)) {
     return;
   }
   RunTable::Run& run = found->second;
@@ -179,7 +212,8 @@
     m_health.OnFailure(now);
     m_is_status_due = true;
   }
-  if (result == StartResult::kFenced) {
+  // A lower token than the present one says nothing about the present one.
+  if (result == StartResult::kFenced && run.m_fencing_token == m_token) {
     RaiseToken(now);
   }
   m_request_latency.AddSample(result, now - run.m_started_at);
@@ -209,7 +243,7 @@
                                   const RunKey& key,
                                   StopResult result,
                                   MonoTime now) {
-  if (!m_runner || m_runner->m_process_incarnation != incarnation) {
+  if (!IsSentToRunner(incarnation)) {
     return;
   }
   if (result == StopResult::kFenced) {
@@ -244,7 +278,7 @@
   }
   const auto& lists = std::get<RunLists>(result);
   if (!IsListOf(incarnation, lists)) {
-    m_poll_schedule.OnFailure(now);
+    OnRunnerRestarted(*lists.m_start_time_ms, now);
     return;
   }
   ApplyLists(lists, now);
@@ -270,6 +304,10 @@
   if (!IsListOf(incarnation, lists)) {
     return;
   }
+  if (IsSentToRunner(incarnation)) {
+    ResumeInIncarnation(*heartbeat, now);
+    return;
+  }
   EndIncarnation(now);
   BeginIncarnation(*heartbeat, now);
   ApplyLists(lists, now);
@@ -371,9 +409,10 @@
 }
 
 bool RunExecutor::is_accepting(MonoTime now) const {
-  return m_runner && !m_runner->m_is_draining && !m_is_draining &&
-         m_is_reconciled && !m_closed_zones.contains(m_runner->m_zone) &&
-         m_health.IsUsable(now) && m_poll_schedule.IsReachable(now);
+  return m_runner && m_is_runner_described && !m_runner->m_is_draining &&
+         !m_is_draining && m_is_reconciled &&
+         !m_closed_zones.contains(m_runner->m_zone) && m_health.IsUsable(now) &&
+         m_poll_schedule.IsReachable(now);
 }
 
 void RunExecutor::StopRunsOfLostEntries(MonoTime now) {
@@ -422,6 +461,7 @@
     ++reservations;
     run.SetState(RunTable::State::kStarting, now);
     run.m_started_at = now;
+    run.m_fencing_token = m_token;
     const RunnerTime lease_until = m_poll_schedule.GrantLease(now);
     m_actions.push_back(
         StartRequest{m_runner->m_process_incarnation, found->first,
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -90,6 +90,15 @@
  private:
   void BeginIncarnation(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
   void EndIncarnation(MonoTime now);
+  // The runner was started again under its id, at `start_time_ms`. Its
+  // heartbeat may come later; until then its capacity and labels are not known.
+  void OnRunnerRestarted(int64_t start_time_ms, MonoTime now);
+  // Begins a restarted incarnation that `runner_heartbeat` describes.
+  void ResumeInIncarnation(const RunnerHeartbeat& runner_heartbeat,
+                           MonoTime now);
+  // Whether a request to `incarnation` may have reached the present one. A
+  // request names the runner's id, which a restarted runner keeps.
+  bool IsSentToRunner(const RunnerIncarnation& incarnation) const;
   // Handles the result of a poll that verifies a heartbeat.
   void OnVerificationResult(const RunnerIncarnation& incarnation,
                             const std::variant<RunLists, PollFailure>& result,
@@ -122,6 +131,9 @@
   // arrive.
   std::optional<RunnerHeartbeat> m_departed_runner;
   UnverifiedHeartbeats m_unverified_heartbeats;
+  // Whether m_runner holds a heartbeat of its incarnation. If not, all but the
+  // incarnation is from the one before.
+  bool m_is_runner_described = false;
   RunnerHealth m_health;
   RunTable m_runs;
   // Reports to send again when a StartRun is repeated.
@@ -136,7 +148,8 @@
   PollSchedule m_poll_schedule;
   RequestLatency m_request_latency;
   uint64_t m_acknowledged_ends = 0;
-  // Whether a list without orphaned runs has been read. Nothing starts before,
+  // Whether a list without orphaned runs has been read from this incarnation of
+  // the runner. Nothing starts before,
   // since earlier runs may still hold capacity.
   bool m_is_reconciled = false;
 
--- a/executor/run_table.h
+++ b/executor/run_table.h
@@ -37,6 +37,8 @@
     State m_state = State::kWaiting;
     // When the start was requested.
     MonoTime m_started_at;
+    // Fencing token of the start request.
+    uint64_t m_fencing_token = 0;
     // Lists of polls sent before this time may not show the state yet.
     MonoTime m_state_since;
     MonoTime m_next_stop_at;
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -11,6 +11,8 @@
 const ProcessId kEntry{"entry", 1};
 const ProcessId kOtherEntry{"other", 1};
 const RunnerIncarnation kRunnerIncarnation{"runner", 100};
+// The incarnation in which the runner was started again under its id.
+const RunnerIncarnation kRestarted{"runner", 200};
 
 RunKey Key(uint32_t index, uint64_t number = 1) {
   return {{"job", 0, index}, number};
@@ -391,7 +393,7 @@
   Start(0, 1000);
   m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
                               m_now);
-  const RunnerIncarnation successor{"runner", 200};
+  const RunnerIncarnation successor{"successor", 200};
   m_executor.OnHeartbeat(MakeHeartbeat(successor, 1), m_now);
   Tick();
   RunLists lists;
@@ -403,6 +405,112 @@
   EXPECT_FALSE(m_executor.is_accepting(m_now));
 }
 
+// Guards against reporting a run as stopped while it runs in the runner's next
+// incarnation, which its start request reached before the agent knew of it.
+TEST_F(RunExecutorTest, RunThatARestartedRunnerListsGoesOn) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  Start(1, 1000);
+  for (const uint32_t index : {0U, 1U}) {
+    m_executor.OnStartRunResult(kRunnerIncarnation, Key(index),
+                                StartResult::kStarted, m_now);
+  }
+  Advance(Milliseconds(20));
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  lists.m_running = {{Key(1), 10.0}};
+  AnswerPoll(lists);
+  EXPECT_TRUE(m_reports.empty());
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+  AnswerPollAs(kRestarted, lists);
+  ASSERT_NE(FindReport(0), nullptr);
+  EXPECT_EQ(FindReport(0)->m_outcome, RunOutcome::kStopped);
+  EXPECT_EQ(FindReport(1), nullptr);
+  // Its capacity and labels are not known before its heartbeat.
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+  EXPECT_TRUE(m_executor.OnHeartbeat(MakeHeartbeat(kRestarted, 1), m_now));
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  EXPECT_EQ(FindReport(1), nullptr);
+  Advance(Milliseconds(20));
+  lists.m_running = {};
+  lists.m_ended = {{1, Key(1), RunOutcome::kDone}};
+  AnswerPollAs(kRestarted, lists);
+  ASSERT_NE(FindReport(1), nullptr);
+  EXPECT_EQ(FindReport(1)->m_outcome, RunOutcome::kDone);
+}
+
+// Guards against the same fault when the heartbeat of the next incarnation
+// arrives before any of its lists.
+TEST_F(RunExecutorTest, RunGoesOnWhenTheHeartbeatTellsOfTheRestart) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  m_executor.OnHeartbeat(MakeHeartbeat(kRestarted, 1), m_now);
+  Advance(Milliseconds(20));
+  EXPECT_TRUE(m_reports.empty());
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  lists.m_running = {{Key(0), 10.0}};
+  AnswerPollAs(kRestarted, lists);
+  ExpectRunnerIs(kRestarted);
+  AnswerPollAs(kRestarted, lists);
+  EXPECT_TRUE(m_reports.empty());
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+}
+
+// Guards against a late start request that a restarted runner carries out after
+// its task was started elsewhere.
+TEST_F(RunExecutorTest, LateStartsAreFencedBeforeARestartedRunnersListsCount) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  ASSERT_EQ(m_starts.size(), 1U);
+  Advance(Milliseconds(20));
+  m_polls.clear();
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  AnswerPoll(lists);
+  ASSERT_EQ(CountPolls(kRestarted), 1U);
+  EXPECT_GT(m_polls.back().m_fencing_token, m_starts[0].m_fencing_token);
+  // The result of the start request decides, also after the restart.
+  AnswerPollAs(kRestarted, lists);
+  EXPECT_TRUE(m_reports.empty());
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kUnknown,
+                              m_now);
+  Tick();
+  ASSERT_EQ(m_stops.size(), 1U);
+  EXPECT_EQ(m_stops[0].m_process_incarnation, kRestarted);
+  m_executor.OnStopRunResult(kRestarted, Key(0), StopResult::kAccepted, m_now);
+  Advance(Milliseconds(20));
+  AnswerPollAs(kRestarted, lists);
+  Advance(Milliseconds(20));
+  AnswerPollAs(kRestarted, lists);
+  ASSERT_NE(FindReport(0), nullptr);
+}
+
+// Guards against taking the leases on a restarted runner for expired: it grants
+// the longest lease to an end that was computed from its earlier clock.
+TEST_F(RunExecutorTest, RunOnARestartedRunnerThatGoesSilentKeepsItsLease) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  AnswerPoll(lists);
+  const MonoTime restarted_at = m_now;
+  while (FindReport(0) == nullptr) {
+    ASSERT_LT(m_now, kStart + Milliseconds(3000));
+    m_executor.OnPollResult(kRestarted, PollFailure::kNoResponse, m_now);
+    Advance(Milliseconds(10));
+  }
+  EXPECT_GE(m_now, restarted_at + kMaxRunnerLease);
+}
+
 // Guards against a heartbeat of another writer, or a late one of an earlier
 // incarnation, that ends the runner's work: its tasks would be started
 // elsewhere while they run here.
