Apply the changes that a watch returns in the order of their revisions

Hypotheses: (1) the watch of the woken entry misses the second evacuation; (2) it gets both changes and ends with the wrong one; (3) agents start what the entry placed before. Evidence from the case's record: the entry's first watch after it woke is answered with 'removed at 125, written at 126', so not (1), and no later change corrects it; the starts go on for 16 s, so not (3).

Cause: the decoder sorted an answer into written items and removed keys, and the mirror applied all writes first and all removals after them.

A change without a revision makes the answer malformed, and a listing follows. The same code keeps the list of agents and the configuration, so that an agent that restarts while an entry is cut off stays known to it.

ChangesOfAWatchAreInTheOrderOfTheirRevisions and RejectsChangesWithoutARevision guard the decoder, whose interface is new.

--- a/tests/platform/store_wire_test.cc
+++ b/tests/platform/store_wire_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
+#include <variant>
 
 #include "tests/platform/wire_texts.h"
 
@@ -23,10 +24,38 @@
       DecodeEvents(R"({"events":[{"key":"k","revision":413,"tombstone":true}],)"
                    R"("at_rev":413})");
   ASSERT_TRUE(events);
-  EXPECT_EQ(events.value().m_removed, std::vector<std::string>{"k"});
+  ASSERT_EQ(events.value().m_changes.size(), 1U);
+  const auto* removal =
+      std::get_if<StoreRemoval>(&events.value().m_changes.front());
+  ASSERT_NE(removal, nullptr);
+  EXPECT_EQ(removal->m_key, "k");
+  EXPECT_EQ(removal->m_revision, 413U);
   EXPECT_FALSE(DecodeRange("{}"));
 }
 
+// Guards against changes of one key that are applied in another order than they
+// were made, in whichever order the answer lists them.
+TEST(StoreWireTest, ChangesOfAWatchAreInTheOrderOfTheirRevisions) {
+  const std::string removed = R"({"key":"k","revision":20,"tombstone":true})";
+  const std::string written = R"({"key":"k","value":"","revision":21})";
+  for (const std::string& list :
+       {removed + "," + written, written + "," + removed}) {
+    const auto changes =
+        DecodeEvents("{\"events\":[" + list + "],\"at_rev\":21}");
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes.value().m_changes.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<StoreRemoval>(
+        changes.value().m_changes.front()));
+    EXPECT_TRUE(
+        std::holds_alternative<StoreItem>(changes.value().m_changes.back()));
+  }
+}
+
+// Guards against a change that cannot be put in order; a listing follows.
+TEST(StoreWireTest, RejectsChangesWithoutARevision) {
+  EXPECT_FALSE(DecodeEvents(R"({"events":[{"key":"k"}],"at_rev":21})"));
+}
+
 // Guards against a restarted agent that has to wait for the runner's next
 // heartbeat.
 TEST(StoreWireTest, AgentRecordsIncludeRunnerHeartbeat) {
