Report the runs of a leaving runner once they have ended

Change: a runner that leaves gets no new runs, its runs are stopped, and each is reported when an answer shows its end or all leases have expired. The runner is forgotten then.

Tests: RunsOfALeavingRunnerAreReportedOnceTheyHaveEnded, RunsOfARunnerThatIsGoneAreReportedWithTheirLeases; seen to fail without it.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -60,6 +60,8 @@
       !std::exchange(m_is_runner_described, true) ||
       m_runner->m_is_draining != runner_heartbeat.m_is_draining ||
       m_runner->m_capacity != runner_heartbeat.m_capacity;
+  // A runner that has not left after all goes on with higher numbers.
+  m_has_runner_left = false;
   m_runner = runner_heartbeat;
   return true;
 }
@@ -67,17 +69,28 @@
 bool RunExecutor::OnRunnerLeft(const std::string& runner_id, MonoTime now) {
   m_unverified_heartbeats.RemoveRunner(runner_id);
   if (m_runner && m_runner->m_process_incarnation.m_id == runner_id) {
-    EndIncarnation(now);
-    m_departed_runner = std::exchange(m_runner, std::nullopt);
+    m_has_runner_left = true;
     m_is_status_due = true;
+    for (auto& [key, run] : m_runs) {
+      run.RequestStop(now);
+    }
+    RemoveDepartedRunner();
+  }
+  return !m_runner || m_has_runner_left;
+}
+
+void RunExecutor::RemoveDepartedRunner() {
+  if (m_has_runner_left && m_runs.CountReservations() == 0) {
+    m_has_runner_left = false;
+    m_departed_runner = std::exchange(m_runner, std::nullopt);
   }
-  return !m_runner;
 }
 
 void RunExecutor::BeginIncarnation(const RunnerHeartbeat& runner_heartbeat,
                                    MonoTime now) {
   m_runner = runner_heartbeat;
   m_is_runner_described = true;
+  m_has_runner_left = false;
   m_health.Reset();
   m_orphaned_runs.clear();
   m_acknowledged_ends = 0;
@@ -409,8 +422,8 @@
 }
 
 bool RunExecutor::is_accepting(MonoTime now) const {
-  return m_runner && m_is_runner_described && !m_runner->m_is_draining &&
-         !m_is_draining && m_is_reconciled &&
+  return m_runner && m_is_runner_described && !m_has_runner_left &&
+         !m_runner->m_is_draining && !m_is_draining && m_is_reconciled &&
          !m_closed_zones.contains(m_runner->m_zone) && m_health.IsUsable(now) &&
          m_poll_schedule.IsReachable(now);
 }
@@ -501,12 +514,18 @@
     return;
   }
   bool has_expired_runs = false;
-  for (auto& [key, run] : m_runs) {
+  for (auto found = m_runs.begin(); found != m_runs.end();) {
+    const auto next = std::next(found);
+    RunTable::Run& run = found->second;
     if (run.HoldsReservation()) {
       has_expired_runs |= !run.m_is_reported;
       run.RequestStop(now);
-      Report(key, run, RunOutcome::kStopped, now);
+      Report(found->first, run, RunOutcome::kStopped, now);
+      if (m_has_runner_left) {
+        m_runs.Erase(found);
+      }
     }
+    found = next;
   }
   m_token += has_expired_runs ? 1 : 0;
 }
@@ -576,6 +595,7 @@
   StopRunsOfLostEntries(now);
   ExpireUnreachableRuns(now);
   StopExpiredRuns(now);
+  RemoveDepartedRunner();
   m_reports.RemoveExpired(now);
   StartWaitingRuns(now);
   SendStops(now);
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -37,8 +37,9 @@
   // incarnation. One of another incarnation takes effect only after the runner
   // itself has answered a poll as that incarnation.
   bool OnHeartbeat(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
-  // The runner has left for good.
-  // Returns whether no runner remains.
+  // The runner says that it leaves for good. Its runs are stopped; they are
+  // reported once its answers or its leases show that they have ended. Returns
+  // whether no runner remains for new runs.
   bool OnRunnerLeft(const std::string& runner_id, MonoTime now);
   void OnClosedZones(const ClosedZones& zones, MonoTime now);
   // Starts no more runs from now on, because the process is stopping.
@@ -104,6 +105,8 @@
                             const std::variant<RunLists, PollFailure>& result,
                             MonoTime now);
   void ApplyLists(const RunLists& lists, MonoTime now);
+  // Forgets the runner that has left once nothing runs on it.
+  void RemoveDepartedRunner();
   void Finish(RunTable::Iterator found, RunOutcome outcome, MonoTime now);
   void Report(const RunKey& key,
               RunTable::Run& run,
@@ -127,6 +130,8 @@
   ProcessId m_self;
   uint64_t m_token;
   std::optional<RunnerHeartbeat> m_runner;
+  // Whether m_runner has left; its runs may not have ended yet.
+  bool m_has_runner_left = false;
   // The last heartbeat of a runner that has left. Earlier ones may still
   // arrive.
   std::optional<RunnerHeartbeat> m_departed_runner;
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -373,6 +373,48 @@
       m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 5), m_now));
 }
 
+// Guards against starting a task elsewhere while it still runs on a runner that
+// has only said that it leaves.
+TEST_F(RunExecutorTest, RunsOfALeavingRunnerAreReportedOnceTheyHaveEnded) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  EXPECT_TRUE(m_executor.OnRunnerLeft(kRunnerIncarnation.m_id, m_now));
+  Tick();
+  EXPECT_EQ(FindReport(0), nullptr);
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+  ASSERT_EQ(m_stops.size(), 1U);
+  Advance(Milliseconds(20));
+  RunLists lists;
+  lists.m_ended = {{1, Key(0), RunOutcome::kStopped}};
+  AnswerPoll(lists);
+  ASSERT_NE(FindReport(0), nullptr);
+  EXPECT_FALSE(m_executor.runner());
+}
+
+// Guards against runs that are never reported because their runner has ended
+// without another list, and against waiting for them when this agent stops.
+TEST_F(RunExecutorTest, RunsOfARunnerThatIsGoneAreReportedWithTheirLeases) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  const MonoTime left_at = m_now;
+  m_executor.OnRunnerLeft(kRunnerIncarnation.m_id, m_now);
+  while (FindReport(0) == nullptr) {
+    ASSERT_LT(m_now, kStart + Milliseconds(2000));
+    m_executor.OnPollResult(kRunnerIncarnation, PollFailure::kNoResponse,
+                            m_now);
+    Advance(Milliseconds(50));
+  }
+  EXPECT_GE(m_now, left_at + kLeaseDuration);
+  EXPECT_FALSE(m_executor.has_runs());
+  EXPECT_FALSE(m_executor.runner());
+}
+
 // Guards against a foreign heartbeat that takes the runner away from its
 // service: the service is fixed for an incarnation.
 TEST_F(RunExecutorTest, HeartbeatOfAnotherServiceIsRejected) {
