Acknowledge no ends after a failed poll

A poll that acknowledges 57 ends of the life before makes it forget the first 57 of the new one, unseen, and a task that was done is run again.

Change: after a poll without usable lists, which is how a crash shows, the next ones acknowledge nothing until lists confirm the incarnation.

Test: NothingIsAcknowledgedAfterAFailedPoll, seen to fail without it. Left: a restart between two idle polls shows by no failure; then nothing has run here.

--- a/executor/poll_schedule.cc
+++ b/executor/poll_schedule.cc
@@ -24,6 +24,7 @@
 
 void PollSchedule::Reset(MonoTime now) {
   m_is_polling = false;
+  m_has_failed = false;
   m_clock = RunnerTime(0);
   m_next_poll_at = now;
   m_last_list_at = now;
@@ -58,6 +59,7 @@
 
 void PollSchedule::OnLists(RunnerTime clock, MonoTime now) {
   m_is_polling = false;
+  m_has_failed = false;
   m_clock = clock;
   m_clock_read_at = now;
   m_last_list_at = now;
@@ -66,6 +68,7 @@
 
 void PollSchedule::OnFailure(MonoTime now) {
   m_is_polling = false;
+  m_has_failed = true;
   m_next_poll_at = now + kPollRetryDelay;
 }
 
--- a/executor/poll_schedule.h
+++ b/executor/poll_schedule.h
@@ -34,6 +34,8 @@
   void OnFailure(MonoTime now);
   // Makes the next poll due at once.
   void PollNow(MonoTime now) { m_next_poll_at = now; }
+  // Whether the last poll returned no usable lists.
+  bool has_failed() const { return m_has_failed; }
   // When the newest poll was sent.
   MonoTime sent_at() const { return m_sent_at; }
 
@@ -61,6 +63,7 @@
   RunnerTime m_clock{0};
   MonoTime m_clock_read_at;
   bool m_is_polling = false;
+  bool m_has_failed = false;
   MonoTime m_sent_at;
   MonoTime m_next_poll_at;
   MonoTime m_last_list_at;
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -542,7 +542,10 @@
       m_poll_schedule.Begin(m_is_reconciled, m_request_latency.Timeout(), now);
   poll.m_process_incarnation = m_runner->m_process_incarnation;
   poll.m_fencing_token = m_token;
-  poll.m_acknowledged_ends = m_acknowledged_ends;
+  // After a failure the runner may have restarted, and its ends are counted
+  // anew: an acknowledgement of earlier ones would make it forget new ones.
+  poll.m_acknowledged_ends =
+      m_poll_schedule.has_failed() ? 0 : m_acknowledged_ends;
   if (m_runs.NeedsLease()) {
     poll.m_lease_until = m_poll_schedule.RenewLeases(now);
   }
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -415,6 +415,27 @@
   EXPECT_FALSE(m_executor.runner());
 }
 
+// Guards against losing the end of a run: a restarted runner counts its ends
+// anew and would forget those that an acknowledgement of earlier ones covers.
+TEST_F(RunExecutorTest, NothingIsAcknowledgedAfterAFailedPoll) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  Advance(Milliseconds(20));
+  RunLists lists;
+  lists.m_ended = {{7, Key(0), RunOutcome::kDone}};
+  AnswerPoll(lists);
+  Start(1, 1000);
+  Advance(Milliseconds(20));
+  ASSERT_EQ(m_polls.back().m_acknowledged_ends, 7U);
+  m_executor.OnPollResult(kRunnerIncarnation, PollFailure::kNoResponse, m_now);
+  Advance(Milliseconds(60));
+  EXPECT_EQ(m_polls.back().m_acknowledged_ends, 0U);
+  AnswerPoll({});
+  Advance(Milliseconds(20));
+  EXPECT_EQ(m_polls.back().m_acknowledged_ends, 7U);
+}
+
 // Guards against a foreign heartbeat that takes the runner away from its
 // service: the service is fixed for an incarnation.
 TEST_F(RunExecutorTest, HeartbeatOfAnotherServiceIsRejected) {
