Write an agent's record only over the one that it knows

Two writes of one process could overtake each other too, and a restarted agent would remember a runner that had left.

Cause: the record was written without a condition.

The stand-in of the store checks conditions now.

--- a/tests/platform/store_wire_test.cc
+++ b/tests/platform/store_wire_test.cc
@@ -74,7 +74,9 @@
 }
 
 TEST(StoreWireTest, EncodesTransactions) {
-  const Json put = Json::parse(EncodePut("k", "node-1", 9));
+  const Json put = Json::parse(EncodePut("k", "node-1", 9, 12));
+  EXPECT_EQ(put["expect"][0]["key"], "k");
+  EXPECT_EQ(put["expect"][0]["revision"], 12);
   EXPECT_EQ(put["puts"][0]["value"], "bm9kZS0x");
   EXPECT_EQ(put["puts"][0]["lease_id"], 9);
 }
--- a/tests/standins/platform_store_standin.cc
+++ b/tests/standins/platform_store_standin.cc
@@ -213,8 +213,37 @@
   });
 }
 
+std::string PlatformStoreStandin::Value(const std::string& key) const {
+  const auto found = m_items.find(key);
+  return found == m_items.end() ? "" : found->second.m_value;
+}
+
+void PlatformStoreStandin::ReleaseTransactions() {
+  m_holds_transactions = false;
+  for (const RequestPointer& request : std::exchange(m_held_transactions, {})) {
+    Execute(request);
+  }
+}
+
 void PlatformStoreStandin::HandleTransaction(const RequestPointer& request) {
+  if (m_holds_transactions) {
+    m_held_transactions.push_back(request);
+  } else {
+    Execute(request);
+  }
+}
+
+void PlatformStoreStandin::Execute(const RequestPointer& request) {
   const Json body = Json::parse(request->body());
+  for (const Json& row : body["expect"]) {
+    const auto found = m_items.find(row["key"].get<std::string>());
+    const uint64_t revision =
+        found == m_items.end() ? 0 : found->second.m_revision;
+    if (row["revision"] != revision) {
+      request->Reply(412, kJson, R"({"items":[]})");
+      return;
+    }
+  }
   for (const Json& put : body["puts"]) {
     const uint64_t lease = put.value("lease_id", uint64_t{0});
     if (lease != 0 && !m_leases.contains(lease)) {
--- a/tests/standins/platform_store_standin.h
+++ b/tests/standins/platform_store_standin.h
@@ -43,6 +43,13 @@
     m_rewrite = std::move(rewrite);
   }
 
+  // Processes' transactions wait until ReleaseTransactions.
+  void HoldTransactions() { m_holds_transactions = true; }
+  // Carries out the transactions that wait; later ones do not wait.
+  void ReleaseTransactions();
+
+  // Value of an item; empty if there is none.
+  std::string Value(const std::string& key) const;
   bool Has(const std::string& key) const { return m_items.contains(key); }
   uint64_t calls() const { return m_calls; }
 
@@ -73,6 +80,7 @@
   void HandleRange(const RequestPointer& request);
   void HandleWatch(const RequestPointer& request);
   void HandleTransaction(const RequestPointer& request);
+  void Execute(const RequestPointer& request);
   void HandleLease(const RequestPointer& request);
   void HandleKeep(const RequestPointer& request);
   void HandleLeaseEnd(const RequestPointer& request);
@@ -92,6 +100,8 @@
   uint64_t m_next_id = 1;
   std::map<uint64_t, bool> m_leases;
   bool m_is_down = false;
+  bool m_holds_transactions = false;
+  std::vector<RequestPointer> m_held_transactions;
   RewriteFunction m_rewrite;
   // Cleared on destruction, for timers that are still due.
   std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
