--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -100,6 +100,19 @@
   EXPECT_FALSE(m_keys.contains("p/zone"));
 }
 
+// Guards against a mirror that never catches up: the changes that it has missed
+// are larger than an answer may be, while the items themselves are not.
+TEST_F(KvMirrorTest, ChangesTooLargeForOneAnswerAreListed) {
+  constexpr size_t kValueBytes = size_t{1} << 20;
+  constexpr int kWrites = 13;
+  ChangeUnseen([this]() {
+    for (int i = 0; i < kWrites; ++i) {
+      m_store.Put("p/large", std::string(kValueBytes, 'x'));
+    }
+  });
+  EXPECT_TRUE(m_keys.contains("p/large"));
+}
+
 // Guards against any series of changes after which the copy differs from the
 // store.
 TEST_F(KvMirrorTest, CopyEqualsTheStoreAfterAnySeriesOfChanges) {
