Ignore lists of a verification that another poll has overtaken

If the regular one shows the restart first, the lists of the other, read before a run's start, were taken for newer ones, and the run could be reported as stopped while it ran.

Change: a poll says its purpose, and a verification that is not awaited any more is ignored.

Test: ListsOfAnOvertakenVerificationAreIgnored, seen to fail without it.

--- a/executor/actions.h
+++ b/executor/actions.h
@@ -35,9 +35,17 @@
   MonoTime m_give_up_at;
 };
 
+enum class PollPurpose : uint8_t {
+  // Reads the lists of the runner's known incarnation.
+  kReadLists,
+  // Shows whether a heartbeat is that of the runner.
+  kVerifyHeartbeat,
+};
+
 // Reads the runner's lists of runs. Its result goes to OnPollResult.
 struct PollRequest {
   RunnerIncarnation m_process_incarnation;
+  PollPurpose m_purpose = PollPurpose::kReadLists;
   uint64_t m_fencing_token = 0;
   // The runner forgets ends up to this number.
   uint64_t m_acknowledged_ends = 0;
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -273,9 +273,10 @@
 
 void RunExecutor::OnPollResult(
     const RunnerIncarnation& incarnation,
+    PollPurpose purpose,
     const std::variant<RunLists, PollFailure>& result,
     MonoTime now) {
-  if (m_unverified_heartbeats.Contains(incarnation)) {
+  if (purpose == PollPurpose::kVerifyHeartbeat) {
     OnVerificationResult(incarnation, result, now);
     return;
   }
@@ -301,6 +302,11 @@
     const RunnerIncarnation& incarnation,
     const std::variant<RunLists, PollFailure>& result,
     MonoTime now) {
+  // Another poll may have shown the incarnation meanwhile. These lists may then
+  // be older than what is known of its runs.
+  if (!m_unverified_heartbeats.Contains(incarnation)) {
+    return;
+  }
   if (const auto* failure = std::get_if<PollFailure>(&result)) {
     if (*failure == PollFailure::kOtherIncarnation) {
       m_unverified_heartbeats.Take(incarnation);
@@ -557,6 +563,7 @@
        m_unverified_heartbeats.TakeDue(now)) {
     PollRequest poll;
     poll.m_process_incarnation = incarnation;
+    poll.m_purpose = PollPurpose::kVerifyHeartbeat;
     poll.m_fencing_token = m_token;
     poll.m_answer_by = now;
     poll.m_give_up_at = now + m_request_latency.Timeout();
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -66,6 +66,7 @@
                        StopResult result,
                        MonoTime now);
   void OnPollResult(const RunnerIncarnation& incarnation,
+                    PollPurpose purpose,
                     const std::variant<RunLists, PollFailure>& result,
                     MonoTime now);
 
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -263,19 +263,21 @@
 void AgentNode::CallRunner(const PollRequest& request) {
   m_runner_api.m_poll(
       request,
-      [this, alive = m_is_alive, incarnation = request.m_process_incarnation](
+      [this, alive = m_is_alive, incarnation = request.m_process_incarnation,
+       purpose = request.m_purpose](
           const std::variant<RunLists, PollFailure>& result) {
         if (*alive) {
-          OnPollResult(incarnation, result);
+          OnPollResult(incarnation, purpose, result);
         }
       });
 }
 
 void AgentNode::OnPollResult(
     const RunnerIncarnation& incarnation,
+    PollPurpose purpose,
     const std::variant<RunLists, PollFailure>& result) {
   const bool was_unverified = m_executor.IsUnverified(incarnation);
-  m_executor.OnPollResult(incarnation, result, BootClock::now());
+  m_executor.OnPollResult(incarnation, purpose, result, BootClock::now());
   if (was_unverified && !m_executor.IsUnverified(incarnation)) {
     const auto& runner = m_executor.runner();
     const bool is_runner =
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -82,6 +82,7 @@
   void CallRunner(const StopRequest& request);
   void CallRunner(const PollRequest& request);
   void OnPollResult(const RunnerIncarnation& incarnation,
+                    PollPurpose purpose,
                     const std::variant<RunLists, PollFailure>& result);
   static void LogHeartbeatEvent(const char* event,
                                 const RunnerIncarnation& incarnation);
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -82,10 +82,24 @@
   void AnswerPollAs(const RunnerIncarnation& incarnation, RunLists lists) {
     lists.m_clock = std::chrono::duration_cast<RunnerTime>(m_now - kStart) +
                     RunnerTime(5000);
-    m_executor.OnPollResult(incarnation, lists, m_now);
+    OnPollResult(incarnation, lists);
     Tick();
   }
 
+  void FailPoll(const RunnerIncarnation& incarnation, PollFailure failure) {
+    OnPollResult(incarnation, failure);
+  }
+
+  // Passes on the result of the poll that is under way to an incarnation.
+  void OnPollResult(const RunnerIncarnation& incarnation,
+                    const std::variant<RunLists, PollFailure>& result) {
+    m_executor.OnPollResult(incarnation,
+                            m_executor.IsUnverified(incarnation)
+                                ? PollPurpose::kVerifyHeartbeat
+                                : PollPurpose::kReadLists,
+                            result, m_now);
+  }
+
   size_t CountPolls(const RunnerIncarnation& incarnation) const {
     return static_cast<size_t>(std::ranges::count(
         m_polls, incarnation, &PollRequest::m_process_incarnation));
@@ -222,8 +236,7 @@
   while (FindReport(0) == nullptr) {
     ASSERT_LT(m_now, kStart + Milliseconds(3000));
     Advance(Milliseconds(50));
-    m_executor.OnPollResult(kRunnerIncarnation, PollFailure::kNoResponse,
-                            m_now);
+    FailPoll(kRunnerIncarnation, PollFailure::kNoResponse);
   }
   m_polls.clear();
   Advance(Milliseconds(100));
@@ -406,8 +419,7 @@
   m_executor.OnRunnerLeft(kRunnerIncarnation.m_id, m_now);
   while (FindReport(0) == nullptr) {
     ASSERT_LT(m_now, kStart + Milliseconds(2000));
-    m_executor.OnPollResult(kRunnerIncarnation, PollFailure::kNoResponse,
-                            m_now);
+    FailPoll(kRunnerIncarnation, PollFailure::kNoResponse);
     Advance(Milliseconds(50));
   }
   EXPECT_GE(m_now, left_at + kLeaseDuration);
@@ -428,7 +440,7 @@
   Start(1, 1000);
   Advance(Milliseconds(20));
   ASSERT_EQ(m_polls.back().m_acknowledged_ends, 7U);
-  m_executor.OnPollResult(kRunnerIncarnation, PollFailure::kNoResponse, m_now);
+  FailPoll(kRunnerIncarnation, PollFailure::kNoResponse);
   Advance(Milliseconds(60));
   EXPECT_EQ(m_polls.back().m_acknowledged_ends, 0U);
   AnswerPoll({});
@@ -524,6 +536,29 @@
   EXPECT_TRUE(m_executor.is_accepting(m_now));
 }
 
+// Guards against taking a run for ended because lists that were read before its
+// start arrive late: the poll that verified the heartbeat was overtaken.
+TEST_F(RunExecutorTest, ListsOfAnOvertakenVerificationAreIgnored) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnHeartbeat(MakeHeartbeat(kRestarted, 1), m_now);
+  Advance(Milliseconds(1));
+  ASSERT_TRUE(m_executor.IsUnverified(kRestarted));
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  lists.m_running = {{Key(0), 10.0}};
+  Advance(Milliseconds(1));
+  AnswerPoll(lists);
+  ExpectRunnerIs(kRestarted);
+  lists.m_running = {};
+  m_executor.OnPollResult(kRestarted, PollPurpose::kVerifyHeartbeat, lists,
+                          m_now);
+  EXPECT_EQ(FindReport(0), nullptr);
+}
+
 // Guards against a late start request that a restarted runner carries out after
 // its task was started elsewhere.
 TEST_F(RunExecutorTest, LateStartsAreFencedBeforeARestartedRunnersListsCount) {
@@ -568,7 +603,7 @@
   const MonoTime restarted_at = m_now;
   while (FindReport(0) == nullptr) {
     ASSERT_LT(m_now, kStart + Milliseconds(3000));
-    m_executor.OnPollResult(kRestarted, PollFailure::kNoResponse, m_now);
+    FailPoll(kRestarted, PollFailure::kNoResponse);
     Advance(Milliseconds(10));
   }
   EXPECT_GE(m_now, restarted_at + kMaxRunnerLease);
@@ -589,7 +624,7 @@
   EXPECT_FALSE(
       m_executor.OnHeartbeat(MakeHeartbeat(other_start_time, 1), m_now));
   Tick();
-  m_executor.OnPollResult(other_id, PollFailure::kOtherIncarnation, m_now);
+  FailPoll(other_id, PollFailure::kOtherIncarnation);
   RunLists lists;
   lists.m_start_time_ms = kRunnerIncarnation.m_start_time_ms;
   lists.m_running = {{Key(0), 10.0}};
@@ -615,7 +650,7 @@
   Tick();
   EXPECT_FALSE(m_executor.runner());
   AnswerPoll({});
-  m_executor.OnPollResult(foreign, PollFailure::kOtherIncarnation, m_now);
+  FailPoll(foreign, PollFailure::kOtherIncarnation);
   Tick();
   ExpectRunnerIs(kRunnerIncarnation);
   EXPECT_TRUE(m_executor.is_accepting(m_now));
@@ -627,7 +662,7 @@
   m_executor.OnHeartbeat(MakeHeartbeat(kRunnerIncarnation, 1), m_now);
   Tick();
   ASSERT_EQ(CountPolls(kRunnerIncarnation), 1U);
-  m_executor.OnPollResult(kRunnerIncarnation, PollFailure::kNoResponse, m_now);
+  FailPoll(kRunnerIncarnation, PollFailure::kNoResponse);
   EXPECT_FALSE(m_executor.runner());
   Advance(Milliseconds(100));
   ASSERT_EQ(CountPolls(kRunnerIncarnation), 2U);
@@ -762,8 +797,7 @@
   m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
                               m_now);
   for (int i = 0; i < 15 && FindReport(0) == nullptr; ++i) {
-    m_executor.OnPollResult(kRunnerIncarnation, PollFailure::kNoResponse,
-                            m_now);
+    FailPoll(kRunnerIncarnation, PollFailure::kNoResponse);
     Advance(Milliseconds(100));
   }
   ASSERT_NE(FindReport(0), nullptr);
