--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -556,6 +556,7 @@
   lists.m_running = {};
   m_executor.OnPollResult(kRestarted, PollPurpose::kVerifyHeartbeat, lists,
                           m_now);
+  Tick();
   EXPECT_EQ(FindReport(0), nullptr);
 }
 
