--- a/tests/platform/store_wire_test.cc
+++ b/tests/platform/store_wire_test.cc
@@ -38,10 +38,11 @@
 TEST(StoreWireTest, ChangesOfAWatchAreInTheOrderOfTheirRevisions) {
   const std::string removed = R"({"key":"k","revision":20,"tombstone":true})";
   const std::string written = R"({"key":"k","value":"","revision":21})";
-  for (const std::string& list :
-       {removed + "," + written, written + "," + removed}) {
-    const auto changes =
-        DecodeEvents("{\"events\":[" + list + "],\"at_rev\":21}");
+  const std::string orders[][2] = {{removed, written}, {written, removed}};
+  for (const auto& [first, second] : orders) {
+    std::string answer = R"({"events":[)";
+    answer.append(first).append(",").append(second).append(R"(],"at_rev":21})");
+    const auto changes = DecodeEvents(answer);
     ASSERT_TRUE(changes);
     ASSERT_EQ(changes.value().m_changes.size(), 2U);
     EXPECT_TRUE(std::holds_alternative<StoreRemoval>(
