Log what shows the end of a run, and why an entry takes it for lost

Change: the agent's run_not_done names the evidence, the entry logs run_not_done for each such report and run_lost for a run that counts as ended without one.

Tests: ReportTellsWhatShowsTheEnd, EntryTellsWhyARunCountsAsLost; both need the new interface.

--- a/emulator/fleet_emulation.cc
+++ b/emulator/fleet_emulation.cc
@@ -205,6 +205,9 @@
       SendToAgentLater(index, agent, std::move(send->m_message));
       continue;
     }
+    if (std::holds_alternative<RunLost>(action)) {
+      continue;
+    }
     const auto& answer = std::get<SendJobResult>(action);
     const auto found = entry.m_jobs.find(answer.m_job);
     if (found != entry.m_jobs.end()) {
--- a/executor/actions.h
+++ b/executor/actions.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "core/core.h"
+#include "executor/end_evidence.h"
 #include "jobs/jobs.h"
 #include "link/link.h"
 
@@ -61,6 +62,8 @@
 struct SendToEntry {
   ProcessId m_entry;
   LinkMessage m_message;
+  // With the first report of a run: what shows its end.
+  std::optional<EndEvidence> m_evidence = std::nullopt;
 };
 
 using ExecutorAction =
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -135,7 +135,7 @@
   for (auto run = m_runs.begin(); run != m_runs.end();) {
     const auto next = std::next(run);
     if (run->second.m_state != RunTable::State::kWaiting) {
-      Finish(run, RunOutcome::kStopped, now);
+      Finish(run, RunOutcome::kStopped, EndEvidence::kRunnerReplaced, now);
     }
     run = next;
   }
@@ -187,7 +187,7 @@
                            start.m_service == m_runner->m_service &&
                            start.m_demand.Fits(m_runner->m_capacity);
   if (!is_possible) {
-    Finish(found, RunOutcome::kNotStarted, now);
+    Finish(found, RunOutcome::kNotStarted, EndEvidence::kNotRequested, now);
   }
 }
 
@@ -198,18 +198,19 @@
   if (found != m_runs.end()) {
     found->second.RequestStop(now);
     if (found->second.m_state == RunTable::State::kWaiting) {
-      Finish(found, RunOutcome::kNotStarted, now);
+      Finish(found, RunOutcome::kNotStarted, EndEvidence::kNotRequested, now);
     }
     return;
   }
   // Messages on a connection stay in order, so the run has ended, or its
   // StartRun was lost with an earlier connection.
-  const RunReport* ended = m_reports.Find(stop.m_run);
-  if (ended == nullptr) {
-    ended = &m_reports.Insert(
-        {stop.m_run, RunOutcome::kNotStarted, false, Microseconds(0)}, now);
+  if (const RunReport* ended = m_reports.Find(stop.m_run)) {
+    m_actions.push_back(SendToEntry{entry, *ended});
+    return;
   }
-  m_actions.push_back(SendToEntry{entry, *ended});
+  const RunReport& unknown = m_reports.Insert(
+      {stop.m_run, RunOutcome::kNotStarted, false, Microseconds(0)}, now);
+  m_actions.push_back(SendToEntry{entry, unknown, EndEvidence::kUnknownRun});
 }
 
 void RunExecutor::OnStartRunResult(const RunnerIncarnation& incarnation,
@@ -247,7 +248,7 @@
     case StartResult::kUnhealthy:
     case StartResult::kOtherIncarnation:
     case StartResult::kNotSent:
-      Finish(found, RunOutcome::kNotStarted, now);
+      Finish(found, RunOutcome::kNotStarted, EndEvidence::kStartRejected, now);
       return;
   }
 }
@@ -364,7 +365,7 @@
     } else if (row.m_outcome == RunOutcome::kFailed) {
       m_health.OnFailure(now);
     }
-    Finish(found, row.m_outcome, now);
+    Finish(found, row.m_outcome, EndEvidence::kEndListed, now);
   }
 }
 
@@ -391,7 +392,7 @@
     } else if (is_newer && (run.m_state == RunTable::State::kRunning ||
                             run.m_state == RunTable::State::kStopped)) {
       // The runner has already forgotten its end, or it never started.
-      Finish(found, RunOutcome::kStopped, now);
+      Finish(found, RunOutcome::kStopped, EndEvidence::kNotListed, now);
     }
     found = next;
   }
@@ -400,6 +401,7 @@
 void RunExecutor::Report(const RunKey& key,
                          RunTable::Run& run,
                          RunOutcome outcome,
+                         EndEvidence evidence,
                          MonoTime now) {
   if (run.m_is_reported) {
     return;
@@ -410,14 +412,15 @@
   const RunReport report{key, outcome, has_run,
                          has_run ? now - run.m_started_at : Microseconds(0)};
   m_reports.Insert(report, now);
-  m_actions.push_back(SendToEntry{run.m_entry, report});
+  m_actions.push_back(SendToEntry{run.m_entry, report, evidence});
   m_entries.OnReport(run.m_entry, now);
 }
 
 void RunExecutor::Finish(RunTable::Iterator found,
                          RunOutcome outcome,
+                         EndEvidence evidence,
                          MonoTime now) {
-  Report(found->first, found->second, outcome, now);
+  Report(found->first, found->second, outcome, evidence, now);
   m_runs.Erase(found);
   m_is_status_due = true;
 }
@@ -455,7 +458,7 @@
                            run.m_start.m_queue_until > now &&
                            run.m_start.m_abandon_at > now;
     if (run.m_state == RunTable::State::kWaiting && !can_start) {
-      Finish(found, RunOutcome::kNotStarted, now);
+      Finish(found, RunOutcome::kNotStarted, EndEvidence::kNotRequested, now);
     }
     found = next;
   }
@@ -526,7 +529,8 @@
     if (run.HoldsReservation()) {
       has_expired_runs |= !run.m_is_reported;
       run.RequestStop(now);
-      Report(found->first, run, RunOutcome::kStopped, now);
+      Report(found->first, run, RunOutcome::kStopped,
+             EndEvidence::kLeasesExpired, now);
       if (m_has_runner_left) {
         m_runs.Erase(found);
       }
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -10,6 +10,7 @@
 
 #include "core/core.h"
 #include "executor/actions.h"
+#include "executor/end_evidence.h"
 #include "executor/entry_table.h"
 #include "executor/poll_schedule.h"
 #include "executor/report_cache.h"
@@ -108,10 +109,14 @@
   void ApplyLists(const RunLists& lists, MonoTime now);
   // Forgets the runner that has left once nothing runs on it.
   void RemoveDepartedRunner();
-  void Finish(RunTable::Iterator found, RunOutcome outcome, MonoTime now);
+  void Finish(RunTable::Iterator found,
+              RunOutcome outcome,
+              EndEvidence evidence,
+              MonoTime now);
   void Report(const RunKey& key,
               RunTable::Run& run,
               RunOutcome outcome,
+              EndEvidence evidence,
               MonoTime now);
   void RaiseToken(MonoTime now);
   void ApplyEndedRuns(const RunLists& lists, MonoTime now);
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -98,7 +98,9 @@
   m_metrics.Set("entries_connected", static_cast<double>(m_sessions.size()));
 }
 
-void AgentNode::RecordReport(const ProcessId& entry, const RunReport& report) {
+void AgentNode::RecordReport(const ProcessId& entry,
+                             const RunReport& report,
+                             EndEvidence evidence) {
   m_metrics.CountRun(report.m_outcome, report.m_run_time);
   if (report.m_outcome == RunOutcome::kDone) {
     return;
@@ -109,6 +111,7 @@
             {"run", report.m_run.m_number},
             {"entry", entry.m_name},
             {"outcome", std::string(ToString(report.m_outcome))},
+            {"evidence", std::string(ToString(evidence))},
             {"run_time_us", report.m_run_time.count()},
             {"accepting", m_was_accepting},
             {"free_cpu_millis", m_executor.FreeCapacity().m_cpu_millis}});
@@ -222,8 +225,9 @@
 
 void AgentNode::Perform(const ExecutorAction& action) {
   if (const auto* send = std::get_if<SendToEntry>(&action)) {
-    if (const auto* report = std::get_if<RunReport>(&send->m_message)) {
-      RecordReport(send->m_entry, *report);
+    const auto* report = std::get_if<RunReport>(&send->m_message);
+    if (report != nullptr && send->m_evidence) {
+      RecordReport(send->m_entry, *report, *send->m_evidence);
     }
     const auto found = m_sessions.find(send->m_entry);
     if (found != m_sessions.end()) {
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -76,7 +76,9 @@
   // not arrived.
   const ProcessId* FindEntry(const SessionPointer& session) const;
   void Perform(const ExecutorAction& action);
-  void RecordReport(const ProcessId& entry, const RunReport& report);
+  void RecordReport(const ProcessId& entry,
+                    const RunReport& report,
+                    EndEvidence evidence);
   void LogAcceptingChange(MonoTime now);
   void CallRunner(const StartRequest& request);
   void CallRunner(const StopRequest& request);
--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -190,6 +190,7 @@
             m_scheduler.OnStatus(name, status, now);
           },
           [&](const RunReport& report) {
+            LogRunEnd(name, report);
             m_scheduler.OnReport(name, report, now);
           },
           [&](const RelayAnswer& response) { m_relay.OnRelayAnswer(response); },
@@ -234,6 +235,27 @@
   m_ticker.Wake();
 }
 
+void EntryNode::LogRunEnd(const std::string& agent, const RunReport& report) {
+  if (report.m_outcome == RunOutcome::kDone) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "fleet", "run_not_done",
+           {{"job", report.m_run.m_task.m_job},
+            {"index", uint64_t{report.m_run.m_task.m_index}},
+            {"run", report.m_run.m_number},
+            {"agent", agent},
+            {"outcome", std::string(ToString(report.m_outcome))}});
+}
+
+void EntryNode::LogRunLost(const RunLost& lost) {
+  LogEvent(LogLevel::kInfo, "fleet", "run_lost",
+           {{"job", lost.m_run.m_task.m_job},
+            {"index", uint64_t{lost.m_run.m_task.m_index}},
+            {"run", lost.m_run.m_number},
+            {"agent", lost.m_agent},
+            {"reason", std::string(ToString(lost.m_reason))}});
+}
+
 void EntryNode::Perform(const SchedulerAction& action) {
   if (const auto* send = std::get_if<SendToAgent>(&action)) {
     const auto found = m_peers.find(send->m_agent);
@@ -242,6 +264,10 @@
     }
     return;
   }
+  if (const auto* lost = std::get_if<RunLost>(&action)) {
+    LogRunLost(*lost);
+    return;
+  }
   const auto& result = std::get<SendJobResult>(action);
   const auto found = m_result_callbacks.find(result.m_job);
   if (found != m_result_callbacks.end()) {
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -81,6 +81,8 @@
   void OnWelcome(const std::string& name, const Welcome& welcome, MonoTime now);
   void OnClosed(const std::string& name,
                 const std::shared_ptr<LinkSession>& session);
+  static void LogRunEnd(const std::string& agent, const RunReport& report);
+  static void LogRunLost(const RunLost& lost);
   void Perform(const SchedulerAction& action);
 
   ProcessId m_self;
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "core/core.h"
@@ -67,7 +68,24 @@
   JobDiagnostics m_diagnostics;
 };
 
-using SchedulerAction = std::variant<SendToAgent, SendJobResult>;
+// Why an entry takes a run for ended that no agent has reported as ended.
+enum class LossReason : uint8_t {
+  // Nothing has come from the agent for so long that the run has ended.
+  kAgentLost,
+  // The agent has been restarted, and its new incarnation accepts work.
+  kAgentReplaced,
+};
+
+std::string_view ToString(LossReason reason);
+
+// A run counts as ended without a report, for the logs.
+struct RunLost {
+  RunKey m_run;
+  std::string m_agent;
+  LossReason m_reason = LossReason::kAgentLost;
+};
+
+using SchedulerAction = std::variant<SendToAgent, SendJobResult, RunLost>;
 
 }  // namespace comfreyshift
 
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -431,7 +431,7 @@
   if (!has_suspects) {
     return;
   }
-  std::vector<RunKey> ended_runs;
+  std::vector<RunLost> lost_runs;
   for (const auto& [run, placement] : m_placements) {
     const AgentView* agent = m_agents.Find(placement.m_agent);
     const bool is_lost =
@@ -441,17 +441,20 @@
                              agent->m_incarnation != placement.m_incarnation &&
                              agent->m_status && agent->m_status->m_is_accepting;
     if (is_lost || is_replaced) {
-      ended_runs.push_back(run);
+      lost_runs.push_back(
+          {run, placement.m_agent,
+           is_lost ? LossReason::kAgentLost : LossReason::kAgentReplaced});
     }
   }
-  for (const RunKey& run : ended_runs) {
-    const auto found = m_placements.find(run);
+  for (RunLost& lost : lost_runs) {
+    const auto found = m_placements.find(lost.m_run);
     const Placement placement = found->second;
     m_placements.erase(found);
     if (AgentView* agent = m_agents.Find(placement.m_agent)) {
       --agent->m_unreported_runs;
     }
-    RecordRunOutcome(run, placement, RunOutcome::kStopped, now);
+    RecordRunOutcome(lost.m_run, placement, RunOutcome::kStopped, now);
+    m_actions.push_back(std::move(lost));
   }
   m_agents.ClearOrphans();
 }
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -59,6 +59,7 @@
   void Collect(const SendToEntry& send) {
     if (const auto* report = std::get_if<RunReport>(&send.m_message)) {
       m_reports.push_back(*report);
+      m_evidence.push_back(send.m_evidence);
     } else if (const auto* status =
                    std::get_if<RunnerStatus>(&send.m_message)) {
       m_status = *status;
@@ -151,6 +152,8 @@
   std::vector<StopRequest> m_stops;
   std::vector<PollRequest> m_polls;
   std::vector<RunReport> m_reports;
+  // What shows the end, for each report; empty for a repeated one.
+  std::vector<std::optional<EndEvidence>> m_evidence;
   std::optional<RunnerStatus> m_status;
 };
 
@@ -768,6 +771,35 @@
   EXPECT_EQ(m_starts.size(), 4U);  // One run at a time until one is done.
 }
 
+// Guards against a run that is reported as ended without a trace of the reason.
+TEST_F(RunExecutorTest, ReportTellsWhatShowsTheEnd) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  Start(1, 1000);
+  Start(2, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(1), StartResult::kStarted,
+                              m_now);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(2),
+                              StartResult::kRejected, m_now);
+  Advance(Milliseconds(70));
+  RunLists lists;
+  lists.m_ended = {{1, Key(0), RunOutcome::kFailed}};
+  AnswerPoll(lists);
+  Advance(Milliseconds(70));
+  AnswerPoll({});
+  m_executor.OnStopRun(kEntry, {Key(0)}, m_now);
+  m_executor.OnStopRun(kEntry, {Key(9)}, m_now);
+  Tick();
+  const std::vector<std::optional<EndEvidence>> expected{
+      EndEvidence::kStartRejected, EndEvidence::kEndListed,
+      EndEvidence::kNotListed, std::nullopt, EndEvidence::kUnknownRun};
+  EXPECT_EQ(m_evidence, expected);
+  EXPECT_EQ(ToString(EndEvidence::kNotListed), "not_listed");
+}
+
 // Guards against a lease that expires because one poll was lost.
 TEST_F(RunExecutorTest, LeaseIsRenewedWhileRunsAreInProgress) {
   Connect();
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -64,6 +64,10 @@
         m_results[result->m_job] = result->m_outcome;
         continue;
       }
+      if (const auto* lost = std::get_if<RunLost>(&action)) {
+        m_lost_runs.push_back(*lost);
+        continue;
+      }
       const auto& send = std::get<SendToAgent>(action);
       if (const auto* start = std::get_if<StartRun>(&send.m_message)) {
         m_starts.push_back({send.m_agent, *start});
@@ -112,6 +116,7 @@
   // Heartbeats sent, and the status interval that the newest one to each agent
   // asks for.
   size_t m_heartbeats = 0;
+  std::vector<RunLost> m_lost_runs;
   std::map<std::string, Microseconds> m_status_intervals;
   std::map<JobHandle, JobResult> m_results;
 };
@@ -315,6 +320,27 @@
   EXPECT_NE(m_starts[0].m_start.m_run, m_starts[1].m_start.m_run);
 }
 
+// Guards against a run that is placed again without a trace of the reason.
+TEST_F(JobSchedulerTest, EntryTellsWhyARunCountsAsLost) {
+  AddAgent("a", 1.0);
+  Submit(1);
+  m_scheduler.OnAgentDisconnected("a", m_now);
+  m_scheduler.OnAgentConnected("a", {"a", 2}, m_now);
+  m_scheduler.OnStatus("a", Status(1.0, 10'000), m_now);
+  Tick();
+  ASSERT_EQ(m_lost_runs.size(), 1U);
+  EXPECT_EQ(m_lost_runs[0].m_run, m_starts[0].m_start.m_run);
+  EXPECT_EQ(m_lost_runs[0].m_agent, "a");
+  EXPECT_EQ(ToString(m_lost_runs[0].m_reason), "agent_replaced");
+  m_scheduler.OnAgentDisconnected("a", m_now);
+  while (m_lost_runs.size() < 2) {
+    ASSERT_LT(m_now, kStart + std::chrono::seconds(3));
+    m_now += Milliseconds(100);
+    Tick();
+  }
+  EXPECT_EQ(ToString(m_lost_runs[1].m_reason), "agent_lost");
+}
+
 // Guards against running a task twice: after a freeze the client may already
 // have sent its job to another entry.
 TEST_F(JobSchedulerTest, FrozenEntryEndsItsStartedJobsAsLost) {
