--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <map>
 #include <utility>
 
 #include "tests/standins/platform_documents.h"
@@ -141,6 +142,22 @@
   return count;
 }
 
+bool PlatformFleet::RunUntilAndCheckRuns(
+    const std::function<bool()>& condition) {
+  return RunUntil([&]() {
+    std::map<TaskKey, size_t> working;
+    for (size_t i = 0; i < m_runners.size(); ++i) {
+      for (const TaskKey& task : m_runners[i]->runner().Working()) {
+        const auto [other, is_new] = working.try_emplace(task, i);
+        EXPECT_TRUE(is_new)
+            << "task " << task.m_index << " of job " << task.m_job
+            << " runs on runners " << other->second << " and " << i;
+      }
+    }
+    return condition();
+  });
+}
+
 uint64_t PlatformFleet::StartCount() const {
   return m_runners[0]->runner().starts() + m_runners[1]->runner().starts();
 }
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -61,6 +61,10 @@
   static size_t CountEvents(const PlatformProcess& process,
                             const std::string& event);
   uint64_t StartCount() const;
+  // Runs the main loop until `condition` returns true, and checks all the while
+  // that no task runs on two runners. Returns false if the condition does not
+  // hold within ten seconds.
+  bool RunUntilAndCheckRuns(const std::function<bool()>& condition);
 
   PlatformStoreStandin m_store;
   // Injects faults between the entry and the store.
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -220,6 +220,20 @@
   EXPECT_EQ(m_runners[0]->runner().starts(), earlier_starts);
 }
 
+// Guards against a foreign heartbeat with the start time of the agent's own
+// runner, which ended all runs of that runner until its next heartbeat.
+TEST_F(PlatformProcessesTest, RunsOutliveAForeignHeartbeatOfTheSameStartTime) {
+  ConfigureAndWaitUntilReady();
+  for (int i = 0; i < 5; ++i) {
+    const auto job = SubmitJob(16);
+    RunFor(Milliseconds(40));
+    m_runners[0]->SendHeartbeatAs("x-" + std::to_string(i));
+    EXPECT_TRUE(RunUntilAndCheckRuns([&]() { return job->m_has_arrived; }));
+    EXPECT_EQ(job->m_status, 200);
+  }
+  EXPECT_EQ(StartCount(), 5 * 16U);
+}
+
 // Guards against runs that hold capacity after their client has disconnected.
 TEST_F(PlatformProcessesTest, ClientDisconnectStopsItsRuns) {
   ConfigureAndWaitUntilReady();
--- a/tests/platform/runner_standin.cc
+++ b/tests/platform/runner_standin.cc
@@ -81,9 +81,13 @@
 }
 
 void RunnerStandin::SendHeartbeat() {
+  SendHeartbeatAs(m_id);
+}
+
+void RunnerStandin::SendHeartbeatAs(const std::string& id) {
   HttpCall call;
   call.m_method = "PUT";
-  call.m_path = "/api/instances/" + m_id;
+  call.m_path = "/api/instances/" + id;
   call.m_body = Json{{"service", "service"},
                      {"address", m_address.ToString()},
                      {"zone", "zone"},
@@ -136,7 +140,7 @@
   m_behaviours[decoded_request.m_run.m_task] = {
       {1000, 64, 0}, m_task_run_time, false};
   const StartResult answer = m_runner.Start(decoded_request, BootClock::now());
-  request->ReplyJson(StatusOf(answer),
+  request->ReplyJson(m_start_status == 0 ? StatusOf(answer) : m_start_status,
                      {{"clock_ms", 1}, {"reason", ReasonOf(answer)}});
 }
 
--- a/tests/platform/runner_standin.h
+++ b/tests/platform/runner_standin.h
@@ -31,7 +31,12 @@
   // Tells the agent that the runner leaves, and ends its heartbeats. It goes on
   // answering requests.
   void Leave();
+  // Sends one heartbeat under another id, as another writer might.
+  void SendHeartbeatAs(const std::string& id);
   bool is_leave_acknowledged() const { return m_is_leave_acknowledged; }
+  // Answers requests to start a run with `status` from now on, although it
+  // carries them out.
+  void set_start_status(int status) { m_start_status = status; }
 
  private:
   using RequestPointer = std::shared_ptr<HttpRequest>;
@@ -61,6 +66,8 @@
   bool m_is_draining = false;
   bool m_has_left = false;
   bool m_is_leave_acknowledged = false;
+  // Status of the answers to start requests; 0 for the true one.
+  int m_start_status = 0;
   guint m_timer = 0;
 };
 
