Report the runs of an unreachable runner once they must have ended

Cause: leases were computed from the last reading of the runner's clock as if that clock were exact. On a clock that is slow by 2%, a reading 350 ms old gives leases that last 7 ms longer than the agent counts, and the time that the runner needs to kill what has expired (50 ms) was not counted at all.

Change: the reading is taken for as slow as a runner's clock may be, and the leases count as expired kMaxStopTime later.

--- a/executor/poll_schedule.cc
+++ b/executor/poll_schedule.cc
@@ -76,14 +76,14 @@
   return now < m_last_list_at + kUnreachableTimeout;
 }
 
-RunnerTime PollSchedule::RunnerNow(MonoTime now) const {
-  return m_clock +
-         std::chrono::duration_cast<RunnerTime>(now - m_clock_read_at);
+RunnerTime PollSchedule::EarliestRunnerNow(MonoTime now) const {
+  return m_clock + std::chrono::duration_cast<RunnerTime>(
+                       (now - m_clock_read_at) / kRunnerClockDriftFactor);
 }
 
 RunnerTime PollSchedule::GrantLease(MonoTime now) {
   m_lease_expires_at = std::max(m_lease_expires_at, now + kLeaseDuration);
-  return RunnerNow(now) + kLeaseDuration;
+  return EarliestRunnerNow(now) + kLeaseDuration;
 }
 
 std::optional<RunnerTime> PollSchedule::RenewLeases(MonoTime now) {
@@ -91,13 +91,14 @@
     return std::nullopt;
   }
   m_lease_expires_at = now + kLeaseDuration;
-  return RunnerNow(now) + kLeaseDuration;
+  return EarliestRunnerNow(now) + kLeaseDuration;
 }
 
 bool PollSchedule::HaveLeasesExpired(MonoTime now) const {
   return now >= m_lease_expires_at +
                     std::chrono::duration_cast<Microseconds>(
-                        kLeaseDuration * (kRunnerClockDriftFactor - 1.0));
+                        kLeaseDuration * (kRunnerClockDriftFactor - 1.0)) +
+                    kMaxStopTime;
 }
 
 }  // namespace comfreyshift
--- a/executor/poll_schedule.h
+++ b/executor/poll_schedule.h
@@ -53,11 +53,13 @@
     m_lease_expires_at = std::max(m_lease_expires_at, expires_at);
   }
   // Whether all leases have expired, even if the runner's clock is slow by
-  // kRunnerClockDriftFactor.
+  // kRunnerClockDriftFactor, and what they covered has been killed.
   bool HaveLeasesExpired(MonoTime now) const;
 
  private:
-  RunnerTime RunnerNow(MonoTime now) const;
+  // What the runner's clock shows, or an earlier time if it is slow. A lease
+  // that is computed from it never lasts longer than intended.
+  RunnerTime EarliestRunnerNow(MonoTime now) const;
 
   // The runner's clock in the newest lists, and when they arrived.
   RunnerTime m_clock{0};
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -820,6 +820,37 @@
   EXPECT_LT(m_polls.back().m_give_up_at, m_now + kLeaseDuration / 2);
 }
 
+// Guards against a run that is reported as ended while it still runs: on a
+// runner whose clock is slow, a lease that was computed from an old reading of
+// that clock lasts longer, and the runner needs time to kill what has expired.
+TEST_F(RunExecutorTest, RunsOfAnUnreachableRunnerWithASlowClockHaveEnded) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  // The last reading of the runner's clock that reaches the agent.
+  const MonoTime read_at = m_now;
+  const RunnerTime read_clock(5000);
+  RunnerTime lease_until = m_starts.back().m_lease_until;
+  while (FindReport(0) == nullptr) {
+    ASSERT_LT(m_now, kStart + Milliseconds(2500));
+    if (!m_polls.empty()) {
+      FailPoll(kRunnerIncarnation, PollFailure::kNoResponse);
+    }
+    m_polls.clear();
+    Advance(Milliseconds(1));
+    for (const PollRequest& poll : m_polls) {
+      lease_until =
+          std::max(lease_until, poll.m_lease_until.value_or(RunnerTime(0)));
+    }
+  }
+  const auto expires_at =
+      read_at + std::chrono::duration_cast<Microseconds>(
+                    (lease_until - read_clock) * kRunnerClockDriftFactor);
+  EXPECT_GE(m_now, expires_at + kMaxStopTime);
+}
+
 // Guards against waiting forever for the runs of an unreachable runner, which
 // kills them when their leases expire.
 TEST_F(RunExecutorTest,
