Let the lease expire when a run that must end is not stopped

Cause: an entry that hears nothing of an agent for 1.3 s starts its tasks elsewhere, and a client sends its job again after 1.3 s; both rely on the agent to stop the runs. If the runner leaves the stop requests unanswered, the agent went on renewing the lease for the other runs, and the lease covers all runs.

Change: 50 ms after a run's entry was lost, or ended the run, an unacknowledged stop keeps the agent from renewing the lease and from starting more; the same holds for orphaned runs. A stop after an unconfirmed start changes nothing: its entry waits for the report.

Tests: LeaseIsNotRenewedWhileAStopIsOverdue, LeaseIsNotRenewedForAnOrphanedRun, seen to fail without the change; LeaseIsRenewedWhileAStartIsUnconfirmed guards against the opposite and passed before.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -196,7 +196,7 @@
                             MonoTime now) {
   const auto found = m_runs.Find(stop.m_run);
   if (found != m_runs.end()) {
-    found->second.RequestStop(now);
+    found->second.Abandon(now);
     if (found->second.m_state == RunTable::State::kWaiting) {
       Finish(found, RunOutcome::kNotStarted, EndEvidence::kNotRequested, now);
     }
@@ -370,14 +370,15 @@
 }
 
 void RunExecutor::ApplyActiveRuns(const RunLists& lists, MonoTime now) {
-  std::map<RunKey, MonoTime> orphaned_runs;
+  std::map<RunKey, OrphanedRun> orphaned_runs;
   std::map<RunKey, double> listed;
   for (const ActiveRun& row : lists.m_running) {
     listed[row.m_run] = row.m_progress_percent;
     if (!m_runs.Contains(row.m_run)) {
       const auto known = m_orphaned_runs.find(row.m_run);
-      orphaned_runs[row.m_run] =
-          known == m_orphaned_runs.end() ? now : known->second;
+      orphaned_runs[row.m_run] = known == m_orphaned_runs.end()
+                                     ? OrphanedRun{now, now + 2 * kMaxStopTime}
+                                     : known->second;
     }
   }
   m_orphaned_runs = std::move(orphaned_runs);
@@ -434,13 +435,13 @@
   return m_runner && m_is_runner_described && !m_has_runner_left &&
          !m_runner->m_is_draining && !m_is_draining && m_is_reconciled &&
          !m_closed_zones.contains(m_runner->m_zone) && m_health.IsUsable(now) &&
-         m_poll_schedule.IsReachable(now);
+         m_poll_schedule.IsReachable(now) && !IsStopOverdue(now);
 }
 
 void RunExecutor::StopRunsOfLostEntries(MonoTime now) {
   for (auto& [key, run] : m_runs) {
     if (!m_entries.IsAlive(run.m_entry, now)) {
-      run.RequestStop(now);
+      run.Abandon(now);
       run.m_start.m_queue_until = std::min(run.m_start.m_queue_until, now);
     }
   }
@@ -452,7 +453,7 @@
     const auto next = std::next(found);
     RunTable::Run& run = found->second;
     if (run.m_start.m_abandon_at <= now) {
-      run.RequestStop(now);
+      run.Abandon(now);
     }
     const bool can_start = is_accepting(now) &&
                            run.m_start.m_queue_until > now &&
@@ -502,9 +503,9 @@
                                     m_token,
                                     now + m_request_latency.Timeout()});
   }
-  for (auto& [key, next_stop_at] : m_orphaned_runs) {
-    if (next_stop_at <= now) {
-      next_stop_at = now + kStopRetryInterval;
+  for (auto& [key, orphan] : m_orphaned_runs) {
+    if (orphan.m_next_stop_at <= now) {
+      orphan.m_next_stop_at = now + kStopRetryInterval;
       m_actions.push_back(StopRequest{m_runner->m_process_incarnation, key,
                                       m_token,
                                       now + m_request_latency.Timeout()});
@@ -540,6 +541,13 @@
   m_token += has_expired_runs ? 1 : 0;
 }
 
+bool RunExecutor::IsStopOverdue(MonoTime now) const {
+  return m_runs.IsStopOverdue(now) ||
+         std::ranges::any_of(m_orphaned_runs, [now](const auto& item) {
+           return item.second.m_stop_due_at <= now;
+         });
+}
+
 bool RunExecutor::NeedsLists() const {
   return !m_is_reconciled || !m_orphaned_runs.empty() || !m_runs.is_empty();
 }
@@ -556,7 +564,7 @@
   // anew: an acknowledgement of earlier ones would make it forget new ones.
   poll.m_acknowledged_ends =
       m_poll_schedule.has_failed() ? 0 : m_acknowledged_ends;
-  if (m_runs.NeedsLease()) {
+  if (m_runs.NeedsLease() && !IsStopOverdue(now)) {
     poll.m_lease_until = m_poll_schedule.RenewLeases(now);
   }
   m_actions.push_back(poll);
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -91,6 +91,12 @@
   }
 
  private:
+  struct OrphanedRun {
+    MonoTime m_next_stop_at;
+    // When it must have ended.
+    MonoTime m_stop_due_at;
+  };
+
   void BeginIncarnation(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
   void EndIncarnation(MonoTime now);
   // The runner was started again under its id, at `start_time_ms`. Its
@@ -125,6 +131,9 @@
   void StopExpiredRuns(MonoTime now);
   void StartWaitingRuns(MonoTime now);
   void SendStops(MonoTime now);
+  // Whether the runner should have ended a run by now and has not. Requests
+  // cannot stop it then, only the end of all leases can.
+  bool IsStopOverdue(MonoTime now) const;
   void ExpireUnreachableRuns(MonoTime now);
   // Whether the runner's lists are needed for more than its reachability.
   bool NeedsLists() const;
@@ -150,9 +159,8 @@
   // Reports to send again when a StartRun is repeated.
   ReportCache m_reports;
   EntryTable m_entries;
-  // Orphaned runs: found on the runner but unknown here. They are being
-  // stopped; the value is when to request the next stop.
-  std::map<RunKey, MonoTime> m_orphaned_runs;
+  // Found on the runner but unknown here. They are being stopped.
+  std::map<RunKey, OrphanedRun> m_orphaned_runs;
   ClosedZones m_closed_zones;
   bool m_is_draining = false;
 
--- a/executor/run_table.cc
+++ b/executor/run_table.cc
@@ -16,6 +16,11 @@
   }
 }
 
+void RunTable::Run::Abandon(MonoTime now) {
+  RequestStop(now);
+  m_stop_due_at = std::min<MonoTime>(m_stop_due_at, now + kMaxStopTime);
+}
+
 std::pair<RunTable::Iterator, bool> RunTable::Add(const ProcessId& entry,
                                                   const StartRun& start,
                                                   MonoTime now) {
@@ -82,6 +87,14 @@
   });
 }
 
+bool RunTable::IsStopOverdue(MonoTime now) const {
+  return std::ranges::any_of(m_runs, [now](const auto& item) {
+    const Run& run = item.second;
+    return run.m_state == State::kStopping && !run.m_is_reported &&
+           run.m_stop_due_at <= now;
+  });
+}
+
 std::vector<RunKey> RunTable::TakeDueStops(MonoTime now,
                                            MonoTime next_stop_at) {
   std::vector<RunKey> due;
--- a/executor/run_table.h
+++ b/executor/run_table.h
@@ -42,11 +42,17 @@
     // Lists of polls sent before this time may not show the state yet.
     MonoTime m_state_since;
     MonoTime m_next_stop_at;
+    // When the runner must have acknowledged the stop: its entry may start the
+    // task elsewhere some time later. MonoTime::max() while the entry waits for
+    // the report.
+    MonoTime m_stop_due_at = MonoTime::max();
     bool m_is_reported = false;
 
     void SetState(State state, MonoTime now);
     // Marks the run to be stopped, unless it is still waiting.
     void RequestStop(MonoTime now);
+    // Like RequestStop, for a run whose entry does not wait for its report.
+    void Abandon(MonoTime now);
     bool HoldsReservation() const { return m_state != State::kWaiting; }
   };
 
@@ -78,6 +84,8 @@
   bool HasOtherRun(Iterator found) const;
   // Whether a run has a reservation and has not been reported as ended.
   bool NeedsLease() const;
+  // Whether the runner should have acknowledged a stop by now and has not.
+  bool IsStopOverdue(MonoTime now) const;
   // Returns the runs for which a stop is to be requested now; the next request
   // for each is due at `next_stop_at`.
   std::vector<RunKey> TakeDueStops(MonoTime now, MonoTime next_stop_at);
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -820,6 +820,88 @@
   EXPECT_LT(m_polls.back().m_give_up_at, m_now + kLeaseDuration / 2);
 }
 
+// Guards against a run of a lost entry that outlives the time after which the
+// entry starts its task elsewhere: the runner has not carried out the stop, and
+// polls for other runs keep its lease alive.
+TEST_F(RunExecutorTest, LeaseIsNotRenewedWhileAStopIsOverdue) {
+  Connect();
+  Connect(kOtherEntry);
+  RegisterRunner();
+  Start(0, 1000);
+  Start(1, 1000, 0, kOtherEntry);
+  for (uint32_t index : {0U, 1U}) {
+    m_executor.OnStartRunResult(kRunnerIncarnation, Key(index),
+                                StartResult::kStarted, m_now);
+  }
+  const auto poll_for = [this](Milliseconds time) {
+    const MonoTime end = m_now + time;
+    m_polls.clear();
+    while (m_now < end) {
+      m_executor.OnEntryHeartbeat(kOtherEntry, {m_now}, m_now);
+      AnswerPoll({{}, {}, {{Key(0), 10.0}, {Key(1), 10.0}}, {}});
+      Advance(Milliseconds(20), /*sends_heartbeats=*/false);
+    }
+  };
+  poll_for(kEntryHeartbeatTimeout + 2 * kMaxStopTime);
+  EXPECT_FALSE(m_stops.empty());
+  poll_for(Milliseconds(200));
+  ASSERT_FALSE(m_polls.empty());
+  EXPECT_TRUE(std::ranges::none_of(m_polls, [](const PollRequest& poll) {
+    return poll.m_lease_until.has_value();
+  }));
+  // A start would extend the lease of everything on the runner.
+  Start(2, 1000, 0, kOtherEntry);
+  EXPECT_EQ(m_starts.size(), 2U);
+  m_executor.OnStopRunResult(kRunnerIncarnation, Key(0), StopResult::kAccepted,
+                             m_now);
+  poll_for(Milliseconds(40));
+  ASSERT_FALSE(m_polls.empty());
+  EXPECT_TRUE(m_polls.back().m_lease_until);
+}
+
+// Guards against a run that nobody waits for and that goes on while other runs
+// keep the runner's lease alive.
+TEST_F(RunExecutorTest, LeaseIsNotRenewedForAnOrphanedRun) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  for (int i = 0; i < 10; ++i) {
+    m_polls.clear();
+    Advance(Milliseconds(20));
+    AnswerPoll({{}, {}, {{Key(0), 10.0}, {Key(7), 10.0}}, {}});
+  }
+  ASSERT_FALSE(m_polls.empty());
+  EXPECT_FALSE(m_polls.back().m_lease_until);
+  m_polls.clear();
+  Advance(Milliseconds(20));
+  AnswerPoll({{}, {}, {{Key(0), 10.0}}, {}});
+  ASSERT_FALSE(m_polls.empty());
+  EXPECT_TRUE(m_polls.back().m_lease_until);
+}
+
+// Guards against a stop that the runner leaves unanswered for a moment and that
+// costs the other runs their lease.
+TEST_F(RunExecutorTest, LeaseIsRenewedWhileAStartIsUnconfirmed) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  Start(1, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(1), StartResult::kUnknown,
+                              m_now);
+  for (int i = 0; i < 20; ++i) {
+    m_polls.clear();
+    Advance(Milliseconds(20));
+    AnswerPoll({{}, {}, {{Key(0), 10.0}, {Key(1), 10.0}}, {}});
+    Advance(Milliseconds(20));
+    ASSERT_FALSE(m_polls.empty());
+    EXPECT_TRUE(m_polls.back().m_lease_until);
+  }
+}
+
 // Guards against a run that is reported as ended while it still runs: on a
 // runner whose clock is slow, a lease that was computed from an old reading of
 // that clock lasts longer, and the runner needs time to kill what has expired.
