--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -220,6 +220,19 @@
   EXPECT_EQ(m_runners[0]->runner().starts(), earlier_starts);
 }
 
+// Guards against taking an error for the word that nothing was started: the
+// task would be started elsewhere while it runs.
+TEST_F(PlatformProcessesTest, StartAnsweredWithAnErrorDoesNotRunElsewhere) {
+  ConfigureAndWaitUntilReady();
+  for (const int status : {500, 502, 504}) {
+    m_runners[0]->set_start_status(status);
+    const auto job = SubmitJob(20);
+    EXPECT_TRUE(RunUntilAndCheckRuns([&]() { return job->m_has_arrived; }));
+    EXPECT_EQ(job->m_status, 200) << status;
+  }
+  EXPECT_GT(CountEvents(*m_agents[0], "start_not_confirmed"), 0U);
+}
+
 // Guards against a foreign heartbeat with the start time of the agent's own
 // runner, which ended all runs of that runner until its next heartbeat.
 TEST_F(PlatformProcessesTest, RunsOutliveAForeignHeartbeatOfTheSameStartTime) {
