--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -34,6 +34,9 @@
   // earlier incarnations of this agent.
   RunExecutor(ProcessId self, uint64_t token);
 
+  // Sets the longest lease that the runner grants.
+  void SetMaxRunnerLease(Milliseconds lease) { m_max_runner_lease = lease; }
+
   // Takes a heartbeat. Returns whether it is the newest of the runner's known
   // incarnation. One of another incarnation takes effect only after the runner
   // itself has answered a poll as that incarnation.
@@ -164,6 +167,7 @@
   ClosedZones m_closed_zones;
   bool m_is_draining = false;
 
+  Milliseconds m_max_runner_lease = kMaxRunnerLease;
   PollSchedule m_poll_schedule;
   RequestLatency m_request_latency;
   uint64_t m_acknowledged_ends = 0;
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -54,6 +54,11 @@
   bool OnRunnerLeft(const std::string& runner_id);
   void Drain();
 
+  // Sets the longest lease that the runner grants.
+  void SetMaxRunnerLease(Milliseconds lease) {
+    m_executor.SetMaxRunnerLease(lease);
+  }
+
   // Sets the function that serves RelayRead messages of entries. Without one,
   // they are answered as failed.
   void SetStoreRead(StoreReadFunction read) { m_store_read = std::move(read); }
--- a/jobs/leases.h
+++ b/jobs/leases.h
@@ -16,9 +16,9 @@
 // A runner kills runs whose lease the agent has not renewed for this long.
 inline constexpr Milliseconds kLeaseDuration{700};
 
-// No runner grants a longer lease, whatever end is requested. A restarted
-// runner grants this one to a request whose end was computed from its earlier
-// clock.
+// No runner grants a longer lease, whatever end is requested, unless the
+// settings say otherwise. A restarted runner grants this one to a request whose
+// end was computed from its earlier clock.
 inline constexpr Milliseconds kMaxRunnerLease{1000};
 
 // A runner's clock may run slower than ours by up to this factor.
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -613,6 +613,25 @@
   EXPECT_GE(m_now, restarted_at + kMaxRunnerLease);
 }
 
+// Guards against the same where runners grant longer leases than by default.
+TEST_F(RunExecutorTest, LongestLeaseOfARestartedRunnerIsTheOneInTheSettings) {
+  constexpr Milliseconds kLongLease{2500};
+  m_executor.SetMaxRunnerLease(kLongLease);
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  AnswerPoll(lists);
+  const MonoTime restarted_at = m_now;
+  while (FindReport(0) == nullptr) {
+    ASSERT_LT(m_now, restarted_at + 2 * kLongLease);
+    FailPoll(kRestarted, PollFailure::kNoResponse);
+    Advance(Milliseconds(10));
+  }
+  EXPECT_GE(m_now, restarted_at + kLongLease);
+}
+
 // Guards against a heartbeat of another writer, or a late one of an earlier
 // incarnation, that ends the runner's work: its tasks would be started
 // elsewhere while they run here.
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -51,6 +51,24 @@
   }
 }
 
+// Guards against a deployment whose runners grant longer leases than ours do.
+TEST(PlatformSettingsTest, LongestLeaseOfARunnerIsRead) {
+  const std::string text =
+      "node_name=a\nip=10.1.0.14\nport_range=7720,7735\n"
+      "platform.address=10.200.1.7:8169\n";
+  EXPECT_EQ(ParseSettings(text).value().m_max_runner_lease, Milliseconds(1000));
+  EXPECT_EQ(ParseSettings(text + "bounds.max_hold_ms=2500\n")
+                .value()
+                .m_max_runner_lease,
+            Milliseconds(2500));
+  for (const char* wrong : {"0", "-1", "x", "3600001"}) {
+    const auto settings =
+        ParseSettings(text + "bounds.max_hold_ms=" + wrong + "\n");
+    ASSERT_FALSE(settings) << wrong;
+    EXPECT_NE(settings.error().find("bounds.max_hold_ms"), std::string::npos);
+  }
+}
+
 // Guards against an overflow: the grace period is added to a time point when
 // the process stops.
 TEST(PlatformSettingsTest, InvalidGracePeriodIsRejected) {
