Start no waiting job after its entry has stood still

Cause: after a freeze, jobs with started tasks end as lost, since their clients may have sent them to another entry; a job that was waiting was placed if an agent's status was read before the end of its client's connection. Input is read 64 sockets a turn, so that on an entry with more agents both orders occur.

Change: jobs from before the freeze that have not started are rejected, which is true: nothing of them has run.

Test: FrozenEntryStartsNoWaitingJob, seen to fail without the change.

--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -494,19 +494,28 @@
 
 // After a freeze the client may have given up and sent the job to another
 // entry, and the end of its connection may not have been read yet. Nothing of
-// the job is started again.
-void JobScheduler::EndStartedJobsAfterFreeze(MonoTime now) {
+// the job is started.
+void JobScheduler::EndJobsAfterFreeze(MonoTime now) {
   if (!m_last_tick || now < *m_last_tick + kFreezeThreshold) {
     return;
   }
-  std::vector<JobHandle> lost;
+  // Jobs that were read since then have clients that still wait.
+  std::vector<JobHandle> ended;
   for (const auto& [handle, job] : m_jobs) {
-    if (job.has_started()) {
-      lost.push_back(handle);
+    if (job.m_received_at <= *m_last_tick) {
+      ended.push_back(handle);
     }
   }
-  for (const JobHandle handle : lost) {
-    EndJob(handle, JobLost{}, now);
+  for (const JobHandle handle : ended) {
+    const Job& job = m_jobs.at(handle);
+    if (job.has_started()) {
+      EndJob(handle, JobLost{}, now);
+      continue;
+    }
+    EndJob(handle,
+           JobRejected{RejectionReason::kOverloaded,
+                       m_retry_advice[job.m_queue.m_service].OnRejection(now)},
+           now);
   }
 }
 
@@ -567,7 +576,7 @@
 }
 
 std::vector<SchedulerAction> JobScheduler::Tick(MonoTime now) {
-  EndStartedJobsAfterFreeze(now);
+  EndJobsAfterFreeze(now);
   m_last_tick = now;
   EndExpiredJobs(now);
   EndRunsOfLostAgents(now);
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -142,7 +142,7 @@
   void EndRunsOfLostAgents(MonoTime now);
   void RejectOverdueJobs(MonoTime now);
   void EndExpiredJobs(MonoTime now);
-  void EndStartedJobsAfterFreeze(MonoTime now);
+  void EndJobsAfterFreeze(MonoTime now);
   void SendEntryHeartbeats(MonoTime now);
   // Returns how often the agent is to send its status.
   Microseconds StatusInterval(const AgentView& agent) const;
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -352,6 +352,20 @@
   EXPECT_EQ(m_stops.size(), 1U);
 }
 
+// Guards against the same for a job that was waiting: an agent's status may be
+// read before the end of the client's connection.
+TEST_F(JobSchedulerTest, FrozenEntryStartsNoWaitingJob) {
+  AddAgent("a", 1.0);
+  m_scheduler.OnStatus("a", Status(1.0, 0), m_now);
+  const JobHandle job = Submit(1);
+  ASSERT_TRUE(m_starts.empty());
+  m_now += kEntryHeartbeatTimeout;
+  m_scheduler.OnStatus("a", Status(1.0, 10'000), m_now);
+  Tick();
+  EXPECT_TRUE(m_starts.empty());
+  EXPECT_TRUE(HasResult<JobRejected>(job));
+}
+
 TEST_F(JobSchedulerTest, ClosedZoneGetsNoRuns) {
   AddAgent("a", 1.0);
   m_scheduler.OnClosedZones({"zone"});
