Renew no lease from the moment in which an entry counts as lost

Change: a stop for a lost entry is due at once. The lease is renewed again with the acknowledgement, some ms later.

Tests: RunOfALostEntryEndsBeforeItsClientSendsAgain and the stricter LeaseIsNotRenewedWhileAStopIsOverdue, both seen to fail without the change.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -196,7 +196,7 @@
                             MonoTime now) {
   const auto found = m_runs.Find(stop.m_run);
   if (found != m_runs.end()) {
-    found->second.Abandon(now);
+    found->second.Abandon(now + kMaxStopTime, now);
     if (found->second.m_state == RunTable::State::kWaiting) {
       Finish(found, RunOutcome::kNotStarted, EndEvidence::kNotRequested, now);
     }
@@ -441,7 +441,9 @@
 void RunExecutor::StopRunsOfLostEntries(MonoTime now) {
   for (auto& [key, run] : m_runs) {
     if (!m_entries.IsAlive(run.m_entry, now)) {
-      run.Abandon(now);
+      // Its tasks start elsewhere soon after a lease that is granted now
+      // expires.
+      run.Abandon(now, now);
       run.m_start.m_queue_until = std::min(run.m_start.m_queue_until, now);
     }
   }
@@ -453,7 +455,7 @@
     const auto next = std::next(found);
     RunTable::Run& run = found->second;
     if (run.m_start.m_abandon_at <= now) {
-      run.Abandon(now);
+      run.Abandon(now + kMaxStopTime, now);
     }
     const bool can_start = is_accepting(now) &&
                            run.m_start.m_queue_until > now &&
--- a/executor/run_table.cc
+++ b/executor/run_table.cc
@@ -16,9 +16,9 @@
   }
 }
 
-void RunTable::Run::Abandon(MonoTime now) {
+void RunTable::Run::Abandon(MonoTime due_at, MonoTime now) {
   RequestStop(now);
-  m_stop_due_at = std::min<MonoTime>(m_stop_due_at, now + kMaxStopTime);
+  m_stop_due_at = std::min(m_stop_due_at, due_at);
 }
 
 std::pair<RunTable::Iterator, bool> RunTable::Add(const ProcessId& entry,
--- a/executor/run_table.h
+++ b/executor/run_table.h
@@ -51,8 +51,9 @@
     void SetState(State state, MonoTime now);
     // Marks the run to be stopped, unless it is still waiting.
     void RequestStop(MonoTime now);
-    // Like RequestStop, for a run whose entry does not wait for its report.
-    void Abandon(MonoTime now);
+    // Like RequestStop, for a run whose entry does not wait for its report. The
+    // runner must acknowledge the stop by `due_at`.
+    void Abandon(MonoTime due_at, MonoTime now);
     bool HoldsReservation() const { return m_state != State::kWaiting; }
   };
 
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -861,7 +861,7 @@
       Advance(Milliseconds(20), /*sends_heartbeats=*/false);
     }
   };
-  poll_for(kEntryHeartbeatTimeout + 2 * kMaxStopTime);
+  poll_for(kEntryHeartbeatTimeout + Milliseconds(20));
   EXPECT_FALSE(m_stops.empty());
   poll_for(Milliseconds(200));
   ASSERT_FALSE(m_polls.empty());
@@ -878,6 +878,40 @@
   EXPECT_TRUE(m_polls.back().m_lease_until);
 }
 
+// Guards against the same by some ms: a client sends its job again 1.3 s after
+// its entry was lost.
+TEST_F(RunExecutorTest, RunOfALostEntryEndsBeforeItsClientSendsAgain) {
+  constexpr Milliseconds kResendDelay{1300};
+  Connect();
+  Connect(kOtherEntry);
+  RegisterRunner();
+  Start(0, 1000);
+  Start(1, 1000, 0, kOtherEntry);
+  for (uint32_t index : {0U, 1U}) {
+    m_executor.OnStartRunResult(kRunnerIncarnation, Key(index),
+                                StartResult::kStarted, m_now);
+  }
+  const MonoTime lost_at = m_now;
+  MonoTime granted_at = lost_at;
+  while (m_now < lost_at + kResendDelay) {
+    m_polls.clear();
+    m_starts.clear();
+    m_executor.OnEntryHeartbeat(kOtherEntry, {m_now}, m_now);
+    AnswerPoll({{}, {}, {{Key(0), 10.0}, {Key(1), 10.0}}, {}});
+    Start(2 + static_cast<uint32_t>(m_sequence), 10, 0, kOtherEntry);
+    Advance(Milliseconds(5), /*sends_heartbeats=*/false);
+    const bool is_granted =
+        !m_starts.empty() ||
+        std::ranges::any_of(m_polls, [](const PollRequest& poll) {
+          return poll.m_lease_until.has_value();
+        });
+    granted_at = is_granted ? m_now : granted_at;
+  }
+  const auto lease = std::chrono::duration_cast<Microseconds>(
+      kLeaseDuration * kRunnerClockDriftFactor);
+  EXPECT_LE(granted_at + lease + kMaxStopTime, lost_at + kResendDelay);
+}
+
 // Guards against a run that nobody waits for and that goes on while other runs
 // keep the runner's lease alive.
 TEST_F(RunExecutorTest, LeaseIsNotRenewedForAnOrphanedRun) {
