Let no renewal shorten a lease that the runner may hold

Cause: a renewal replaced the noted end of the leases, also the longer one that a restarted runner may have granted; and the drift of the runner's clock was added for leases of 0.7 s only.

Change: the noted end only rises, and holds the drift of the lease itself.

--- a/executor/poll_schedule.cc
+++ b/executor/poll_schedule.cc
@@ -82,7 +82,7 @@
 }
 
 RunnerTime PollSchedule::GrantLease(MonoTime now) {
-  m_lease_expires_at = std::max(m_lease_expires_at, now + kLeaseDuration);
+  ExtendLeases(kLeaseDuration, now);
   return EarliestRunnerNow(now) + kLeaseDuration;
 }
 
@@ -90,15 +90,18 @@
   if (m_clock <= RunnerTime(0) || !IsReachable(now)) {
     return std::nullopt;
   }
-  m_lease_expires_at = now + kLeaseDuration;
+  ExtendLeases(kLeaseDuration, now);
   return EarliestRunnerNow(now) + kLeaseDuration;
 }
 
+void PollSchedule::ExtendLeases(Milliseconds lease, MonoTime now) {
+  m_lease_expires_at = std::max(m_lease_expires_at,
+                                now + std::chrono::duration_cast<Microseconds>(
+                                          lease * kRunnerClockDriftFactor));
+}
+
 bool PollSchedule::HaveLeasesExpired(MonoTime now) const {
-  return now >= m_lease_expires_at +
-                    std::chrono::duration_cast<Microseconds>(
-                        kLeaseDuration * (kRunnerClockDriftFactor - 1.0)) +
-                    kMaxStopTime;
+  return now >= m_lease_expires_at + kMaxStopTime;
 }
 
 }  // namespace comfreyshift
--- a/executor/poll_schedule.h
+++ b/executor/poll_schedule.h
@@ -48,12 +48,10 @@
   // Returns the end to which a poll renews the leases of all runs, or nothing
   // if they cannot be renewed.
   std::optional<RunnerTime> RenewLeases(MonoTime now);
-  // Leases may run until `expires_at`, whatever was requested.
-  void ExtendLeases(MonoTime expires_at) {
-    m_lease_expires_at = std::max(m_lease_expires_at, expires_at);
-  }
-  // Whether all leases have expired, even if the runner's clock is slow by
-  // kRunnerClockDriftFactor, and what they covered has been killed.
+  // The runner may hold a lease of this length from `now` on. No later request
+  // makes it shorter.
+  void ExtendLeases(Milliseconds lease, MonoTime now);
+  // Whether all leases have expired and what they covered has been killed.
   bool HaveLeasesExpired(MonoTime now) const;
 
  private:
@@ -69,7 +67,8 @@
   MonoTime m_sent_at;
   MonoTime m_next_poll_at;
   MonoTime m_last_list_at;
-  // The runner kills all runs at this time, unless a later renewal is sent.
+  // The runner has killed all runs by this time, even if its clock is slow by
+  // kRunnerClockDriftFactor, unless a later renewal is sent.
   MonoTime m_lease_expires_at;
 };
 
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -121,7 +121,7 @@
   BeginIncarnation(runner_heartbeat, now);
   ++m_token;
   if (m_runs.NeedsLease()) {
-    m_poll_schedule.ExtendLeases(now + m_max_runner_lease);
+    m_poll_schedule.ExtendLeases(m_max_runner_lease, now);
   }
 }
 
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -986,6 +986,53 @@
   EXPECT_GE(m_now, expires_at + kMaxStopTime);
 }
 
+// Guards against taking the leases on a restarted runner for expired once its
+// lists have been read: a shorter renewal does not shorten the long lease that
+// it granted to an end computed from its earlier clock.
+TEST_F(RunExecutorTest, RenewalDoesNotShortenTheLeaseOfARestartedRunner) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  AnswerPoll(lists);
+  const MonoTime restarted_at = m_now;
+  lists.m_running = {{Key(0), 10.0}};
+  Advance(Milliseconds(5));
+  AnswerPollAs(kRestarted, lists);
+  Advance(Milliseconds(5));  // A poll renews the lease.
+  while (FindReport(0) == nullptr) {
+    ASSERT_LT(m_now, kStart + Milliseconds(3000));
+    FailPoll(kRestarted, PollFailure::kNoResponse);
+    Advance(Milliseconds(1));
+  }
+  EXPECT_GE(m_now, restarted_at + kMaxRunnerLease);
+}
+
+// Guards against taking a long lease on a slow clock for expired too early.
+TEST_F(RunExecutorTest, LongLeaseOnASlowClockIsCountedInFull) {
+  constexpr Milliseconds kLongLease{5000};
+  m_executor.SetMaxRunnerLease(kLongLease);
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  AnswerPoll(lists);
+  const MonoTime restarted_at = m_now;
+  while (FindReport(0) == nullptr) {
+    ASSERT_LT(m_now, restarted_at + 2 * kLongLease);
+    FailPoll(kRestarted, PollFailure::kNoResponse);
+    Advance(Milliseconds(1));
+  }
+  EXPECT_GE(m_now, restarted_at +
+                       std::chrono::duration_cast<Microseconds>(
+                           kLongLease * kRunnerClockDriftFactor) +
+                       kMaxStopTime);
+}
+
 // Guards against waiting forever for the runs of an unreachable runner, which
 // kills them when their leases expire.
 TEST_F(RunExecutorTest,
