Renew no lease for a reported run that goes on

Change: a run that was reported with the end of its lease must be stopped like one of a lost entry before the lease is renewed.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -531,7 +531,7 @@
     RunTable::Run& run = found->second;
     if (run.HoldsReservation()) {
       has_expired_runs |= !run.m_is_reported;
-      run.RequestStop(now);
+      run.Abandon(now, now);
       Report(found->first, run, RunOutcome::kStopped,
              EndEvidence::kLeasesExpired, now);
       if (m_has_runner_left) {
--- a/executor/run_table.cc
+++ b/executor/run_table.cc
@@ -90,8 +90,7 @@
 bool RunTable::IsStopOverdue(MonoTime now) const {
   return std::ranges::any_of(m_runs, [now](const auto& item) {
     const Run& run = item.second;
-    return run.m_state == State::kStopping && !run.m_is_reported &&
-           run.m_stop_due_at <= now;
+    return run.m_state == State::kStopping && run.m_stop_due_at <= now;
   });
 }
 
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -1033,6 +1033,42 @@
                        kMaxStopTime);
 }
 
+// Guards against a run that was reported as ended, goes on nevertheless, and
+// whose lease other runs keep alive.
+TEST_F(RunExecutorTest, LeaseIsNotRenewedForAReportedRunThatGoesOn) {
+  Connect();
+  RegisterRunner();
+  Start(0, 1000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kUnknown,
+                              m_now);
+  while (FindReport(0) == nullptr) {
+    ASSERT_LT(m_now, kStart + Milliseconds(3000));
+    FailPoll(kRunnerIncarnation, PollFailure::kNoResponse);
+    Advance(Milliseconds(10));
+  }
+  // The runner was restarted meanwhile and has carried out the late start.
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  AnswerPoll(lists);
+  m_executor.OnHeartbeat(MakeHeartbeat(kRestarted, 1), m_now);
+  lists.m_running = {{Key(0), 10.0}};
+  for (int i = 0; i < 15; ++i) {
+    Advance(Milliseconds(20));
+    AnswerPollAs(kRestarted, lists);
+  }
+  m_starts.clear();
+  m_polls.clear();
+  Start(1, 1000);
+  for (int i = 0; i < 10; ++i) {
+    Advance(Milliseconds(20));
+    AnswerPollAs(kRestarted, lists);
+  }
+  EXPECT_TRUE(m_starts.empty());
+  EXPECT_TRUE(std::ranges::none_of(m_polls, [](const PollRequest& poll) {
+    return poll.m_lease_until.has_value();
+  }));
+}
+
 // Guards against waiting forever for the runs of an unreachable runner, which
 // kills them when their leases expire.
 TEST_F(RunExecutorTest,
