Let a runner miss some stops of ended jobs

Change: the stop of a run whose job has ended is overdue after 0.4 s instead of 50 ms. Stops for lost entries stay due at once.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -196,7 +196,7 @@
                             MonoTime now) {
   const auto found = m_runs.Find(stop.m_run);
   if (found != m_runs.end()) {
-    found->second.Abandon(now + kMaxStopTime, now);
+    found->second.Abandon(now + kStopGrace, now);
     if (found->second.m_state == RunTable::State::kWaiting) {
       Finish(found, RunOutcome::kNotStarted, EndEvidence::kNotRequested, now);
     }
@@ -455,7 +455,7 @@
     const auto next = std::next(found);
     RunTable::Run& run = found->second;
     if (run.m_start.m_abandon_at <= now) {
-      run.Abandon(now + kMaxStopTime, now);
+      run.Abandon(now + kStopGrace, now);
     }
     const bool can_start = is_accepting(now) &&
                            run.m_start.m_queue_until > now &&
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -1033,6 +1033,87 @@
                        kMaxStopTime);
 }
 
+// Guards against a run of a lost entry that goes on when its client sends the
+// job again (jobs/leases.h), 1.3 s after the entry's connections broke.
+TEST_F(RunExecutorTest, RunOfALostEntryHasEndedWhenItsClientRetries) {
+  constexpr Milliseconds kClientRetryDelay{1300};
+  Connect();
+  Connect(kOtherEntry);
+  RegisterRunner();
+  const MonoTime lost_at = m_now;
+  const RunnerTime clock_at_start(5000);
+  Start(0, 1000);
+  Start(1, 1000, 0, kOtherEntry);
+  for (uint32_t index : {0U, 1U}) {
+    m_executor.OnStartRunResult(kRunnerIncarnation, Key(index),
+                                StartResult::kStarted, m_now);
+  }
+  RunnerTime lease_until(0);
+  // The runner's clock is slow by kRunnerClockDriftFactor.
+  const auto runner_clock = [&] {
+    return clock_at_start + std::chrono::duration_cast<RunnerTime>(
+                                (m_now - lost_at) / kRunnerClockDriftFactor);
+  };
+  while (m_now < lost_at + Milliseconds(1200)) {
+    m_polls.clear();
+    m_now += Milliseconds(1);
+    m_executor.OnEntryHeartbeat(kOtherEntry, {m_now}, m_now);
+    RunLists lists;
+    lists.m_clock = runner_clock();
+    lists.m_running = {{Key(0), 10.0}, {Key(1), 10.0}};
+    OnPollResult(kRunnerIncarnation, lists);
+    Tick();
+    for (const PollRequest& poll : m_polls) {
+      lease_until =
+          std::max(lease_until, poll.m_lease_until.value_or(RunnerTime(0)));
+    }
+  }
+  const auto killed_at =
+      lost_at +
+      std::chrono::duration_cast<Microseconds>((lease_until - clock_at_start) *
+                                               kRunnerClockDriftFactor) +
+      kMaxStopTime;
+  EXPECT_LE(killed_at, lost_at + kClientRetryDelay)
+      << (killed_at - lost_at).count() << " us after the loss";
+}
+
+// Guards against an agent that stands still for a moment and then renews the
+// lease of a run whose entry was lost meanwhile.
+TEST_F(RunExecutorTest, StopIsDueFromTheLossOfTheEntryNotFromItsDiscovery) {
+  Connect();
+  Connect(kOtherEntry);
+  RegisterRunner();
+  const MonoTime lost_at = m_now;
+  Start(0, 1000);
+  Start(1, 1000, 0, kOtherEntry);
+  for (uint32_t index : {0U, 1U}) {
+    m_executor.OnStartRunResult(kRunnerIncarnation, Key(index),
+                                StartResult::kStarted, m_now);
+  }
+  const auto poll = [this] {
+    m_polls.clear();
+    m_executor.OnEntryHeartbeat(kOtherEntry, {m_now}, m_now);
+    AnswerPoll({{}, {}, {{Key(0), 10.0}, {Key(1), 10.0}}, {}});
+    Tick();
+  };
+  while (m_now < lost_at + Milliseconds(450)) {
+    m_now += Milliseconds(10);
+    poll();
+  }
+  m_now += Milliseconds(300);  // The agent stands still.
+  MonoTime renewed_at = lost_at;
+  while (m_now < lost_at + Milliseconds(1000)) {
+    poll();
+    m_now += Milliseconds(5);
+    Tick();
+    for (const PollRequest& sent : m_polls) {
+      renewed_at = sent.m_lease_until ? m_now : renewed_at;
+    }
+  }
+  EXPECT_LE(renewed_at, lost_at + kEntryHeartbeatTimeout + kMaxStopTime)
+      << (renewed_at - lost_at).count() << " us after the loss";
+}
+
 // Guards against a run that was reported as ended, goes on nevertheless, and
 // whose lease other runs keep alive.
 TEST_F(RunExecutorTest, LeaseIsNotRenewedForAReportedRunThatGoesOn) {
@@ -1069,6 +1150,27 @@
   }));
 }
 
+// Guards against one lost answer to the stop of a cancelled run that costs the
+// runs of other jobs their place in the queue.
+TEST_F(RunExecutorTest, OneLostAnswerToAStopRejectsNoWaitingRun) {
+  Connect();
+  RegisterRunner();
+  Start(0, 9000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  Start(1, 9000);  // Waits for room, up to 60 ms.
+  Advance(Milliseconds(2));
+  m_executor.OnStopRun(kEntry, StopRun{Key(0)}, m_now);
+  Tick();
+  ASSERT_EQ(m_stops.size(), 1U);
+  for (int i = 0; i < 54; ++i) {
+    Advance(Milliseconds(1));
+    AnswerPoll({{}, {}, {{Key(0), 10.0}}, {}});
+  }
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  EXPECT_EQ(FindReport(1), nullptr);
+}
+
 // Guards against waiting forever for the runs of an unreachable runner, which
 // kills them when their leases expire.
 TEST_F(RunExecutorTest,
