--- a/tests/platform/runner_wire_test.cc
+++ b/tests/platform/runner_wire_test.cc
@@ -70,6 +70,15 @@
   EXPECT_FALSE(DecodeRunLists(R"({"clock_ms":5,"running":[]})"));
 }
 
+// Guards against taking a run for ended because its progress cannot be read.
+TEST(RunnerWireTest, RunWithMalformedProgressIsListed) {
+  const auto lists = DecodeRunLists(
+      R"({"clock_ms":5,"born":7,"running":[["j.0.0.1",2,"",null],)"
+      R"(["j.0.0.2",2]],"ended":[]})");
+  ASSERT_TRUE(lists);
+  EXPECT_EQ(lists.value().m_running.size(), 2U);
+}
+
 TEST(RunnerWireTest, EncodesPollRequest) {
   PollRequest poll_request;
   poll_request.m_fencing_token = 7;
