Review: failing test SettleIsNotAnsweredByALaterIncarnation

The handshake proves the fleet key only, and no command names the incarnation it is meant for. Trace: an agent is killed with a task running on its target and restarted at its address; the owner's start call is lost, OnReplyLost settles at once, PeerClient opens a new session to the address, and the new process, without a table, adds a tombstone and answers kNeverStarted. JobRunner::OnTaskNotStarted then places the task elsewhere. Collect commands have the same gap.

--- a/tests/rpc/peer_test.cc
+++ b/tests/rpc/peer_test.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/starter.h"
 #include "rpc/rpc.h"
 
 namespace comfreyshift {
@@ -41,7 +42,15 @@
     m_started.push_back(command);
     m_replies.push_back(std::move(reply));
   }
-  void OnSettle(const SettleCommand&, Reply<StartReply>) override {}
+  void OnSettle(const SettleCommand& command,
+                Reply<StartReply> reply) override {
+    m_starter.OnSettle(BootClock::now(), WallNow(), 1, command);
+    for (StarterAction& action : m_starter.TakeActions()) {
+      if (auto* send = std::get_if<ReplyStart>(&action)) {
+        reply(std::move(send->m_reply));
+      }
+    }
+  }
   void OnCancelTask(const TaskRef&) override {}
   CollectReply OnCollect(const CollectCommand&) override { return {}; }
   ConfigChanges OnConfig(Revision since) override {
@@ -53,6 +62,8 @@
   bool OnAdopt(const AdoptCommand&) override { return true; }
   bool OnLeave(const ProcessId&) override { return true; }
 
+  // A process that has just been started, without a table yet.
+  Starter m_starter{StarterConfig{}, {"server", 2}};
   std::vector<StartCommand> m_started;
   std::vector<Reply<StartReply>> m_replies;
 };
@@ -237,5 +248,22 @@
   EXPECT_TRUE(RunUntil([&]() { return m_server->connections() == 1; }));
 }
 
+// Guards against a settle that a restarted process answers at the address of
+// its earlier incarnation: it knows nothing of what that one has started.
+TEST_F(PeerTest, SettleIsNotAnsweredByALaterIncarnation) {
+  PeerClient client(m_runtime, kKey);
+  const StartCommand start = Command();
+  const SettleCommand settle{start.m_partition, start.m_epoch, 10,
+                             start.m_task, start.m_first_sent};
+  std::optional<Result<StartReply, RpcError>> result;
+  client.Settle(Server(), settle, [&](Result<StartReply, RpcError> reply) {
+    result = std::move(reply);
+  });
+  ASSERT_TRUE(RunUntil([&]() { return result.has_value(); }));
+  EXPECT_FALSE(*result &&
+               std::holds_alternative<TaskNotStarted>(result->value().m_outcome))
+      << "incarnation 2 answered for incarnation 1";
+}
+
 }  // namespace
 }  // namespace comfreyshift
