--- a/tests/rpc/peer_test.cc
+++ b/tests/rpc/peer_test.cc
@@ -253,15 +253,15 @@
 TEST_F(PeerTest, SettleIsNotAnsweredByALaterIncarnation) {
   PeerClient client(m_runtime, kKey);
   const StartCommand start = Command();
-  const SettleCommand settle{start.m_partition, start.m_epoch, 10,
-                             start.m_task, start.m_first_sent};
+  const SettleCommand settle{start.m_partition, start.m_epoch, 10, start.m_task,
+                             start.m_first_sent};
   std::optional<Result<StartReply, RpcError>> result;
   client.Settle(Server(), settle, [&](Result<StartReply, RpcError> reply) {
     result = std::move(reply);
   });
   ASSERT_TRUE(RunUntil([&]() { return result.has_value(); }));
-  EXPECT_FALSE(*result &&
-               std::holds_alternative<TaskNotStarted>(result->value().m_outcome))
+  EXPECT_FALSE(*result && std::holds_alternative<TaskNotStarted>(
+                              result->value().m_outcome))
       << "incarnation 2 answered for incarnation 1";
 }
 
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -366,6 +366,25 @@
   EXPECT_TRUE(HasResult<JobRejected>(job));
 }
 
+// Guards against taking runs for ended when an agent of the same name, on
+// another machine with another runner, accepts work: it knows nothing of the
+// runner that has them.
+TEST_F(JobSchedulerTest, AgentOnAnotherMachineDoesNotShowThatRunsHaveEnded) {
+  AddAgent("a", 1.0);
+  Submit(1, Milliseconds(500));
+  ASSERT_EQ(m_starts.size(), 1U);
+  m_now += Milliseconds(20);
+  m_scheduler.OnAgentDisconnected("a", m_now);
+  m_scheduler.OnAgentConnected("a", {"a", 2}, m_now);
+  RunnerStatus status = Status(1.0, 10'000);
+  status.m_zone = "other";
+  status.m_runner_start_time_ms = 12345;
+  m_scheduler.OnStatus("a", status, m_now);
+  Tick();
+  EXPECT_TRUE(m_lost_runs.empty());
+  EXPECT_EQ(m_starts.size(), 1U);
+}
+
 TEST_F(JobSchedulerTest, ClosedZoneGetsNoRuns) {
   AddAgent("a", 1.0);
   m_scheduler.OnClosedZones({"zone"});
