Keep a proxy's connections out of processes that start later

What was seen: with an entry killed and started again at once, its client was not told of the broken connection and waited until its timeout of 8 s (three cases of the new hand-over test took 11.6 s, the others 2.3 to 5.7 s).

Cause, by reading: the proxy's copies of its accepted descriptors were not close-on-exec, so the restarted process held them open and no end of the connection reached the client. Now they are close-on-exec.

--- a/tests/standins/fault_proxy.cc
+++ b/tests/standins/fault_proxy.cc
@@ -1,5 +1,6 @@
 #include "tests/standins/fault_proxy.h"
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -60,9 +61,10 @@
                                 GObject*,
                                 FaultProxy* self) {
   // The connection's own object would close the socket; a copy of the
-  // descriptor stays.
+  // descriptor stays. Processes that start later must not hold it open.
   const int copy =
-      dup(g_socket_get_fd(g_socket_connection_get_socket(connection)));
+      fcntl(g_socket_get_fd(g_socket_connection_get_socket(connection)),
+            F_DUPFD_CLOEXEC, 0);
   GSocket* client = g_socket_new_from_fd(copy, nullptr);
   if (client != nullptr) {
     self->Accept(client);
