Play the hand-overs of a run with real processes and disturb them

Two entries, two agents and their runners run with a proxy on every link; a check looks for a task on two runners all the while, and every job must be answered once the trouble is over.

--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -43,7 +43,7 @@
   m_readiness_address = TestAddress(1);
   for (size_t i = 0; i < kAgents; ++i) {
     m_runners.push_back(std::make_unique<RunnerStandin>(
-        "i-" + std::to_string(i), TestAddress(2 + i), Milliseconds(100)));
+        "i-" + std::to_string(i), TestAddress(2 + i), m_task_run_time));
     StartAgent(i);
   }
   StartEntry();
@@ -72,8 +72,8 @@
   m_agents[index] = std::make_unique<PlatformProcess>(
       "platform-agent", name,
       AgentSettingsText(name, TestAddress(2 + index),
-                        TestAddress(7 + index).m_port,
-                        m_runners[index]->address(), m_store.address()),
+                        TestAddress(7 + index).m_port, RunnerAddress(index),
+                        m_store.address()),
       TestAddress(11 + index).m_port);
 }
 
@@ -82,6 +82,15 @@
     const std::string& path,
     const std::string& body,
     const HttpHeaders& headers) {
+  return SendThrough(*m_client, method, path, body, headers);
+}
+
+std::shared_ptr<PendingResponse> PlatformFleet::SendThrough(
+    HttpClient& client,
+    const std::string& method,
+    const std::string& path,
+    const std::string& body,
+    const HttpHeaders& headers) {
   HttpCall call;
   call.m_method = method;
   call.m_path = path;
@@ -90,7 +99,7 @@
   call.m_headers["Host"] = "h.example";
   call.m_deadline = BootClock::now() + std::chrono::seconds(8);
   auto response = std::make_shared<PendingResponse>();
-  m_client->Send(std::move(call), [response](const HttpCallResult& result) {
+  client.Send(std::move(call), [response](const HttpCallResult& result) {
     response->m_has_arrived = true;
     if (result) {
       response->m_status = result.value().m_status;
@@ -106,8 +115,8 @@
     const HttpHeaders& headers) {
   char id[17];
   std::snprintf(id, sizeof(id), "%016x", ++m_job_count);
-  return Send("POST", std::string("/p/") + id,
-              JobText(tasks, Milliseconds(100)), headers);
+  return Send("POST", std::string("/p/") + id, JobText(tasks, m_task_run_time),
+              headers);
 }
 
 bool PlatformFleet::IsReady() {
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -40,7 +40,15 @@
  protected:
   static constexpr size_t kAgents = 2;
 
+  // Every run takes `task_run_time`.
+  explicit PlatformFleet(Milliseconds task_run_time = Milliseconds(100))
+      : m_task_run_time(task_run_time) {}
+
   void SetUp() override;
+  // The address where the agent finds its runner.
+  virtual Address RunnerAddress(size_t index) {
+    return m_runners[index]->address();
+  }
 
   // Start the process, or restart it if it is running.
   void StartEntry();
@@ -51,6 +59,13 @@
                                         const std::string& path,
                                         const std::string& body = "",
                                         const HttpHeaders& headers = {});
+  // The same through another client than that of the first entry.
+  static std::shared_ptr<PendingResponse> SendThrough(
+      HttpClient& client,
+      const std::string& method,
+      const std::string& path,
+      const std::string& body,
+      const HttpHeaders& headers = {});
   std::shared_ptr<PendingResponse> SubmitJob(uint32_t tasks,
                                              const HttpHeaders& headers = {});
   bool IsReady();
@@ -66,6 +81,7 @@
   // hold within ten seconds.
   bool RunUntilAndCheckRuns(const std::function<bool()>& condition);
 
+  const Milliseconds m_task_run_time;
   PlatformStoreStandin m_store;
   // Injects faults between the entry and the store.
   FaultProxy m_store_proxy{m_store.address()};
--- a/tests/platform/runner_standin.cc
+++ b/tests/platform/runner_standin.cc
@@ -72,6 +72,7 @@
   auto* self = static_cast<RunnerStandin*>(data);
   const MonoTime now = BootClock::now();
   self->m_runner.Advance(now);
+  self->ExecuteDueStops(now);
   self->AnswerPolls(now);
   if (!self->m_has_left && now >= self->m_heartbeat_at) {
     self->m_heartbeat_at = now + kHeartbeatInterval;
@@ -98,7 +99,7 @@
                        {"gpu", 0}}},
                      {"labels", {"a", "r1"}},
                      {"clock_ms", 1},
-                     {"born", 1},
+                     {"born", m_start_time_ms},
                      {"seq", ++m_sequence}}
                     .dump();
   call.m_deadline = BootClock::now() + Milliseconds(1000);
@@ -116,6 +117,15 @@
   });
 }
 
+void RunnerStandin::Restart(const std::string& id) {
+  m_id = id;
+  ++m_start_time_ms;
+  m_runner.Restart(BootClock::now());
+  m_pending_polls.clear();
+  m_pending_stops.clear();
+  SendHeartbeat();
+}
+
 bool RunnerStandin::RejectIfMisdirected(const RequestPointer& request) const {
   if (request->Header("Target-Instance") == m_id) {
     return false;
@@ -130,7 +140,7 @@
   }
   const Json body = Json::parse(request->body());
   StartRequest decoded_request;
-  decoded_request.m_process_incarnation = {m_id, 1};
+  decoded_request.m_process_incarnation = m_runner.incarnation();
   decoded_request.m_run = {
       *platform::ParseTaskName(body["task_id"].get<std::string>()),
       body["run_id"]};
@@ -148,9 +158,28 @@
   if (RejectIfMisdirected(request)) {
     return;
   }
+  if (m_stop_delay == Milliseconds::max()) {
+    m_pending_stops.push_back({request, MonoTime::max()});
+    return;
+  }
+  m_pending_stops.push_back({request, BootClock::now() + m_stop_delay});
+  ExecuteDueStops(BootClock::now());
+}
+
+void RunnerStandin::ExecuteDueStops(MonoTime now) {
+  std::erase_if(m_pending_stops, [&](const PendingStop& stop) {
+    if (stop.m_due_at > now) {
+      return false;
+    }
+    ExecuteStop(stop.m_request);
+    return true;
+  });
+}
+
+void RunnerStandin::ExecuteStop(const RequestPointer& request) {
   const Json body = Json::parse(request->body());
   StopRequest decoded_request;
-  decoded_request.m_process_incarnation = {m_id, 1};
+  decoded_request.m_process_incarnation = m_runner.incarnation();
   decoded_request.m_run = {
       *platform::ParseTaskName(body["task_id"].get<std::string>()),
       body["run_id"]};
@@ -167,7 +196,7 @@
   }
   const Json body = Json::parse(request->body());
   PollRequest decoded_request;
-  decoded_request.m_process_incarnation = {m_id, 1};
+  decoded_request.m_process_incarnation = m_runner.incarnation();
   decoded_request.m_fencing_token = body["fencing_token"];
   decoded_request.m_acknowledged_ends = body["acked_upto"];
   if (body.contains("deadline_ms")) {
@@ -205,7 +234,7 @@
                        row.m_run.m_number, OutcomeText(row.m_outcome), ""});
     }
     poll.m_request->ReplyJson(200, {{"clock_ms", lists->m_clock.count()},
-                                    {"born", 1},
+                                    {"born", m_start_time_ms},
                                     {"running", running},
                                     {"ended", ended}});
     return true;
--- a/tests/platform/runner_standin.h
+++ b/tests/platform/runner_standin.h
@@ -37,6 +37,12 @@
   // Answers requests to start a run with `status` from now on, although it
   // carries them out.
   void set_start_status(int status) { m_start_status = status; }
+  // Requests to stop a run are carried out and answered `delay` after they
+  // arrive; never with Milliseconds::max().
+  void set_stop_delay(Milliseconds delay) { m_stop_delay = delay; }
+  // Crashes and comes back at once under `id`, at the same address. Requests
+  // that wait for an answer get none.
+  void Restart(const std::string& id);
 
  private:
   using RequestPointer = std::shared_ptr<HttpRequest>;
@@ -44,9 +50,15 @@
     RequestPointer m_request;
     PollRequest m_request_fields;
   };
+  struct PendingStop {
+    RequestPointer m_request;
+    MonoTime m_due_at;
+  };
 
   void HandleStart(const RequestPointer& request);
   void HandleStop(const RequestPointer& request);
+  void ExecuteDueStops(MonoTime now);
+  void ExecuteStop(const RequestPointer& request);
   void HandleHold(const RequestPointer& request);
   void AnswerPolls(MonoTime now);
   void SendHeartbeat();
@@ -61,8 +73,12 @@
   Address m_address;
   std::shared_ptr<HttpClient> m_heartbeats;
   std::vector<PendingPoll> m_pending_polls;
+  std::vector<PendingStop> m_pending_stops;
   MonoTime m_heartbeat_at;
   uint64_t m_sequence = 0;
+  // Rises with each restart.
+  uint64_t m_start_time_ms = 1;
+  Milliseconds m_stop_delay{0};
   bool m_is_draining = false;
   bool m_has_left = false;
   bool m_is_leave_acknowledged = false;
