Test stops that a runner carries out late, with a killed entry

RunOfAKilledEntryDoesNotOutliveLateStops: the stops come 1.7 s late, after the client has sent the job again.

--- a/tests/platform/handover_test.cc
+++ b/tests/platform/handover_test.cc
@@ -313,6 +313,17 @@
   EXPECT_TRUE(PlayUntilAnswered());
 }
 
+// Guards against the same with a runner that carries out stops only after the
+// client has sent the job again.
+TEST_F(HandoverTest, RunOfAKilledEntryDoesNotOutliveLateStops) {
+  StartLongJobs();
+  SetStopDelay(Milliseconds(1700));
+  KillEntry();
+  PlayFor(Milliseconds(2500));
+  SetStopDelay(Milliseconds(0));
+  EXPECT_TRUE(PlayUntilAnswered());
+}
+
 // Guards against the same with an entry that the agents hear nothing of, and a
 // client that has broken off.
 TEST_F(HandoverTest, RunOfACutEntryDoesNotOutliveUnansweredStops) {
