Soak: faults of the runner's side of a hand-over

Strikes draw, from a generator of their own, heartbeats under another id, the word that a runner leaves while it goes on, runners that start again under their id and runners that leave stops, starts or everything unanswered for a while. One job in 32 has tasks of 2 to 3 s, given by the task's text, so that runs outlive what strikes their entry.

A soak takes 6 s longer, as clients wait for long tasks.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -1,6 +1,7 @@
 if(COMFREYSHIFT_TESTS)
   add_executable(soak
       ${CMAKE_SOURCE_DIR}/tools/soak/soak.cc
+      ${CMAKE_SOURCE_DIR}/tools/soak/runner_faults.cc
       ${CMAKE_SOURCE_DIR}/tools/soak/world.cc
       ${CMAKE_SOURCE_DIR}/tests/platform/runner_standin.cc
       ${CMAKE_SOURCE_DIR}/tests/standins/fault_proxy.cc
--- a/tests/platform/runner_standin.cc
+++ b/tests/platform/runner_standin.cc
@@ -15,6 +15,7 @@
 constexpr Resources kCapacity{10'000, 4096, 0};
 constexpr Milliseconds kHeartbeatInterval{500};
 constexpr guint kTickMs = 2;
+constexpr std::string_view kTimedTask = "run for ms: ";
 
 int StatusOf(StartResult answer) {
   return answer == StartResult::kStarted ? 200 : 409;
@@ -44,6 +45,10 @@
 
 }  // namespace
 
+std::string TimedTaskText(Milliseconds run_time) {
+  return std::string(kTimedTask) + std::to_string(run_time.count());
+}
+
 RunnerStandin::RunnerStandin(std::string id,
                              const Address& heartbeats_to,
                              Microseconds task_run_time)
@@ -98,7 +103,7 @@
                        {"gpu", 0}}},
                      {"labels", {"a", "r1"}},
                      {"clock_ms", 1},
-                     {"born", 1},
+                     {"born", m_runner.incarnation().m_start_time_ms},
                      {"seq", ++m_sequence}}
                     .dump();
   call.m_deadline = BootClock::now() + Milliseconds(1000);
@@ -107,6 +112,10 @@
 
 void RunnerStandin::Leave() {
   m_has_left = true;
+  SendLeave();
+}
+
+void RunnerStandin::SendLeave() {
   HttpCall call;
   call.m_method = "DELETE";
   call.m_path = "/api/instances/" + m_id;
@@ -116,6 +125,24 @@
   });
 }
 
+void RunnerStandin::Restart() {
+  m_runner.Restart(BootClock::now());
+  m_pending_polls.clear();
+  m_sequence = 0;
+  m_heartbeat_at = BootClock::now();
+}
+
+bool RunnerStandin::IsLeftUnanswered(Unanswered requests) const {
+  return BootClock::now() < m_unanswered_until &&
+         (m_unanswered == requests || m_unanswered == Unanswered::kAll);
+}
+
+Microseconds RunnerStandin::RunTimeOf(const std::string& task_text) const {
+  return task_text.starts_with(kTimedTask)
+             ? Milliseconds(std::stoll(task_text.substr(kTimedTask.size())))
+             : m_task_run_time;
+}
+
 bool RunnerStandin::RejectIfMisdirected(const RequestPointer& request) const {
   if (request->Header("Target-Instance") == m_id) {
     return false;
@@ -125,7 +152,7 @@
 }
 
 void RunnerStandin::HandleStart(const RequestPointer& request) {
-  if (RejectIfMisdirected(request)) {
+  if (IsLeftUnanswered(Unanswered::kAll) || RejectIfMisdirected(request)) {
     return;
   }
   const Json body = Json::parse(request->body());
@@ -138,14 +165,17 @@
   decoded_request.m_lease_until =
       RunnerTime(body["deadline_ms"].get<int64_t>());
   m_behaviours[decoded_request.m_run.m_task] = {
-      {1000, 64, 0}, m_task_run_time, false};
+      {1000, 64, 0}, RunTimeOf(body.value("task_spec", "")), false};
   const StartResult answer = m_runner.Start(decoded_request, BootClock::now());
+  if (IsLeftUnanswered(Unanswered::kStarts)) {
+    return;
+  }
   request->ReplyJson(m_start_status == 0 ? StatusOf(answer) : m_start_status,
                      {{"clock_ms", 1}, {"reason", ReasonOf(answer)}});
 }
 
 void RunnerStandin::HandleStop(const RequestPointer& request) {
-  if (RejectIfMisdirected(request)) {
+  if (IsLeftUnanswered(Unanswered::kStops) || RejectIfMisdirected(request)) {
     return;
   }
   const Json body = Json::parse(request->body());
@@ -162,7 +192,7 @@
 }
 
 void RunnerStandin::HandleHold(const RequestPointer& request) {
-  if (RejectIfMisdirected(request)) {
+  if (IsLeftUnanswered(Unanswered::kAll) || RejectIfMisdirected(request)) {
     return;
   }
   const Json body = Json::parse(request->body());
@@ -183,6 +213,9 @@
 }
 
 void RunnerStandin::AnswerPolls(MonoTime now) {
+  if (IsLeftUnanswered(Unanswered::kAll)) {
+    return;
+  }
   std::erase_if(m_pending_polls, [&](const PendingPoll& poll) {
     if (!m_runner.has_news() && poll.m_request_fields.m_answer_by > now) {
       return false;
@@ -204,10 +237,11 @@
       ended.push_back({row.m_number, platform::TaskName(row.m_run.m_task),
                        row.m_run.m_number, OutcomeText(row.m_outcome), ""});
     }
-    poll.m_request->ReplyJson(200, {{"clock_ms", lists->m_clock.count()},
-                                    {"born", 1},
-                                    {"running", running},
-                                    {"ended", ended}});
+    poll.m_request->ReplyJson(200,
+                              {{"clock_ms", lists->m_clock.count()},
+                               {"born", m_runner.incarnation().m_start_time_ms},
+                               {"running", running},
+                               {"ended", ended}});
     return true;
   });
 }
--- a/tests/platform/runner_standin.h
+++ b/tests/platform/runner_standin.h
@@ -12,11 +12,25 @@
 
 namespace comfreyshift {
 
+// Requests that a runner leaves unanswered.
+enum class Unanswered {
+  kNothing,
+  // Requests to stop a run; they are not carried out.
+  kStops,
+  // Requests to start a run; they are carried out.
+  kStarts,
+  // Every request; none is carried out.
+  kAll
+};
+
+// The text of a task that takes `run_time` on a RunnerStandin.
+std::string TimedTaskText(Milliseconds run_time);
+
 // A stand-in for a runner of the users' platform. It serves the platform's
 // protocol over HTTP in real time and sends heartbeats to its agent.
 class RunnerStandin {
  public:
-  // Every run takes `task_run_time`.
+  // Every run takes `task_run_time`, unless its text says otherwise.
   RunnerStandin(std::string id,
                 const Address& heartbeats_to,
                 Microseconds task_run_time);
@@ -31,6 +45,15 @@
   // Tells the agent that the runner leaves, and ends its heartbeats. It goes on
   // answering requests.
   void Leave();
+  // Tells the agent that the runner leaves, but goes on, heartbeats included.
+  void SendLeave();
+  // Ends all runs unseen and starts again under the same id.
+  void Restart();
+  // Leaves requests unanswered until `until`.
+  void LeaveUnanswered(Unanswered requests, MonoTime until) {
+    m_unanswered = requests;
+    m_unanswered_until = until;
+  }
   // Sends one heartbeat under another id, as another writer might.
   void SendHeartbeatAs(const std::string& id);
   bool is_leave_acknowledged() const { return m_is_leave_acknowledged; }
@@ -50,6 +73,8 @@
   void HandleHold(const RequestPointer& request);
   void AnswerPolls(MonoTime now);
   void SendHeartbeat();
+  bool IsLeftUnanswered(Unanswered requests) const;
+  Microseconds RunTimeOf(const std::string& task_text) const;
   bool RejectIfMisdirected(const RequestPointer& request) const;
   static gboolean OnTick(gpointer self);
 
@@ -66,6 +91,8 @@
   bool m_is_draining = false;
   bool m_has_left = false;
   bool m_is_leave_acknowledged = false;
+  Unanswered m_unanswered = Unanswered::kNothing;
+  MonoTime m_unanswered_until;
   // Status of the answers to start requests; 0 for the true one.
   int m_start_status = 0;
   guint m_timer = 0;
--- a/tests/standins/platform_documents.cc
+++ b/tests/standins/platform_documents.cc
@@ -31,12 +31,14 @@
       .dump();
 }
 
-std::string JobText(uint64_t tasks, Milliseconds estimated_run_time) {
+std::string JobText(uint64_t tasks,
+                    Milliseconds estimated_run_time,
+                    const std::string& task_text) {
   const Json step{{"count", tasks},
                   {"cpu", 1000},
                   {"mem_mb", 64},
                   {"est_runtime_ms", estimated_run_time.count()}};
-  return Json{{"task_spec", "work"},
+  return Json{{"task_spec", task_text},
               {"best_effort", true},
               {"steps", Json::array({step})}}
       .dump();
--- a/tests/standins/platform_documents.h
+++ b/tests/standins/platform_documents.h
@@ -15,8 +15,11 @@
 // "service".
 std::string ConfigText(uint64_t version);
 
-// A job of `tasks` equal tasks whose client waits for its answer.
-std::string JobText(uint64_t tasks, Milliseconds estimated_run_time);
+// A job of `tasks` equal tasks whose client waits for its answer. `task_text`
+// is what the runners are told to do.
+std::string JobText(uint64_t tasks,
+                    Milliseconds estimated_run_time,
+                    const std::string& task_text = "work");
 
 // The settings files of the two roles; `link_port` carries the connections
 // between them.
--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -18,6 +18,12 @@
 // The users' clients send a job again this long after a broken connection.
 constexpr Milliseconds kResendDelay{1300};
 constexpr Milliseconds kTaskTime{120};
+// One job in so many has long tasks, which outlive what strikes their entry.
+constexpr uint64_t kLongJobPeriod = 32;
+constexpr Milliseconds kShortestLongTask{2000};
+constexpr uint64_t kLongTaskSpreadMs = 1000;
+constexpr Milliseconds kLongestTask =
+    kShortestLongTask + Milliseconds(kLongTaskSpreadMs);
 constexpr Milliseconds kConfigInterval{700};
 constexpr Milliseconds kTurn{1};
 // Of the jobs sent well after the last fault, so many must be served.
@@ -36,7 +42,10 @@
 }  // namespace
 
 SoakWorld::SoakWorld(uint64_t seed, uint16_t first_port)
-    : m_random(seed), m_first_port(first_port) {
+    : m_random(seed),
+      m_task_times(seed),
+      m_first_port(first_port),
+      m_runner_faults(seed, m_runners, m_runner_links) {
   WriteConfig();
   for (size_t i = 0; i < kEntries + kAgents; ++i) {
     m_store_links.push_back(std::make_unique<FaultProxy>(m_store.address()));
@@ -153,16 +162,24 @@
   SoakJob job;
   job.m_id = id;
   job.m_tasks = 1 + m_random() % 4;
+  job.m_task_time = DrawTaskTime();
   job.m_sent_at = now;
+  job.m_give_up_at = now + kPatience + 2 * (job.m_task_time - kTaskTime);
   m_jobs.push_back(job);
   Send(m_jobs.size() - 1);
 }
 
+Milliseconds SoakWorld::DrawTaskTime() {
+  return m_task_times() % kLongJobPeriod == 0
+             ? kShortestLongTask +
+                   Milliseconds(m_task_times() % kLongTaskSpreadMs)
+             : kTaskTime;
+}
+
 void SoakWorld::Send(size_t index) {
   SoakJob& job = m_jobs[index];
-  const MonoTime give_up_at = job.m_sent_at + kPatience;
-  const auto left =
-      std::chrono::duration_cast<Milliseconds>(give_up_at - BootClock::now());
+  const auto left = std::chrono::duration_cast<Milliseconds>(job.m_give_up_at -
+                                                             BootClock::now());
   if (left <= Milliseconds(0)) {
     return;
   }
@@ -171,8 +188,9 @@
   call.m_path = "/p/" + job.m_id;
   call.m_headers = {{"Host", "h.example"},
                     {"Deadline-Remaining", std::to_string(left.count())}};
-  call.m_body = JobText(job.m_tasks, kTaskTime);
-  call.m_deadline = give_up_at;
+  call.m_body =
+      JobText(job.m_tasks, job.m_task_time, TimedTaskText(job.m_task_time));
+  call.m_deadline = job.m_give_up_at;
   m_clients[m_random() % m_clients.size()]->Send(
       std::move(call),
       [this, index](const HttpCallResult& result) { OnAnswer(index, result); });
@@ -298,6 +316,12 @@
 }
 
 std::string SoakWorld::Strike() {
+  const std::string outside = StrikeOutside();
+  const std::string runner = m_runner_faults.Strike();
+  return runner.empty() ? outside : outside + "; " + runner;
+}
+
+std::string SoakWorld::StrikeOutside() {
   const uint64_t choice = m_random() % 10;
   const Milliseconds length(200 + m_random() % 2000);
   if (choice < 4) {
@@ -342,6 +366,7 @@
     }
   }
   m_store.set_is_down(false);
+  m_runner_faults.Heal();
   for (auto* processes : {&m_entries, &m_agents}) {
     for (const auto& process : *processes) {
       process->Signal(SIGCONT);
@@ -351,7 +376,7 @@
 
 void SoakWorld::Settle() {
   m_is_sending = false;
-  RunFor(kPatience + Milliseconds(500));
+  RunFor(kPatience + 2 * kLongestTask + Milliseconds(500));
 }
 
 void SoakWorld::CheckEnd(MonoTime calm_since) {
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -16,6 +16,7 @@
 #include "tests/standins/platform_documents.h"
 #include "tests/standins/platform_store_standin.h"
 #include "tests/standins/role_process.h"
+#include "tools/soak/runner_faults.h"
 
 namespace comfreyshift {
 
@@ -23,7 +24,10 @@
 struct SoakJob {
   std::string m_id;
   uint64_t m_tasks = 1;
+  Milliseconds m_task_time{0};
   MonoTime m_sent_at;
+  // Its client sends it no more, and expects no answer, after this.
+  MonoTime m_give_up_at;
   // Answered with success, or as failed.
   bool m_is_done = false;
   // Answered as not accepted: nothing ran of that sending.
@@ -46,7 +50,7 @@
 
   // Runs the main loop, with jobs coming in all the while.
   void RunFor(Milliseconds time);
-  // Does one thing drawn at random, and undoes it later; tells what.
+  // Does one or two things drawn at random, and undoes them later; tells what.
   std::string Strike();
   // Undoes all faults and starts what is missing.
   void Heal();
@@ -72,6 +76,7 @@
   void StartAgent(size_t index);
   void RestartExited();
   void SubmitDue(MonoTime now);
+  Milliseconds DrawTaskTime();
   void Send(size_t job);
   void OnAnswer(size_t job, const HttpCallResult& result);
   void CheckRunning();
@@ -80,6 +85,7 @@
   void Violate(const std::string& what);
   void At(MonoTime due, std::function<void()> action);
   void StrikeProcess(std::unique_ptr<PlatformProcess>& process, int choice);
+  std::string StrikeOutside();
   FaultProxy& AnyProxy();
 
   MonoTime m_start = BootClock::now();
@@ -87,6 +93,7 @@
   MonoTime m_last_turn = m_start;
   Microseconds m_longest_pause{0};
   std::mt19937_64 m_random;
+  std::mt19937_64 m_task_times;
   uint16_t m_first_port;
   uint64_t m_config_version = 0;
   PlatformStoreStandin m_store;
@@ -94,6 +101,7 @@
   std::vector<std::unique_ptr<FaultProxy>> m_store_links;
   std::vector<std::unique_ptr<FaultProxy>> m_runner_links;
   std::vector<std::unique_ptr<FaultProxy>> m_agent_links;
+  RunnerFaults m_runner_faults;
   std::vector<std::unique_ptr<PlatformProcess>> m_entries;
   std::vector<std::unique_ptr<PlatformProcess>> m_agents;
   std::vector<std::shared_ptr<HttpClient>> m_clients;
