--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -18,7 +18,8 @@
 // The users' clients send a job again this long after a broken connection.
 constexpr Milliseconds kResendDelay{1300};
 constexpr Milliseconds kTaskTime{120};
-// One job in so many has long tasks, which outlive what strikes their entry.
+// One job in so many has a single long task, which outlives what strikes its
+// entry.
 constexpr uint64_t kLongJobPeriod = 32;
 constexpr Milliseconds kShortestLongTask{2000};
 constexpr uint64_t kLongTaskSpreadMs = 1000;
@@ -163,6 +164,9 @@
   job.m_id = id;
   job.m_tasks = 1 + m_random() % 4;
   job.m_task_time = DrawTaskTime();
+  if (job.m_task_time > kTaskTime) {
+    job.m_tasks = 1;
+  }
   job.m_sent_at = now;
   job.m_give_up_at = now + kPatience + 2 * (job.m_task_time - kTaskTime);
   m_jobs.push_back(job);
