--- a/tools/soak/runner_faults.cc
+++ b/tools/soak/runner_faults.cc
@@ -8,6 +8,7 @@
 constexpr uint64_t kSeedOffset = 0x36;
 constexpr Milliseconds kShortestFault{500};
 constexpr uint64_t kFaultSpreadMs = 3500;
+constexpr Milliseconds kLongestFault{4000};
 
 const char* NameOf(Unanswered requests) {
   switch (requests) {
@@ -54,6 +55,17 @@
   }
 }
 
+bool RunnerFaults::StrikeAllStops() {
+  if (m_random() % 8 != 0) {
+    return false;
+  }
+  const MonoTime until = BootClock::now() + kLongestFault;
+  for (const auto& runner : m_runners) {
+    runner->LeaveUnanswered(Unanswered::kStops, until);
+  }
+  return true;
+}
+
 void RunnerFaults::Heal() {
   for (const auto& runner : m_runners) {
     runner->LeaveUnanswered(Unanswered::kNothing, BootClock::now());
--- a/tools/soak/runner_faults.h
+++ b/tools/soak/runner_faults.h
@@ -25,6 +25,8 @@
   // Strikes one runner, or none at times; tells what, empty for nothing. Faults
   // that last end by themselves.
   std::string Strike();
+  // At times, all runners leave stops unanswered for long; returns whether.
+  bool StrikeAllStops();
   // Ends the faults that last.
   void Heal();
 
--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -320,9 +320,17 @@
 }
 
 std::string SoakWorld::Strike() {
-  const std::string outside = StrikeOutside();
+  std::string strikes = StrikeOutside();
   const std::string runner = m_runner_faults.Strike();
-  return runner.empty() ? outside : outside + "; " + runner;
+  if (!runner.empty()) {
+    strikes += "; " + runner;
+  }
+  if (m_runner_faults.StrikeAllStops()) {
+    // The stops that fail are those of the runs of a lost entry.
+    m_entries.front()->Signal(SIGKILL);
+    strikes += "; entry 0 is killed, all runners leave stops unanswered";
+  }
+  return strikes;
 }
 
 std::string SoakWorld::StrikeOutside() {
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -50,7 +50,7 @@
 
   // Runs the main loop, with jobs coming in all the while.
   void RunFor(Milliseconds time);
-  // Does one or two things drawn at random, and undoes them later; tells what.
+  // Does one or more things drawn at random, and undoes them later; tells what.
   std::string Strike();
   // Undoes all faults and starts what is missing.
   void Heal();
