--- a/tests/platform/handover_test.cc
+++ b/tests/platform/handover_test.cc
@@ -268,7 +268,7 @@
 
   void RestartRunner() {
     m_runner_links[0]->SetFault(LinkFault::kReset);
-    m_runners[0]->Restart("i-0-restarted");
+    m_runners[0]->RestartAs("i-0-restarted");
     m_runner_links[0]->SetFault(LinkFault::kNone);
   }
 
--- a/tests/platform/runner_standin.h
+++ b/tests/platform/runner_standin.h
@@ -12,11 +12,25 @@
 
 namespace comfreyshift {
 
+// Requests that a runner leaves unanswered.
+enum class Unanswered {
+  kNothing,
+  // Requests to stop a run; they are not carried out.
+  kStops,
+  // Requests to start a run; they are carried out.
+  kStarts,
+  // Every request; none is carried out.
+  kAll
+};
+
+// The text of a task that takes `run_time` on a RunnerStandin.
+std::string TimedTaskText(Milliseconds run_time);
+
 // A stand-in for a runner of the users' platform. It serves the platform's
 // protocol over HTTP in real time and sends heartbeats to its agent.
 class RunnerStandin {
  public:
-  // Every run takes `task_run_time`.
+  // Every run takes `task_run_time`, unless its text says otherwise.
   RunnerStandin(std::string id,
                 const Address& heartbeats_to,
                 Microseconds task_run_time);
@@ -31,6 +45,17 @@
   // Tells the agent that the runner leaves, and ends its heartbeats. It goes on
   // answering requests.
   void Leave();
+  // Tells the agent that the runner leaves, but goes on, heartbeats included.
+  void SendLeave();
+  // Crashes, which ends all runs unseen, and starts again at once under `id`,
+  // at the same address. Requests that wait for an answer get none.
+  void RestartAs(const std::string& id);
+  void Restart() { RestartAs(m_id); }
+  // Leaves requests unanswered until `until`.
+  void LeaveUnanswered(Unanswered requests, MonoTime until) {
+    m_unanswered = requests;
+    m_unanswered_until = until;
+  }
   // Sends one heartbeat under another id, as another writer might.
   void SendHeartbeatAs(const std::string& id);
   bool is_leave_acknowledged() const { return m_is_leave_acknowledged; }
@@ -40,9 +65,6 @@
   // Requests to stop a run are carried out and answered `delay` after they
   // arrive; never with Milliseconds::max().
   void set_stop_delay(Milliseconds delay) { m_stop_delay = delay; }
-  // Crashes and comes back at once under `id`, at the same address. Requests
-  // that wait for an answer get none.
-  void Restart(const std::string& id);
 
  private:
   using RequestPointer = std::shared_ptr<HttpRequest>;
@@ -62,6 +84,8 @@
   void HandleHold(const RequestPointer& request);
   void AnswerPolls(MonoTime now);
   void SendHeartbeat();
+  bool IsLeftUnanswered(Unanswered requests) const;
+  Microseconds RunTimeOf(const std::string& task_text) const;
   bool RejectIfMisdirected(const RequestPointer& request) const;
   static gboolean OnTick(gpointer self);
 
@@ -77,11 +101,12 @@
   MonoTime m_heartbeat_at;
   uint64_t m_sequence = 0;
   // Rises with each restart.
-  uint64_t m_start_time_ms = 1;
   Milliseconds m_stop_delay{0};
   bool m_is_draining = false;
   bool m_has_left = false;
   bool m_is_leave_acknowledged = false;
+  Unanswered m_unanswered = Unanswered::kNothing;
+  MonoTime m_unanswered_until;
   // Status of the answers to start requests; 0 for the true one.
   int m_start_status = 0;
   guint m_timer = 0;
