--- a/tests/rpc/peer_test.cc
+++ b/tests/rpc/peer_test.cc
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "dispatch/starter.h"
+#include "dispatch/dispatch.h"
 #include "rpc/rpc.h"
 
 namespace comfreyshift {
