Review case 8: a reborn runner of a smaller kind is overloaded

Cause: an agent starts tasks for up to 400 ms after the last good list, also when polls have failed since, and a start names the runner's id alone. Ruled out: the same load without crashes.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -320,6 +320,7 @@
         self.runner_id = "i-%08x" % random.getrandbits(32)
         self.control = None
         self.state = "ready"
+        self.kind = "a"
         # All runs of all lives, for the checks.
         self.history = []
         # Answers a call instead of the runner, or returns NotImplemented.
@@ -349,6 +350,18 @@
         self.http.reset_connections()
         self.reset()
 
+    def go_down(self):
+        """Crashes and listens no more."""
+        if self.beats:
+            self.beats.cancel()
+        self.http.server.close()
+        self.crash()
+
+    async def come_back(self):
+        """Begins a new life under the same id, at the same address."""
+        self.reset()
+        await self.http.start(self.ip, self.port)
+
     def clock(self):
         return int((time.monotonic() - self.clock_start) * 1000) + 1
 
@@ -370,7 +383,7 @@
             "state": self.state,
             "cold_left_ms": 0,
             "capacity": {"cpu": self.cpu, "mem_mb": 131072, "gpu": 0},
-            "labels": ["a", "r1-1"],
+            "labels": [self.kind, "r1-1"],
             "clock_ms": self.clock(),
             "born": self.born,
             "seq": self.sequence,
@@ -538,9 +551,10 @@
 class Rig:
     """A small deployment: entries, and agents with a runner each."""
 
-    def __init__(self, record_path, entries=2, agents=3, cpu=64000, has_proxies=False):
+    def __init__(self, record_path, entries=2, agents=3, cpu=64000, has_proxies=False, runner_class=None):
         # Proxies between the processes and the store, by the process's name.
         self.has_proxies = has_proxies
+        self.runner_class = runner_class or Runner
         self.proxies = {}
         self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="comfreyshift-review-")
@@ -598,7 +612,7 @@
             ip = "%s.%d" % (self.net, 100 + i)
             zone = ZONES[i % len(ZONES)]
             control, link = self.free_ports(ip, 2)
-            runner = Runner(self, "runner-%d" % i, ip, zone, self.cpu)
+            runner = self.runner_class(self, "runner-%d" % i, ip, zone, self.cpu)
             await runner.start()
             runner.control = (ip, control)
             self.runners.append(runner)
