Retry requests that a runner leaves unanswered

A lost start was stopped and placed anew, a lost poll hid all ends for up to 150 ms, and each loss made the timeouts longer. Starts are now retried under their run number, and after a recent loss polls, starts and stops wait less. In calm nothing changes.

--- a/bench/load_replay.cc
+++ b/bench/load_replay.cc
@@ -77,7 +77,9 @@
            fleet.DrainRunner(i);
          }
        }},
-      {"late-orders", [&]() { fleet.LoseRequests(0.06, third); }},
+      {"late-orders", [&]() { fleet.LoseRequests(0.05, third); }},
+      {"late-orders-fifth", [&]() { fleet.LoseRequests(0.2, third); }},
+      {"late-orders-half", [&]() { fleet.LoseRequests(0.5, third); }},
   };
   const auto found = begin.find(scenario);
   if (found == begin.end()) {
--- a/emulator/fleet_requests.cc
+++ b/emulator/fleet_requests.cc
@@ -51,8 +51,8 @@
     Post(request.m_give_up_at, [this, index, incarnation, request]() {
       if (m_agents[index]->m_process_incarnation == incarnation) {
         m_agents[index]->m_executor->OnStartRunResult(
-            request.m_process_incarnation, request.m_run, StartResult::kUnknown,
-            m_now);
+            request.m_process_incarnation, request.m_run,
+            StartResult::kNoResponse, m_now);
         WakeAgent(index);
       }
     });
--- a/executor/actions.h
+++ b/executor/actions.h
@@ -25,6 +25,8 @@
   RunnerTime m_lease_until{0};
   // A response after this time counts as none.
   MonoTime m_give_up_at;
+  // Number of earlier requests for this run, which got no response.
+  uint32_t m_retries = 0;
 };
 
 // Stops a run. Its result goes to OnStopRunResult.
--- a/executor/poll_schedule.cc
+++ b/executor/poll_schedule.cc
@@ -13,9 +13,13 @@
 // A poll counts as lost if there is no response this long after its wait, or
 // later if the runner responds slowly to other requests.
 constexpr Milliseconds kPollGrace{40};
+// The same two after a recent loss of requests.
+constexpr Milliseconds kPollWaitAfterLoss{10};
+constexpr Milliseconds kPollGraceAfterLoss{5};
 // Minimum interval between polls, so that one poll reports several ends.
 constexpr Milliseconds kMinPollInterval{2};
-// Delay of the next poll after one that failed.
+// Delay of the next poll after one that was rejected, or after one without a
+// response if the runner cannot be reached.
 constexpr Milliseconds kPollRetryDelay{50};
 // A runner whose lists could not be read for this long gets no new runs.
 constexpr Milliseconds kUnreachableTimeout{400};
@@ -47,11 +51,17 @@
 
 PollRequest PollSchedule::Begin(bool waits_for_end,
                                 Microseconds request_timeout,
+                                bool is_loss_recent,
                                 MonoTime now) {
+  const bool is_short = is_loss_recent && IsReachable(now);
+  const Milliseconds wait = is_short ? kPollWaitAfterLoss : kPollWait;
+  const Microseconds grace =
+      is_short
+          ? std::max<Microseconds>(kPollGraceAfterLoss, request_timeout / 8)
+          : std::max<Microseconds>(kPollGrace, request_timeout / 2);
   PollRequest poll;
-  poll.m_answer_by = now + (waits_for_end ? kPollWait : Milliseconds(0));
-  poll.m_give_up_at = poll.m_answer_by +
-                      std::max<Microseconds>(kPollGrace, request_timeout / 2);
+  poll.m_answer_by = now + (waits_for_end ? wait : Milliseconds(0));
+  poll.m_give_up_at = poll.m_answer_by + grace;
   m_is_polling = true;
   m_sent_at = now;
   return poll;
@@ -66,10 +76,13 @@
   m_next_poll_at = std::max(now, m_sent_at + kMinPollInterval);
 }
 
-void PollSchedule::OnFailure(MonoTime now) {
+// A lost poll is repeated at once: runs may have ended meanwhile.
+void PollSchedule::OnFailure(PollFailure failure, MonoTime now) {
   m_is_polling = false;
   m_has_failed = true;
-  m_next_poll_at = now + kPollRetryDelay;
+  const bool is_lost = failure == PollFailure::kNoResponse && IsReachable(now);
+  m_next_poll_at = is_lost ? std::max(now, m_sent_at + kMinPollInterval)
+                           : now + kPollRetryDelay;
 }
 
 bool PollSchedule::IsReachable(MonoTime now) const {
--- a/executor/poll_schedule.h
+++ b/executor/poll_schedule.h
@@ -6,6 +6,7 @@
 
 #include "core/core.h"
 #include "executor/actions.h"
+#include "executor/runner_observation.h"
 
 namespace comfreyshift {
 
@@ -24,14 +25,16 @@
   MonoTime NextPollAt(bool has_work) const;
   // Begins a poll. The runner holds its response until a run ends if
   // `waits_for_end` is set. Returns a request with its times filled in;
-  // `request_timeout` is the timeout of other requests.
+  // `request_timeout` is the timeout of other requests. After a recent loss of
+  // requests the poll is short, so that little time passes until the next one.
   PollRequest Begin(bool waits_for_end,
                     Microseconds request_timeout,
+                    bool is_loss_recent,
                     MonoTime now);
   // The poll returned lists, read when the runner's clock showed `clock`.
   void OnLists(RunnerTime clock, MonoTime now);
   // The poll returned no usable lists.
-  void OnFailure(MonoTime now);
+  void OnFailure(PollFailure failure, MonoTime now);
   // Makes the next poll due at once.
   void PollNow(MonoTime now) { m_next_poll_at = now; }
   // Whether the last poll returned no usable lists.
--- a/executor/request_latency.cc
+++ b/executor/request_latency.cc
@@ -11,21 +11,39 @@
 constexpr Milliseconds kMinRequestTimeout{50};
 constexpr Milliseconds kMaxRequestTimeout{400};
 constexpr int kLatencyFactor = 6;
+// Time until the first retry, at least, and when requests were lost recently.
+constexpr Milliseconds kMinRetryDelay{20};
+constexpr Milliseconds kMinRetryDelayAfterLoss{8};
+// The first retry follows after this many times the average latency at least.
+constexpr int kRetryLatencyFactor = 4;
 // Weight of one sample in the average latency is 1 / kLatencyDivisor.
 constexpr int kLatencyDivisor = 8;
 
 }  // namespace
 
-void RequestLatency::AddSample(StartResult result, Microseconds latency) {
-  if (result == StartResult::kUnknown) {
-    latency = std::max<Microseconds>(2 * m_average, Milliseconds(10));
-  }
+void RequestLatency::AddSample(Microseconds latency) {
   m_average += (latency - m_average) / kLatencyDivisor;
 }
 
+void RequestLatency::AddTimeout() {
+  AddSample(std::max<Microseconds>(2 * m_average, Milliseconds(10)));
+}
+
 Microseconds RequestLatency::Timeout() const {
   return std::clamp<Microseconds>(kLatencyFactor * m_average,
                                   kMinRequestTimeout, kMaxRequestTimeout);
 }
 
+// The delay doubles from the second retry on: a runner that responds slowly is
+// not taken for one that loses requests.
+Microseconds RequestLatency::RetryDelay(uint32_t retries,
+                                        bool is_loss_recent) const {
+  const Microseconds first = std::max<Microseconds>(
+      kRetryLatencyFactor * m_average,
+      is_loss_recent ? kMinRetryDelayAfterLoss : kMinRetryDelay);
+  const Microseconds delay =
+      retries < 2 ? first : first * (int64_t{1} << std::min(retries - 1, 8U));
+  return std::min(delay, Timeout());
+}
+
 }  // namespace comfreyshift
--- a/executor/request_latency.h
+++ b/executor/request_latency.h
@@ -1,8 +1,9 @@
 #ifndef EXECUTOR_REQUEST_LATENCY_H_
 #define EXECUTOR_REQUEST_LATENCY_H_
 
+#include <cstdint>
+
 #include "core/core.h"
-#include "executor/runner_observation.h"
 
 namespace comfreyshift {
 
@@ -11,10 +12,17 @@
 // time.
 class RequestLatency {
  public:
-  // Adds a sample: a start request ended with `result` after `latency`.
-  void AddSample(StartResult result, Microseconds latency);
-  // Returns how long to wait for a response before the request counts as lost.
+  // Adds the latency of a request that got a response.
+  void AddSample(Microseconds latency);
+  // A request and all its retries got no response.
+  void AddTimeout();
+  // Returns how long to wait for a response before a request with all its
+  // retries counts as lost.
   Microseconds Timeout() const;
+  // Returns how long to wait for a response before the request is sent again,
+  // after `retries` retries. `is_loss_recent` says whether the runner has left
+  // requests without a response recently.
+  Microseconds RetryDelay(uint32_t retries, bool is_loss_recent) const;
 
  private:
   Microseconds m_average{0};
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -7,8 +7,10 @@
 
 namespace {
 
-// Interval of stop requests for a run until one is acknowledged.
+// Interval of stop requests for a run until one is acknowledged, and the same
+// after a recent loss of requests.
 constexpr Milliseconds kStopRetryInterval{60};
+constexpr Milliseconds kStopRetryIntervalAfterLoss{15};
 // Delay of the next poll that verifies a heartbeat after an inconclusive one.
 constexpr Milliseconds kVerificationRetryDelay{50};
 // Maximum time between two calls of Tick.
@@ -230,15 +232,28 @@
   if (result == StartResult::kFenced && run.m_fencing_token == m_token) {
     RaiseToken(now);
   }
-  m_request_latency.AddSample(result, now - run.m_started_at);
+  if (result != StartResult::kNoResponse) {
+    m_request_latency.AddSample(now - run.m_started_at);
+  }
   // A stop is already under way and determines how the run ends.
   if (run.m_state != RunTable::State::kStarting) {
     return;
   }
+  if (result == StartResult::kNoResponse) {
+    OnStartLost(incarnation, found, now);
+    return;
+  }
+  // An earlier request may have been carried out, or may be later.
+  if (run.m_start_retries > 0 && result != StartResult::kStarted) {
+    run.RequestStop(now);
+    return;
+  }
   switch (result) {
     case StartResult::kStarted:
+      run.m_start.m_payload.clear();
       run.SetState(RunTable::State::kRunning, now);
       return;
+    case StartResult::kNoResponse:
     case StartResult::kUnknown:
       run.RequestStop(now);
       return;
@@ -253,6 +268,26 @@
   }
 }
 
+// A retry carries the same run number, so that the runner carries out only one
+// of the requests, however late. It is not sent to another incarnation, whose
+// capacity may be smaller, or to a runner that must get no new runs by now.
+void RunExecutor::OnStartLost(const RunnerIncarnation& incarnation,
+                              RunTable::Iterator found,
+                              MonoTime now) {
+  RunTable::Run& run = found->second;
+  m_request_loss.OnNoResponse(now);
+  const bool can_retry = now < run.m_retry_until && is_accepting(now) &&
+                         incarnation == m_runner->m_process_incarnation &&
+                         run.m_fencing_token == m_token;
+  if (can_retry) {
+    ++run.m_start_retries;
+    RequestStart(found, now);
+    return;
+  }
+  m_request_latency.AddTimeout();
+  run.RequestStop(now);
+}
+
 void RunExecutor::OnStopRunResult(const RunnerIncarnation& incarnation,
                                   const RunKey& key,
                                   StopResult result,
@@ -288,7 +323,10 @@
     if (*failure == PollFailure::kFenced) {
       RaiseToken(now);
     }
-    m_poll_schedule.OnFailure(now);
+    if (*failure == PollFailure::kNoResponse) {
+      m_request_loss.OnNoResponse(now);
+    }
+    m_poll_schedule.OnFailure(*failure, now);
     return;
   }
   const auto& lists = std::get<RunLists>(result);
@@ -485,29 +523,39 @@
     available -= run.m_start.m_demand;
     ++reservations;
     run.SetState(RunTable::State::kStarting, now);
-    run.m_started_at = now;
     run.m_fencing_token = m_token;
-    const RunnerTime lease_until = m_poll_schedule.GrantLease(now);
-    m_actions.push_back(
-        StartRequest{m_runner->m_process_incarnation, found->first,
-                     std::move(run.m_start.m_payload), m_token, lease_until,
-                     now + m_request_latency.Timeout()});
+    run.m_retry_until = now + m_request_latency.Timeout();
+    RequestStart(found, now);
     m_is_status_due = true;
   }
 }
 
+void RunExecutor::RequestStart(RunTable::Iterator found, MonoTime now) {
+  RunTable::Run& run = found->second;
+  run.m_started_at = now;
+  const RunnerTime lease_until = m_poll_schedule.GrantLease(now);
+  const Microseconds retry_delay = m_request_latency.RetryDelay(
+      run.m_start_retries, m_request_loss.IsRecent(now));
+  m_actions.push_back(StartRequest{
+      m_runner->m_process_incarnation, found->first, run.m_start.m_payload,
+      m_token, lease_until, now + retry_delay, run.m_start_retries});
+}
+
 void RunExecutor::SendStops(MonoTime now) {
   if (!m_runner) {
     return;
   }
-  for (const RunKey& key : m_runs.TakeDueStops(now, now + kStopRetryInterval)) {
+  const MonoTime next_stop_at =
+      now + (m_request_loss.IsRecent(now) ? kStopRetryIntervalAfterLoss
+                                          : kStopRetryInterval);
+  for (const RunKey& key : m_runs.TakeDueStops(now, next_stop_at)) {
     m_actions.push_back(StopRequest{m_runner->m_process_incarnation, key,
                                     m_token,
                                     now + m_request_latency.Timeout()});
   }
   for (auto& [key, orphan] : m_orphaned_runs) {
     if (orphan.m_next_stop_at <= now) {
-      orphan.m_next_stop_at = now + kStopRetryInterval;
+      orphan.m_next_stop_at = next_stop_at;
       m_actions.push_back(StopRequest{m_runner->m_process_incarnation, key,
                                       m_token,
                                       now + m_request_latency.Timeout()});
@@ -559,7 +607,8 @@
     return;
   }
   PollRequest poll =
-      m_poll_schedule.Begin(m_is_reconciled, m_request_latency.Timeout(), now);
+      m_poll_schedule.Begin(m_is_reconciled, m_request_latency.Timeout(),
+                            m_request_loss.IsRecent(now), now);
   poll.m_process_incarnation = m_runner->m_process_incarnation;
   poll.m_fencing_token = m_token;
   // After a failure the runner may have restarted, and its ends are counted
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -15,6 +15,7 @@
 #include "executor/poll_schedule.h"
 #include "executor/report_cache.h"
 #include "executor/request_latency.h"
+#include "executor/request_loss.h"
 #include "executor/run_table.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
@@ -133,6 +134,13 @@
   void StopRunsOfLostEntries(MonoTime now);
   void StopExpiredRuns(MonoTime now);
   void StartWaitingRuns(MonoTime now);
+  // Adds a request to start a run, or to start it again if the earlier ones got
+  // no response.
+  void RequestStart(RunTable::Iterator found, MonoTime now);
+  // Handles a start request without a response.
+  void OnStartLost(const RunnerIncarnation& incarnation,
+                   RunTable::Iterator found,
+                   MonoTime now);
   void SendStops(MonoTime now);
   // Whether the runner should have ended a run by now and has not. Requests
   // cannot stop it then, only the end of all leases can.
@@ -170,6 +178,7 @@
   Milliseconds m_max_runner_lease = kMaxRunnerLease;
   PollSchedule m_poll_schedule;
   RequestLatency m_request_latency;
+  RequestLoss m_request_loss;
   uint64_t m_acknowledged_ends = 0;
   // Whether a list without orphaned runs has been read from this incarnation of
   // the runner. Nothing starts before,
--- a/executor/run_table.h
+++ b/executor/run_table.h
@@ -31,12 +31,16 @@
 
   struct Run {
     ProcessId m_entry;
-    // The entry's message. The payload is moved to the start request, and
+    // The entry's message. The payload is dropped once the run has started, and
     // m_queue_until becomes earlier when the entry no longer counts as alive.
     StartRun m_start;
     State m_state = State::kWaiting;
-    // When the start was requested.
+    // When the newest request to start it was sent, and how many were sent
+    // before.
     MonoTime m_started_at;
+    uint32_t m_start_retries = 0;
+    // No request to start it is sent after this time.
+    MonoTime m_retry_until;
     // Fencing token of the start request.
     uint64_t m_fencing_token = 0;
     // Lists of polls sent before this time may not show the state yet.
--- a/executor/runner_observation.h
+++ b/executor/runner_observation.h
@@ -26,7 +26,10 @@
   kOtherIncarnation,
   // The request was not sent.
   kNotSent,
-  // There was no response; the request may still be carried out at any time.
+  // There was no response in time; the request may still be carried out at any
+  // time.
+  kNoResponse,
+  // The response does not show whether the run has started or will.
   kUnknown,
 };
 
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -243,6 +243,9 @@
 }
 
 void AgentNode::CallRunner(const StartRequest& request) {
+  if (request.m_retries > 0) {
+    m_metrics.Count("start_retries_total");
+  }
   m_runner_api.m_start(request, [this, alive = m_is_alive,
                                  incarnation = request.m_process_incarnation,
                                  run = request.m_run](StartResult result) {
--- a/tests/emulator/load_test.cc
+++ b/tests/emulator/load_test.cc
@@ -91,6 +91,17 @@
             kTargetWorth);
 }
 
+// Guards against long waits for responses that never come. Jobs in the worst
+// seconds count as much as all others, so most have to be in time.
+TEST_F(LoadTest, AFifthOfTheRequestsGetsNoResponse) {
+  EXPECT_GE(Play(kNoPhase,
+                 [](FleetEmulation& fleet) {
+                   fleet.At(kThird,
+                            [&fleet]() { fleet.LoseRequests(0.2, kThird); });
+                 }),
+            kTargetWorth);
+}
+
 // Twelve entries that all place on the runner that looks best to them meet
 // there between two statuses; a fleet with two thirds of its room free then
 // refused a twentieth of its jobs.
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -226,6 +226,60 @@
   EXPECT_EQ(m_starts.size(), 2U);
 }
 
+// Guards against stopping a run and placing it anew because one request was
+// lost: a retry under the same run number starts it at most once.
+TEST_F(RunExecutorTest, LostStartIsRetriedUnderItsRunNumber) {
+  Connect();
+  RegisterRunner();
+  Start(0, 6000);
+  ASSERT_EQ(m_starts.size(), 1U);
+  Advance(Milliseconds(20));
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0),
+                              StartResult::kNoResponse, m_now);
+  Tick();
+  ASSERT_EQ(m_starts.size(), 2U);
+  EXPECT_EQ(m_starts[1].m_run, m_starts[0].m_run);
+  EXPECT_EQ(m_starts[1].m_payload, m_starts[0].m_payload);
+  EXPECT_EQ(m_starts[1].m_fencing_token, m_starts[0].m_fencing_token);
+  EXPECT_TRUE(m_stops.empty());
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
+  Start(1, 6000);
+  EXPECT_EQ(m_starts.size(), 2U);  // The run holds its reservation once.
+}
+
+// Guards against reporting a run as not started because its retry was rejected:
+// the first request may have been carried out.
+TEST_F(RunExecutorTest, RejectedRetryDoesNotShowThatTheRunNeverStarted) {
+  Connect();
+  RegisterRunner();
+  Start(0, 6000);
+  Advance(Milliseconds(20));
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0),
+                              StartResult::kNoResponse, m_now);
+  Tick();
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0),
+                              StartResult::kNumberTooLow, m_now);
+  Tick();
+  EXPECT_EQ(FindReport(0), nullptr);
+  EXPECT_EQ(m_stops.size(), 1U);
+}
+
+// Guards against a retry that starts a run on a runner that must get no more,
+// here because its zone was closed meanwhile.
+TEST_F(RunExecutorTest, LostStartIsNotRetriedOnARunnerThatTakesNoMoreRuns) {
+  Connect();
+  RegisterRunner();
+  Start(0, 6000);
+  m_executor.OnClosedZones({"zone"}, m_now);
+  Advance(Milliseconds(20));
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0),
+                              StartResult::kNoResponse, m_now);
+  Tick();
+  EXPECT_EQ(m_starts.size(), 1U);
+  EXPECT_EQ(m_stops.size(), 1U);
+}
+
 // Guards against running a task twice: once its runner is unreachable a run is
 // started elsewhere, but its delayed start request could still be carried out
 // when the next poll renews the lease.
