Send another poll when one is overdue instead of giving it up

Giving a poll up after a few milliseconds closed its connection, and a busy agent then opened one for nearly each poll. Late lists are now compared by the time at which their poll was sent.

--- a/emulator/fleet_requests.cc
+++ b/emulator/fleet_requests.cc
@@ -91,7 +91,7 @@
     Post(request.m_give_up_at, [this, index, incarnation, request]() {
       if (m_agents[index]->m_process_incarnation == incarnation) {
         m_agents[index]->m_executor->OnPollResult(
-            request.m_process_incarnation, request.m_purpose,
+            request.m_process_incarnation, request.m_purpose, request.m_sent_at,
             PollFailure::kNoResponse, m_now);
         WakeAgent(index);
       }
@@ -133,27 +133,29 @@
                                 uint64_t incarnation,
                                 const PollRequest& request) {
   const auto answer = m_agents[index]->m_runner->Poll(request, m_now);
-  Post(m_now + m_options.m_request_delay, [this, index, incarnation, request,
-                                           answer]() {
-    Agent& agent = *m_agents[index];
-    if (agent.m_process_incarnation != incarnation) {
-      return;
-    }
-    const MonoTime at = std::max(m_now, agent.m_frozen_until);
-    if (at > m_now) {
-      Post(at, [this, index, incarnation, request, answer]() {
-        if (m_agents[index]->m_process_incarnation == incarnation) {
-          m_agents[index]->m_executor->OnPollResult(
-              request.m_process_incarnation, request.m_purpose, answer, m_now);
-          WakeAgent(index);
-        }
-      });
-      return;
-    }
-    agent.m_executor->OnPollResult(request.m_process_incarnation,
-                                   request.m_purpose, answer, m_now);
-    WakeAgent(index);
-  });
+  Post(m_now + m_options.m_request_delay,
+       [this, index, incarnation, request, answer]() {
+         Agent& agent = *m_agents[index];
+         if (agent.m_process_incarnation != incarnation) {
+           return;
+         }
+         const MonoTime at = std::max(m_now, agent.m_frozen_until);
+         if (at > m_now) {
+           Post(at, [this, index, incarnation, request, answer]() {
+             if (m_agents[index]->m_process_incarnation == incarnation) {
+               m_agents[index]->m_executor->OnPollResult(
+                   request.m_process_incarnation, request.m_purpose,
+                   request.m_sent_at, answer, m_now);
+               WakeAgent(index);
+             }
+           });
+           return;
+         }
+         agent.m_executor->OnPollResult(request.m_process_incarnation,
+                                        request.m_purpose, request.m_sent_at,
+                                        answer, m_now);
+         WakeAgent(index);
+       });
 }
 
 void FleetEmulation::CheckDoubleRuns() {
--- a/executor/actions.h
+++ b/executor/actions.h
@@ -54,6 +54,7 @@
   uint64_t m_acknowledged_ends = 0;
   // Renews the lease of all runs until then; empty if nothing runs.
   std::optional<RunnerTime> m_lease_until;
+  MonoTime m_sent_at;
   // The runner responds when a run ends, or at this time at the latest.
   MonoTime m_answer_by;
   // A response after this time counts as none.
--- a/executor/poll_schedule.cc
+++ b/executor/poll_schedule.cc
@@ -13,9 +13,14 @@
 // A poll counts as lost if there is no response this long after its wait, or
 // later if the runner responds slowly to other requests.
 constexpr Milliseconds kPollGrace{40};
-// The same two after a recent loss of requests.
+// Wait of a poll after a recent loss of requests.
 constexpr Milliseconds kPollWaitAfterLoss{10};
-constexpr Milliseconds kPollGraceAfterLoss{5};
+// A poll without a response is overdue this long after its wait, and after a
+// recent loss.
+constexpr Milliseconds kOverdueDelay{15};
+constexpr Milliseconds kOverdueDelayAfterLoss{5};
+// Polls that may be under way at a time.
+constexpr size_t kMaxPollsInFlight = 3;
 // Minimum interval between polls, so that one poll reports several ends.
 constexpr Milliseconds kMinPollInterval{2};
 // Delay of the next poll after one that was rejected, or after one without a
@@ -27,7 +32,7 @@
 }  // namespace
 
 void PollSchedule::Reset(MonoTime now) {
-  m_is_polling = false;
+  m_polls_in_flight = 0;
   m_has_failed = false;
   m_clock = RunnerTime(0);
   m_next_poll_at = now;
@@ -36,13 +41,11 @@
 }
 
 bool PollSchedule::IsDue(bool has_work, MonoTime now) const {
-  const bool is_needed =
-      has_work || now >= m_last_list_at + kUnreachableTimeout / 2;
-  return !m_is_polling && is_needed && now >= m_next_poll_at;
+  return now >= NextPollAt(has_work);
 }
 
 MonoTime PollSchedule::NextPollAt(bool has_work) const {
-  if (m_is_polling) {
+  if (m_polls_in_flight >= kMaxPollsInFlight) {
     return MonoTime::max();
   }
   const MonoTime idle_poll = m_last_list_at + kUnreachableTimeout / 2;
@@ -53,35 +56,49 @@
                                 Microseconds request_timeout,
                                 bool is_loss_recent,
                                 MonoTime now) {
-  const bool is_short = is_loss_recent && IsReachable(now);
-  const Milliseconds wait = is_short ? kPollWaitAfterLoss : kPollWait;
-  const Microseconds grace =
-      is_short
-          ? std::max<Microseconds>(kPollGraceAfterLoss, request_timeout / 8)
-          : std::max<Microseconds>(kPollGrace, request_timeout / 2);
+  const Milliseconds wait = is_loss_recent ? kPollWaitAfterLoss : kPollWait;
   PollRequest poll;
+  poll.m_sent_at = now;
   poll.m_answer_by = now + (waits_for_end ? wait : Milliseconds(0));
-  poll.m_give_up_at = poll.m_answer_by + grace;
-  m_is_polling = true;
+  poll.m_give_up_at = poll.m_answer_by +
+                      std::max<Microseconds>(kPollGrace, request_timeout / 2);
+  ++m_polls_in_flight;
   m_sent_at = now;
+  m_next_poll_at =
+      IsReachable(now)
+          ? poll.m_answer_by +
+                (is_loss_recent ? kOverdueDelayAfterLoss : kOverdueDelay)
+          : MonoTime::max();
   return poll;
 }
 
-void PollSchedule::OnLists(RunnerTime clock, MonoTime now) {
-  m_is_polling = false;
+bool PollSchedule::OnLists(MonoTime sent_at, RunnerTime clock, MonoTime now) {
+  m_polls_in_flight -= std::min<size_t>(m_polls_in_flight, 1);
+  if (sent_at < m_lists_sent_at) {
+    return false;
+  }
+  m_lists_sent_at = sent_at;
   m_has_failed = false;
   m_clock = clock;
   m_clock_read_at = now;
   m_last_list_at = now;
-  m_next_poll_at = std::max(now, m_sent_at + kMinPollInterval);
+  if (sent_at == m_sent_at) {
+    m_next_poll_at = std::max(now, sent_at + kMinPollInterval);
+  }
+  return true;
 }
 
-// A lost poll is repeated at once: runs may have ended meanwhile.
-void PollSchedule::OnFailure(PollFailure failure, MonoTime now) {
-  m_is_polling = false;
+void PollSchedule::OnFailure(MonoTime sent_at,
+                             PollFailure failure,
+                             MonoTime now) {
+  m_polls_in_flight -= std::min<size_t>(m_polls_in_flight, 1);
+  if (sent_at != m_sent_at) {
+    return;
+  }
   m_has_failed = true;
+  // A lost poll is repeated at once: runs may have ended meanwhile.
   const bool is_lost = failure == PollFailure::kNoResponse && IsReachable(now);
-  m_next_poll_at = is_lost ? std::max(now, m_sent_at + kMinPollInterval)
+  m_next_poll_at = is_lost ? std::max(now, sent_at + kMinPollInterval)
                            : now + kPollRetryDelay;
 }
 
--- a/executor/poll_schedule.h
+++ b/executor/poll_schedule.h
@@ -21,26 +21,29 @@
   // Whether a poll is to be sent now. `has_work` says whether lists are needed
   // for more than the reachability of the runner.
   bool IsDue(bool has_work, MonoTime now) const;
-  // Returns when the next poll is due, MonoTime::max() while one is under way.
+  // Returns when the next poll is due.
   MonoTime NextPollAt(bool has_work) const;
   // Begins a poll. The runner holds its response until a run ends if
   // `waits_for_end` is set. Returns a request with its times filled in;
   // `request_timeout` is the timeout of other requests. After a recent loss of
-  // requests the poll is short, so that little time passes until the next one.
+  // requests the poll is short. If it is overdue another one is sent, and the
+  // first response is used.
   PollRequest Begin(bool waits_for_end,
                     Microseconds request_timeout,
                     bool is_loss_recent,
                     MonoTime now);
-  // The poll returned lists, read when the runner's clock showed `clock`.
-  void OnLists(RunnerTime clock, MonoTime now);
-  // The poll returned no usable lists.
-  void OnFailure(PollFailure failure, MonoTime now);
+  // A poll returned lists, read when the runner's clock showed `clock`. Returns
+  // false if those of a later poll have arrived before.
+  bool OnLists(MonoTime sent_at, RunnerTime clock, MonoTime now);
+  // A poll returned no usable lists.
+  void OnFailure(MonoTime sent_at, PollFailure failure, MonoTime now);
   // Makes the next poll due at once.
   void PollNow(MonoTime now) { m_next_poll_at = now; }
-  // Whether the last poll returned no usable lists.
-  bool has_failed() const { return m_has_failed; }
-  // When the newest poll was sent.
-  MonoTime sent_at() const { return m_sent_at; }
+  // Whether the lists of an earlier poll are missing, so that the runner may
+  // have restarted since those before.
+  bool misses_lists() const { return m_has_failed || m_polls_in_flight > 0; }
+  // When the poll that returned the newest lists was sent.
+  MonoTime lists_sent_at() const { return m_lists_sent_at; }
 
   // Whether lists were read recently. A runner that cannot be reached gets no
   // new runs.
@@ -65,9 +68,12 @@
   // The runner's clock in the newest lists, and when they arrived.
   RunnerTime m_clock{0};
   MonoTime m_clock_read_at;
-  bool m_is_polling = false;
+  size_t m_polls_in_flight = 0;
+  // Whether the newest poll returned no usable lists.
   bool m_has_failed = false;
+  // When the newest poll was sent.
   MonoTime m_sent_at;
+  MonoTime m_lists_sent_at;
   MonoTime m_next_poll_at;
   MonoTime m_last_list_at;
   // The runner has killed all runs by this time, even if its clock is slow by
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -310,10 +310,11 @@
 void RunExecutor::OnPollResult(
     const RunnerIncarnation& incarnation,
     PollPurpose purpose,
+    MonoTime sent_at,
     const std::variant<RunLists, PollFailure>& result,
     MonoTime now) {
   if (purpose == PollPurpose::kVerifyHeartbeat) {
-    OnVerificationResult(incarnation, result, now);
+    OnVerificationResult(incarnation, sent_at, result, now);
     return;
   }
   if (!m_runner || m_runner->m_process_incarnation != incarnation) {
@@ -326,7 +327,7 @@
     if (*failure == PollFailure::kNoResponse) {
       m_request_loss.OnNoResponse(now);
     }
-    m_poll_schedule.OnFailure(*failure, now);
+    m_poll_schedule.OnFailure(sent_at, *failure, now);
     return;
   }
   const auto& lists = std::get<RunLists>(result);
@@ -334,11 +335,12 @@
     OnRunnerRestarted(*lists.m_start_time_ms, now);
     return;
   }
-  ApplyLists(lists, now);
+  ApplyLists(lists, sent_at, now);
 }
 
 void RunExecutor::OnVerificationResult(
     const RunnerIncarnation& incarnation,
+    MonoTime sent_at,
     const std::variant<RunLists, PollFailure>& result,
     MonoTime now) {
   // Another poll may have shown the incarnation meanwhile. These lists may then
@@ -368,11 +370,15 @@
   }
   EndIncarnation(now);
   BeginIncarnation(*heartbeat, now);
-  ApplyLists(lists, now);
+  ApplyLists(lists, sent_at, now);
 }
 
-void RunExecutor::ApplyLists(const RunLists& lists, MonoTime now) {
-  m_poll_schedule.OnLists(lists.m_clock, now);
+void RunExecutor::ApplyLists(const RunLists& lists,
+                             MonoTime sent_at,
+                             MonoTime now) {
+  if (!m_poll_schedule.OnLists(sent_at, lists.m_clock, now)) {
+    return;
+  }
   ApplyEndedRuns(lists, now);
   ApplyActiveRuns(lists, now);
   if (!m_is_reconciled && m_orphaned_runs.empty()) {
@@ -424,7 +430,7 @@
     const auto next = std::next(found);
     RunTable::Run& run = found->second;
     const auto row = listed.find(found->first);
-    const bool is_newer = m_poll_schedule.sent_at() > run.m_state_since;
+    const bool is_newer = m_poll_schedule.lists_sent_at() > run.m_state_since;
     if (row != listed.end()) {
       m_health.OnProgress(now - run.m_started_at, row->second,
                           run.m_start.m_expected);
@@ -606,15 +612,16 @@
   if (!m_runner || !m_poll_schedule.IsDue(NeedsLists(), now)) {
     return;
   }
+  const bool misses_lists = m_poll_schedule.misses_lists();
   PollRequest poll =
       m_poll_schedule.Begin(m_is_reconciled, m_request_latency.Timeout(),
                             m_request_loss.IsRecent(now), now);
   poll.m_process_incarnation = m_runner->m_process_incarnation;
   poll.m_fencing_token = m_token;
-  // After a failure the runner may have restarted, and its ends are counted
-  // anew: an acknowledgement of earlier ones would make it forget new ones.
-  poll.m_acknowledged_ends =
-      m_poll_schedule.has_failed() ? 0 : m_acknowledged_ends;
+  // Without the lists of an earlier poll the runner may have restarted, and its
+  // ends are counted anew: an acknowledgement of earlier ones would make it
+  // forget new ones.
+  poll.m_acknowledged_ends = misses_lists ? 0 : m_acknowledged_ends;
   if (m_runs.NeedsLease() && !IsStopOverdue(now)) {
     poll.m_lease_until = m_poll_schedule.RenewLeases(now);
   }
@@ -628,6 +635,7 @@
     poll.m_process_incarnation = incarnation;
     poll.m_purpose = PollPurpose::kVerifyHeartbeat;
     poll.m_fencing_token = m_token;
+    poll.m_sent_at = now;
     poll.m_answer_by = now;
     poll.m_give_up_at = now + m_request_latency.Timeout();
     m_actions.push_back(poll);
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -72,6 +72,7 @@
                        MonoTime now);
   void OnPollResult(const RunnerIncarnation& incarnation,
                     PollPurpose purpose,
+                    MonoTime sent_at,
                     const std::variant<RunLists, PollFailure>& result,
                     MonoTime now);
 
@@ -114,9 +115,10 @@
   bool IsSentToRunner(const RunnerIncarnation& incarnation) const;
   // Handles the result of a poll that verifies a heartbeat.
   void OnVerificationResult(const RunnerIncarnation& incarnation,
+                            MonoTime sent_at,
                             const std::variant<RunLists, PollFailure>& result,
                             MonoTime now);
-  void ApplyLists(const RunLists& lists, MonoTime now);
+  void ApplyLists(const RunLists& lists, MonoTime sent_at, MonoTime now);
   // Forgets the runner that has left once nothing runs on it.
   void RemoveDepartedRunner();
   void Finish(RunTable::Iterator found,
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -271,10 +271,10 @@
   m_runner_api.m_poll(
       request,
       [this, alive = m_is_alive, incarnation = request.m_process_incarnation,
-       purpose = request.m_purpose](
+       purpose = request.m_purpose, sent_at = request.m_sent_at](
           const std::variant<RunLists, PollFailure>& result) {
         if (*alive) {
-          OnPollResult(incarnation, purpose, result);
+          OnPollResult(incarnation, purpose, sent_at, result);
         }
       });
 }
@@ -282,9 +282,11 @@
 void AgentNode::OnPollResult(
     const RunnerIncarnation& incarnation,
     PollPurpose purpose,
+    MonoTime sent_at,
     const std::variant<RunLists, PollFailure>& result) {
   const bool was_unverified = m_executor.IsUnverified(incarnation);
-  m_executor.OnPollResult(incarnation, purpose, result, BootClock::now());
+  m_executor.OnPollResult(incarnation, purpose, sent_at, result,
+                          BootClock::now());
   if (was_unverified && !m_executor.IsUnverified(incarnation)) {
     const auto& runner = m_executor.runner();
     const bool is_runner =
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -90,6 +90,7 @@
   void CallRunner(const PollRequest& request);
   void OnPollResult(const RunnerIncarnation& incarnation,
                     PollPurpose purpose,
+                    MonoTime sent_at,
                     const std::variant<RunLists, PollFailure>& result);
   static void LogHeartbeatEvent(const char* event,
                                 const RunnerIncarnation& incarnation);
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -50,6 +50,7 @@
         m_stops.push_back(*stop);
       } else if (auto* poll = std::get_if<PollRequest>(&action)) {
         m_polls.push_back(*poll);
+        m_poll_sent_at = poll->m_sent_at;
       } else {
         Collect(std::get<SendToEntry>(action));
       }
@@ -98,7 +99,7 @@
                             m_executor.IsUnverified(incarnation)
                                 ? PollPurpose::kVerifyHeartbeat
                                 : PollPurpose::kReadLists,
-                            result, m_now);
+                            m_poll_sent_at, result, m_now);
   }
 
   size_t CountPolls(const RunnerIncarnation& incarnation) const {
@@ -151,6 +152,8 @@
   std::vector<StartRequest> m_starts;
   std::vector<StopRequest> m_stops;
   std::vector<PollRequest> m_polls;
+  // When the newest poll was sent.
+  MonoTime m_poll_sent_at;
   std::vector<RunReport> m_reports;
   // What shows the end, for each report; empty for a repeated one.
   std::vector<std::optional<EndEvidence>> m_evidence;
@@ -611,8 +614,8 @@
   AnswerPoll(lists);
   ExpectRunnerIs(kRestarted);
   lists.m_running = {};
-  m_executor.OnPollResult(kRestarted, PollPurpose::kVerifyHeartbeat, lists,
-                          m_now);
+  m_executor.OnPollResult(kRestarted, PollPurpose::kVerifyHeartbeat,
+                          m_poll_sent_at, lists, m_now);
   Tick();
   EXPECT_EQ(FindReport(0), nullptr);
 }
