--- a/executor/request_latency.cc
+++ b/executor/request_latency.cc
@@ -13,7 +13,7 @@
 constexpr int kLatencyFactor = 6;
 // Time until the first retry, at least, and when requests were lost recently.
 constexpr Milliseconds kMinRetryDelay{20};
-constexpr Milliseconds kMinRetryDelayAfterLoss{8};
+constexpr Milliseconds kMinRetryDelayAfterLoss{10};
 // The first retry follows after this many times the average latency at least.
 constexpr int kRetryLatencyFactor = 4;
 // Weight of one sample in the average latency is 1 / kLatencyDivisor.
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -232,17 +232,20 @@
   if (result == StartResult::kFenced && run.m_fencing_token == m_token) {
     RaiseToken(now);
   }
-  if (result != StartResult::kNoResponse) {
+  run.m_starts_in_flight -= std::min(run.m_starts_in_flight, 1U);
+  if (result == StartResult::kNoResponse) {
+    m_request_loss.OnNoResponse(now);
+    if (run.m_starts_in_flight > 0) {
+      return;
+    }
+    m_request_latency.AddTimeout();
+  } else {
     m_request_latency.AddSample(now - run.m_started_at);
   }
   // A stop is already under way and determines how the run ends.
   if (run.m_state != RunTable::State::kStarting) {
     return;
   }
-  if (result == StartResult::kNoResponse) {
-    OnStartLost(incarnation, found, now);
-    return;
-  }
   // An earlier request may have been carried out, or may be later.
   if (run.m_start_retries > 0 && result != StartResult::kStarted) {
     run.RequestStop(now);
@@ -270,22 +273,26 @@
 
 // A retry carries the same run number, so that the runner carries out only one
 // of the requests, however late. It is not sent to another incarnation, whose
-// capacity may be smaller, or to a runner that must get no new runs by now.
-void RunExecutor::OnStartLost(const RunnerIncarnation& incarnation,
-                              RunTable::Iterator found,
-                              MonoTime now) {
-  RunTable::Run& run = found->second;
-  m_request_loss.OnNoResponse(now);
-  const bool can_retry = now < run.m_retry_until && is_accepting(now) &&
-                         incarnation == m_runner->m_process_incarnation &&
-                         run.m_fencing_token == m_token;
-  if (can_retry) {
-    ++run.m_start_retries;
-    RequestStart(found, now);
-    return;
+// capacity may be smaller: the token is raised with each. Nor is it sent to a
+// runner that must get no new runs by now.
+bool RunExecutor::CanRetryStart(const RunTable::Run& run, MonoTime now) const {
+  return now < run.m_retry_until && run.m_fencing_token == m_token &&
+         is_accepting(now);
+}
+
+void RunExecutor::RetryStarts(MonoTime now) {
+  for (auto found = m_runs.begin(); found != m_runs.end(); ++found) {
+    RunTable::Run& run = found->second;
+    if (run.m_state != RunTable::State::kStarting || now < run.m_retry_at) {
+      continue;
+    }
+    if (CanRetryStart(run, now)) {
+      ++run.m_start_retries;
+      RequestStart(found, now);
+    } else {
+      run.m_retry_at = MonoTime::max();
+    }
   }
-  m_request_latency.AddTimeout();
-  run.RequestStop(now);
 }
 
 void RunExecutor::OnStopRunResult(const RunnerIncarnation& incarnation,
@@ -539,12 +546,14 @@
 void RunExecutor::RequestStart(RunTable::Iterator found, MonoTime now) {
   RunTable::Run& run = found->second;
   run.m_started_at = now;
+  ++run.m_starts_in_flight;
+  run.m_retry_at = now + m_request_latency.RetryDelay(
+                             run.m_start_retries, m_request_loss.IsRecent(now));
   const RunnerTime lease_until = m_poll_schedule.GrantLease(now);
-  const Microseconds retry_delay = m_request_latency.RetryDelay(
-      run.m_start_retries, m_request_loss.IsRecent(now));
-  m_actions.push_back(StartRequest{
-      m_runner->m_process_incarnation, found->first, run.m_start.m_payload,
-      m_token, lease_until, now + retry_delay, run.m_start_retries});
+  m_actions.push_back(
+      StartRequest{m_runner->m_process_incarnation, found->first,
+                   run.m_start.m_payload, m_token, lease_until,
+                   now + m_request_latency.Timeout(), run.m_start_retries});
 }
 
 void RunExecutor::SendStops(MonoTime now) {
@@ -679,6 +688,7 @@
   RemoveDepartedRunner();
   m_reports.RemoveExpired(now);
   StartWaitingRuns(now);
+  RetryStarts(now);
   SendStops(now);
   SendPoll(now);
   SendVerificationPolls(now);
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -139,10 +139,9 @@
   // Adds a request to start a run, or to start it again if the earlier ones got
   // no response.
   void RequestStart(RunTable::Iterator found, MonoTime now);
-  // Handles a start request without a response.
-  void OnStartLost(const RunnerIncarnation& incarnation,
-                   RunTable::Iterator found,
-                   MonoTime now);
+  // Whether a run may be started again under its run number.
+  bool CanRetryStart(const RunTable::Run& run, MonoTime now) const;
+  void RetryStarts(MonoTime now);
   void SendStops(MonoTime now);
   // Whether the runner should have ended a run by now and has not. Requests
   // cannot stop it then, only the end of all leases can.
--- a/executor/run_table.cc
+++ b/executor/run_table.cc
@@ -115,6 +115,9 @@
     if (run.m_state == State::kWaiting) {
       next = std::min(next, run.m_start.m_queue_until);
     }
+    if (run.m_state == State::kStarting) {
+      next = std::min(next, run.m_retry_at);
+    }
     if (run.m_state == State::kStopping) {
       next = std::min(next, run.m_next_stop_at);
     }
--- a/executor/run_table.h
+++ b/executor/run_table.h
@@ -35,10 +35,13 @@
     // m_queue_until becomes earlier when the entry no longer counts as alive.
     StartRun m_start;
     State m_state = State::kWaiting;
-    // When the newest request to start it was sent, and how many were sent
-    // before.
+    // When the newest request to start it was sent, how many were sent before,
+    // and how many wait for a response.
     MonoTime m_started_at;
     uint32_t m_start_retries = 0;
+    uint32_t m_starts_in_flight = 0;
+    // When the next request to start it is due, MonoTime::max() for never.
+    MonoTime m_retry_at = MonoTime::max();
     // No request to start it is sent after this time.
     MonoTime m_retry_until;
     // Fencing token of the start request.
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -237,9 +237,6 @@
   Start(0, 6000);
   ASSERT_EQ(m_starts.size(), 1U);
   Advance(Milliseconds(20));
-  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0),
-                              StartResult::kNoResponse, m_now);
-  Tick();
   ASSERT_EQ(m_starts.size(), 2U);
   EXPECT_EQ(m_starts[1].m_run, m_starts[0].m_run);
   EXPECT_EQ(m_starts[1].m_payload, m_starts[0].m_payload);
@@ -258,9 +255,7 @@
   RegisterRunner();
   Start(0, 6000);
   Advance(Milliseconds(20));
-  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0),
-                              StartResult::kNoResponse, m_now);
-  Tick();
+  ASSERT_EQ(m_starts.size(), 2U);
   m_executor.OnStartRunResult(kRunnerIncarnation, Key(0),
                               StartResult::kNumberTooLow, m_now);
   Tick();
@@ -276,6 +271,7 @@
   Start(0, 6000);
   m_executor.OnClosedZones({"zone"}, m_now);
   Advance(Milliseconds(20));
+  EXPECT_EQ(m_starts.size(), 1U);
   m_executor.OnStartRunResult(kRunnerIncarnation, Key(0),
                               StartResult::kNoResponse, m_now);
   Tick();
