--- a/executor/poll_schedule.cc
+++ b/executor/poll_schedule.cc
@@ -64,11 +64,9 @@
                       std::max<Microseconds>(kPollGrace, request_timeout / 2);
   ++m_polls_in_flight;
   m_sent_at = now;
-  m_next_poll_at =
-      IsReachable(now)
-          ? poll.m_answer_by +
-                (is_loss_recent ? kOverdueDelayAfterLoss : kOverdueDelay)
-          : MonoTime::max();
+  m_overdue_at = poll.m_answer_by +
+                 (is_loss_recent ? kOverdueDelayAfterLoss : kOverdueDelay);
+  m_next_poll_at = IsReachable(now) ? m_overdue_at : MonoTime::max();
   return poll;
 }
 
@@ -88,18 +86,20 @@
   return true;
 }
 
-void PollSchedule::OnFailure(MonoTime sent_at,
+bool PollSchedule::OnFailure(MonoTime sent_at,
                              PollFailure failure,
                              MonoTime now) {
   m_polls_in_flight -= std::min<size_t>(m_polls_in_flight, 1);
   if (sent_at != m_sent_at) {
-    return;
+    return failure == PollFailure::kNoResponse;
   }
   m_has_failed = true;
   // A lost poll is repeated at once: runs may have ended meanwhile.
-  const bool is_lost = failure == PollFailure::kNoResponse && IsReachable(now);
+  const bool is_lost = failure == PollFailure::kNoResponse &&
+                       now >= m_overdue_at && IsReachable(now);
   m_next_poll_at = is_lost ? std::max(now, sent_at + kMinPollInterval)
                            : now + kPollRetryDelay;
+  return is_lost;
 }
 
 bool PollSchedule::IsReachable(MonoTime now) const {
--- a/executor/poll_schedule.h
+++ b/executor/poll_schedule.h
@@ -35,8 +35,9 @@
   // A poll returned lists, read when the runner's clock showed `clock`. Returns
   // false if those of a later poll have arrived before.
   bool OnLists(MonoTime sent_at, RunnerTime clock, MonoTime now);
-  // A poll returned no usable lists.
-  void OnFailure(MonoTime sent_at, PollFailure failure, MonoTime now);
+  // A poll returned no usable lists. Returns whether it was lost: a refused or
+  // broken connection shows that the runner is down instead.
+  bool OnFailure(MonoTime sent_at, PollFailure failure, MonoTime now);
   // Makes the next poll due at once.
   void PollNow(MonoTime now) { m_next_poll_at = now; }
   // Whether the lists of an earlier poll are missing, so that the runner may
@@ -71,8 +72,9 @@
   size_t m_polls_in_flight = 0;
   // Whether the newest poll returned no usable lists.
   bool m_has_failed = false;
-  // When the newest poll was sent.
+  // When the newest poll was sent, and when its response is overdue.
   MonoTime m_sent_at;
+  MonoTime m_overdue_at;
   MonoTime m_lists_sent_at;
   MonoTime m_next_poll_at;
   MonoTime m_last_list_at;
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -331,10 +331,9 @@
     if (*failure == PollFailure::kFenced) {
       RaiseToken(now);
     }
-    if (*failure == PollFailure::kNoResponse) {
+    if (m_poll_schedule.OnFailure(sent_at, *failure, now)) {
       m_request_loss.OnNoResponse(now);
     }
-    m_poll_schedule.OnFailure(sent_at, *failure, now);
     return;
   }
   const auto& lists = std::get<RunLists>(result);
