--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -7,8 +7,10 @@
 
 namespace {
 
-// Interval of stop requests for a run until one is acknowledged.
+// Interval of stop requests for a run until one is acknowledged, and the same
+// after a recent loss of requests.
 constexpr Milliseconds kStopRetryInterval{60};
+constexpr Milliseconds kStopRetryIntervalAfterLoss{15};
 // Delay of the next poll that verifies a heartbeat after an inconclusive one.
 constexpr Milliseconds kVerificationRetryDelay{50};
 // Maximum time between two calls of Tick.
@@ -230,15 +232,31 @@
   if (result == StartResult::kFenced && run.m_fencing_token == m_token) {
     RaiseToken(now);
   }
-  m_request_latency.AddSample(result, now - run.m_started_at);
+  run.m_starts_in_flight -= std::min(run.m_starts_in_flight, 1U);
+  if (result == StartResult::kNoResponse) {
+    m_request_loss.OnNoResponse(now);
+    if (run.m_starts_in_flight > 0) {
+      return;
+    }
+    m_request_latency.AddTimeout();
+  } else {
+    m_request_latency.AddSample(now - run.m_started_at);
+  }
   // A stop is already under way and determines how the run ends.
   if (run.m_state != RunTable::State::kStarting) {
     return;
   }
+  // An earlier request may have been carried out, or may be later.
+  if (run.m_start_retries > 0 && result != StartResult::kStarted) {
+    run.RequestStop(now);
+    return;
+  }
   switch (result) {
     case StartResult::kStarted:
+      run.m_start.m_payload.clear();
       run.SetState(RunTable::State::kRunning, now);
       return;
+    case StartResult::kNoResponse:
     case StartResult::kUnknown:
       run.RequestStop(now);
       return;
@@ -253,6 +271,30 @@
   }
 }
 
+// A retry carries the same run number, so that the runner carries out only one
+// of the requests, however late. It is not sent to another incarnation, whose
+// capacity may be smaller: the token is raised with each. Nor is it sent to a
+// runner that must get no new runs by now.
+bool RunExecutor::CanRetryStart(const RunTable::Run& run, MonoTime now) const {
+  return now < run.m_retry_until && run.m_fencing_token == m_token &&
+         is_accepting(now);
+}
+
+void RunExecutor::RetryStarts(MonoTime now) {
+  for (auto found = m_runs.begin(); found != m_runs.end(); ++found) {
+    RunTable::Run& run = found->second;
+    if (run.m_state != RunTable::State::kStarting || now < run.m_retry_at) {
+      continue;
+    }
+    if (CanRetryStart(run, now)) {
+      ++run.m_start_retries;
+      RequestStart(found, now);
+    } else {
+      run.m_retry_at = MonoTime::max();
+    }
+  }
+}
+
 void RunExecutor::OnStopRunResult(const RunnerIncarnation& incarnation,
                                   const RunKey& key,
                                   StopResult result,
@@ -275,10 +317,11 @@
 void RunExecutor::OnPollResult(
     const RunnerIncarnation& incarnation,
     PollPurpose purpose,
+    MonoTime sent_at,
     const std::variant<RunLists, PollFailure>& result,
     MonoTime now) {
   if (purpose == PollPurpose::kVerifyHeartbeat) {
-    OnVerificationResult(incarnation, result, now);
+    OnVerificationResult(incarnation, sent_at, result, now);
     return;
   }
   if (!m_runner || m_runner->m_process_incarnation != incarnation) {
@@ -288,7 +331,9 @@
     if (*failure == PollFailure::kFenced) {
       RaiseToken(now);
     }
-    m_poll_schedule.OnFailure(now);
+    if (m_poll_schedule.OnFailure(sent_at, *failure, now)) {
+      m_request_loss.OnNoResponse(now);
+    }
     return;
   }
   const auto& lists = std::get<RunLists>(result);
@@ -296,11 +341,12 @@
     OnRunnerRestarted(*lists.m_start_time_ms, now);
     return;
   }
-  ApplyLists(lists, now);
+  ApplyLists(lists, sent_at, now);
 }
 
 void RunExecutor::OnVerificationResult(
     const RunnerIncarnation& incarnation,
+    MonoTime sent_at,
     const std::variant<RunLists, PollFailure>& result,
     MonoTime now) {
   // Another poll may have shown the incarnation meanwhile. These lists may then
@@ -330,11 +376,15 @@
   }
   EndIncarnation(now);
   BeginIncarnation(*heartbeat, now);
-  ApplyLists(lists, now);
+  ApplyLists(lists, sent_at, now);
 }
 
-void RunExecutor::ApplyLists(const RunLists& lists, MonoTime now) {
-  m_poll_schedule.OnLists(lists.m_clock, now);
+void RunExecutor::ApplyLists(const RunLists& lists,
+                             MonoTime sent_at,
+                             MonoTime now) {
+  if (!m_poll_schedule.OnLists(sent_at, lists.m_clock, now)) {
+    return;
+  }
   ApplyEndedRuns(lists, now);
   ApplyActiveRuns(lists, now);
   if (!m_is_reconciled && m_orphaned_runs.empty()) {
@@ -386,7 +436,7 @@
     const auto next = std::next(found);
     RunTable::Run& run = found->second;
     const auto row = listed.find(found->first);
-    const bool is_newer = m_poll_schedule.sent_at() > run.m_state_since;
+    const bool is_newer = m_poll_schedule.lists_sent_at() > run.m_state_since;
     if (row != listed.end()) {
       m_health.OnProgress(now - run.m_started_at, row->second,
                           run.m_start.m_expected);
@@ -485,29 +535,41 @@
     available -= run.m_start.m_demand;
     ++reservations;
     run.SetState(RunTable::State::kStarting, now);
-    run.m_started_at = now;
     run.m_fencing_token = m_token;
-    const RunnerTime lease_until = m_poll_schedule.GrantLease(now);
-    m_actions.push_back(
-        StartRequest{m_runner->m_process_incarnation, found->first,
-                     std::move(run.m_start.m_payload), m_token, lease_until,
-                     now + m_request_latency.Timeout()});
+    run.m_retry_until = now + m_request_latency.Timeout();
+    RequestStart(found, now);
     m_is_status_due = true;
   }
 }
 
+void RunExecutor::RequestStart(RunTable::Iterator found, MonoTime now) {
+  RunTable::Run& run = found->second;
+  run.m_started_at = now;
+  ++run.m_starts_in_flight;
+  run.m_retry_at = now + m_request_latency.RetryDelay(
+                             run.m_start_retries, m_request_loss.IsRecent(now));
+  const RunnerTime lease_until = m_poll_schedule.GrantLease(now);
+  m_actions.push_back(
+      StartRequest{m_runner->m_process_incarnation, found->first,
+                   run.m_start.m_payload, m_token, lease_until,
+                   now + m_request_latency.Timeout(), run.m_start_retries});
+}
+
 void RunExecutor::SendStops(MonoTime now) {
   if (!m_runner) {
     return;
   }
-  for (const RunKey& key : m_runs.TakeDueStops(now, now + kStopRetryInterval)) {
+  const MonoTime next_stop_at =
+      now + (m_request_loss.IsRecent(now) ? kStopRetryIntervalAfterLoss
+                                          : kStopRetryInterval);
+  for (const RunKey& key : m_runs.TakeDueStops(now, next_stop_at)) {
     m_actions.push_back(StopRequest{m_runner->m_process_incarnation, key,
                                     m_token,
                                     now + m_request_latency.Timeout()});
   }
   for (auto& [key, orphan] : m_orphaned_runs) {
     if (orphan.m_next_stop_at <= now) {
-      orphan.m_next_stop_at = now + kStopRetryInterval;
+      orphan.m_next_stop_at = next_stop_at;
       m_actions.push_back(StopRequest{m_runner->m_process_incarnation, key,
                                       m_token,
                                       now + m_request_latency.Timeout()});
@@ -558,14 +620,16 @@
   if (!m_runner || !m_poll_schedule.IsDue(NeedsLists(), now)) {
     return;
   }
+  const bool misses_lists = m_poll_schedule.misses_lists();
   PollRequest poll =
-      m_poll_schedule.Begin(m_is_reconciled, m_request_latency.Timeout(), now);
+      m_poll_schedule.Begin(m_is_reconciled, m_request_latency.Timeout(),
+                            m_request_loss.IsRecent(now), now);
   poll.m_process_incarnation = m_runner->m_process_incarnation;
   poll.m_fencing_token = m_token;
-  // After a failure the runner may have restarted, and its ends are counted
-  // anew: an acknowledgement of earlier ones would make it forget new ones.
-  poll.m_acknowledged_ends =
-      m_poll_schedule.has_failed() ? 0 : m_acknowledged_ends;
+  // Without the lists of an earlier poll the runner may have restarted, and its
+  // ends are counted anew: an acknowledgement of earlier ones would make it
+  // forget new ones.
+  poll.m_acknowledged_ends = misses_lists ? 0 : m_acknowledged_ends;
   if (m_runs.NeedsLease() && !IsStopOverdue(now)) {
     poll.m_lease_until = m_poll_schedule.RenewLeases(now);
   }
@@ -579,6 +643,7 @@
     poll.m_process_incarnation = incarnation;
     poll.m_purpose = PollPurpose::kVerifyHeartbeat;
     poll.m_fencing_token = m_token;
+    poll.m_sent_at = now;
     poll.m_answer_by = now;
     poll.m_give_up_at = now + m_request_latency.Timeout();
     m_actions.push_back(poll);
@@ -622,6 +687,7 @@
   RemoveDepartedRunner();
   m_reports.RemoveExpired(now);
   StartWaitingRuns(now);
+  RetryStarts(now);
   SendStops(now);
   SendPoll(now);
   SendVerificationPolls(now);
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -15,6 +15,7 @@
 #include "executor/poll_schedule.h"
 #include "executor/report_cache.h"
 #include "executor/request_latency.h"
+#include "executor/request_loss.h"
 #include "executor/run_table.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
@@ -71,6 +72,7 @@
                        MonoTime now);
   void OnPollResult(const RunnerIncarnation& incarnation,
                     PollPurpose purpose,
+                    MonoTime sent_at,
                     const std::variant<RunLists, PollFailure>& result,
                     MonoTime now);
 
@@ -113,9 +115,10 @@
   bool IsSentToRunner(const RunnerIncarnation& incarnation) const;
   // Handles the result of a poll that verifies a heartbeat.
   void OnVerificationResult(const RunnerIncarnation& incarnation,
+                            MonoTime sent_at,
                             const std::variant<RunLists, PollFailure>& result,
                             MonoTime now);
-  void ApplyLists(const RunLists& lists, MonoTime now);
+  void ApplyLists(const RunLists& lists, MonoTime sent_at, MonoTime now);
   // Forgets the runner that has left once nothing runs on it.
   void RemoveDepartedRunner();
   void Finish(RunTable::Iterator found,
@@ -133,6 +136,12 @@
   void StopRunsOfLostEntries(MonoTime now);
   void StopExpiredRuns(MonoTime now);
   void StartWaitingRuns(MonoTime now);
+  // Adds a request to start a run, or to start it again if the earlier ones got
+  // no response.
+  void RequestStart(RunTable::Iterator found, MonoTime now);
+  // Whether a run may be started again under its run number.
+  bool CanRetryStart(const RunTable::Run& run, MonoTime now) const;
+  void RetryStarts(MonoTime now);
   void SendStops(MonoTime now);
   // Whether the runner should have ended a run by now and has not. Requests
   // cannot stop it then, only the end of all leases can.
@@ -170,6 +179,7 @@
   Milliseconds m_max_runner_lease = kMaxRunnerLease;
   PollSchedule m_poll_schedule;
   RequestLatency m_request_latency;
+  RequestLoss m_request_loss;
   uint64_t m_acknowledged_ends = 0;
   // Whether a list without orphaned runs has been read from this incarnation of
   // the runner. Nothing starts before,
