--- a/tests/platform/malformed_input_test.cc
+++ b/tests/platform/malformed_input_test.cc
@@ -58,9 +58,12 @@
 std::vector<std::string> MalformedHeartbeats() {
   const std::string valid = HeartbeatText("ready");
   const std::string port = std::to_string(TestAddress(15).m_port);
-  return {NestedObject("labels"), ReplaceFirst(valid, kSequenceText, "1e300"),
+  return {NestedObject("labels"),
+          ReplaceFirst(valid, kSequenceText, "1e300"),
           ReplaceFirst(valid, ":" + port, ":77200"),
-          ReplaceFirst(valid, "\"ready\"", "\"\xff\xfe\"")};
+          ReplaceFirst(valid, "\"ready\"", "\"\xff\xfe\""),
+          ReplaceFirst(valid, "\"zone\":", "\"zone_name\":"),
+          ReplaceFirst(valid, "\"labels\":[\"a\",\"r1\"]", "\"labels\":\"a\"")};
 }
 
 std::string AgentKey(const std::string& name) {
--- a/tests/platform/runner_wire_test.cc
+++ b/tests/platform/runner_wire_test.cc
@@ -25,12 +25,17 @@
 // Guards against taking a message of another writer, which may use the same
 // interface, for the heartbeat of a runner.
 TEST(RunnerWireTest, RejectsHeartbeatsWithWrongOrMissingFields) {
-  for (const char* field : {"service", "address", "seq", "state", "capacity"}) {
+  for (const char* field :
+       {"service", "address", "seq", "state", "capacity", "zone", "labels"}) {
     Json json = Json::parse(kHeartbeat);
     json.erase(field);
     EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field;
-    json[field] = Json::array({true});
-    EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field;
+    for (const Json& value :
+         {Json::array({true}), Json::array(), Json::object(), Json(""),
+          Json(nullptr), Json(true), Json(1.5)}) {
+      json[field] = value;
+      EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field << value;
+    }
   }
   Json json = Json::parse(kHeartbeat);
   json["state"] = "asleep";
@@ -42,6 +47,28 @@
   EXPECT_FALSE(DecodeHeartbeat("i-1", "[]"));
 }
 
+// Guards against a heartbeat of another writer that leaves out a part of a
+// field: the runner would count as one without memory or without a label.
+TEST(RunnerWireTest, RejectsHeartbeatsWithIncompleteCapacityOrLabels) {
+  for (const char* field : {"cpu", "mem_mb"}) {
+    Json json = Json::parse(kHeartbeat);
+    json["capacity"].erase(field);
+    EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field;
+    for (const Json& value : {Json(0), Json("8"), Json(nullptr)}) {
+      json["capacity"][field] = value;
+      EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field << value;
+    }
+  }
+  Json json = Json::parse(kHeartbeat);
+  json["capacity"].erase("gpu");
+  EXPECT_TRUE(DecodeHeartbeat("i-1", json.dump()));
+  for (const Json& label : {Json(7), Json(""), Json(nullptr)}) {
+    json = Json::parse(kHeartbeat);
+    json["labels"].push_back(label);
+    EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << label;
+  }
+}
+
 // Guards against a name that is read as that of another task, and against
 // accepting names of another format.
 TEST(RunnerWireTest, TaskNamesRoundTrip) {
