Let the runner's own service win after a foreign one came first

Cause: the service of the first heartbeat was fixed for an incarnation. A foreign service with a high seq that came first, also after a restart of the agent or runner, locked out the runner's own heartbeats.

Change: RunnerDescription holds the heartbeats of an incarnation by service, each with its own sequence numbers. Another service takes over after three heartbeats over two seconds in which the one in force was not heard. Until a service is repeated that long, a draining under any service counts. The stored record is written again when the service changes.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -50,20 +50,23 @@
     }
     return false;
   }
-  // An incarnation never changes its service: another writer sent this.
-  if (m_is_runner_described &&
-      (IsOutdated(runner_heartbeat, *m_runner) ||
-       runner_heartbeat.m_service != m_runner->m_service)) {
-    return false;
-  }
-  m_is_status_due |=
-      !std::exchange(m_is_runner_described, true) ||
-      m_runner->m_is_draining != runner_heartbeat.m_is_draining ||
-      m_runner->m_capacity != runner_heartbeat.m_capacity;
+  const bool was_described = !m_description.is_empty();
+  const RunnerHeartbeat earlier = *m_runner;
+  const bool is_newest = m_description.Add(runner_heartbeat, now);
+  ApplyDescription();
+  m_is_status_due |= !was_described ||
+                     m_runner->m_service != earlier.m_service ||
+                     m_runner->m_is_draining != earlier.m_is_draining ||
+                     m_runner->m_capacity != earlier.m_capacity;
   // A runner that has not left after all goes on with higher numbers.
-  m_has_runner_left = false;
-  m_runner = runner_heartbeat;
-  return true;
+  m_has_runner_left &= !is_newest;
+  return is_newest;
+}
+
+void RunExecutor::ApplyDescription() {
+  if (!m_description.is_empty()) {
+    m_runner = m_description.Current();
+  }
 }
 
 bool RunExecutor::OnRunnerLeft(const std::string& runner_id, MonoTime now) {
@@ -86,10 +89,12 @@
   }
 }
 
-void RunExecutor::BeginIncarnation(const RunnerHeartbeat& runner_heartbeat,
+void RunExecutor::BeginIncarnation(const RunnerIncarnation& incarnation,
+                                   RunnerDescription description,
                                    MonoTime now) {
-  m_runner = runner_heartbeat;
-  m_is_runner_described = true;
+  m_description = std::move(description);
+  ApplyDescription();
+  m_runner->m_process_incarnation = incarnation;
   m_has_runner_left = false;
   m_health.Reset();
   m_orphaned_runs.clear();
@@ -102,23 +107,20 @@
 void RunExecutor::OnRunnerRestarted(int64_t start_time_ms, MonoTime now) {
   RunnerIncarnation incarnation = m_runner->m_process_incarnation;
   incarnation.m_start_time_ms = start_time_ms;
-  if (const auto heartbeat = m_unverified_heartbeats.Take(incarnation)) {
-    ResumeInIncarnation(*heartbeat, now);
-    return;
-  }
-  RunnerHeartbeat undescribed = *m_runner;
-  undescribed.m_process_incarnation = incarnation;
-  ResumeInIncarnation(undescribed, now);
-  m_is_runner_described = false;
+  ResumeInIncarnation(
+      incarnation,
+      m_unverified_heartbeats.Take(incarnation).value_or(RunnerDescription()),
+      now);
 }
 
 // A started run may be in either incarnation, since its start request reached
 // whichever was there. The lists and the answers of the new one tell, but only
 // once it has seen a higher token: from then on it rejects start requests that
 // were sent before and are still on their way.
-void RunExecutor::ResumeInIncarnation(const RunnerHeartbeat& runner_heartbeat,
+void RunExecutor::ResumeInIncarnation(const RunnerIncarnation& incarnation,
+                                      RunnerDescription description,
                                       MonoTime now) {
-  BeginIncarnation(runner_heartbeat, now);
+  BeginIncarnation(incarnation, std::move(description), now);
   ++m_token;
   if (m_runs.NeedsLease()) {
     m_poll_schedule.ExtendLeases(m_max_runner_lease, now);
@@ -320,16 +322,16 @@
     return;
   }
   const auto& lists = std::get<RunLists>(result);
-  const auto heartbeat = m_unverified_heartbeats.Take(incarnation);
+  auto description = m_unverified_heartbeats.Take(incarnation);
   if (!IsListOf(incarnation, lists)) {
     return;
   }
   if (IsSentToRunner(incarnation)) {
-    ResumeInIncarnation(*heartbeat, now);
+    ResumeInIncarnation(incarnation, std::move(*description), now);
     return;
   }
   EndIncarnation(now);
-  BeginIncarnation(*heartbeat, now);
+  BeginIncarnation(incarnation, std::move(*description), now);
   ApplyLists(lists, now);
 }
 
@@ -432,7 +434,7 @@
 }
 
 bool RunExecutor::is_accepting(MonoTime now) const {
-  return m_runner && m_is_runner_described && !m_has_runner_left &&
+  return m_runner && !m_description.is_empty() && !m_has_runner_left &&
          !m_runner->m_is_draining && !m_is_draining && m_is_reconciled &&
          !m_closed_zones.contains(m_runner->m_zone) && m_health.IsUsable(now) &&
          m_poll_schedule.IsReachable(now) && !IsStopOverdue(now);
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -16,6 +16,7 @@
 #include "executor/report_cache.h"
 #include "executor/request_latency.h"
 #include "executor/run_table.h"
+#include "executor/runner_description.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
 #include "executor/unverified_heartbeats.h"
@@ -100,13 +101,20 @@
     MonoTime m_stop_due_at;
   };
 
-  void BeginIncarnation(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
+  // Takes over what is known of the runner. It keeps the fields of the earlier
+  // incarnation while `description` is empty.
+  void BeginIncarnation(const RunnerIncarnation& incarnation,
+                        RunnerDescription description,
+                        MonoTime now);
+  // Sets m_runner to what m_description says.
+  void ApplyDescription();
   void EndIncarnation(MonoTime now);
   // The runner was started again under its id, at `start_time_ms`. Its
   // heartbeat may come later; until then its capacity and labels are not known.
   void OnRunnerRestarted(int64_t start_time_ms, MonoTime now);
-  // Begins a restarted incarnation that `runner_heartbeat` describes.
-  void ResumeInIncarnation(const RunnerHeartbeat& runner_heartbeat,
+  // Begins a restarted incarnation.
+  void ResumeInIncarnation(const RunnerIncarnation& incarnation,
+                           RunnerDescription description,
                            MonoTime now);
   // Whether a request to `incarnation` may have reached the present one. A
   // request names the runner's id, which a restarted runner keeps.
@@ -154,9 +162,9 @@
   // arrive.
   std::optional<RunnerHeartbeat> m_departed_runner;
   UnverifiedHeartbeats m_unverified_heartbeats;
-  // Whether m_runner holds a heartbeat of its incarnation. If not, all but the
-  // incarnation is from the one before.
-  bool m_is_runner_described = false;
+  // The heartbeats of the incarnation of m_runner. While it is empty, all but
+  // the incarnation is from the one before.
+  RunnerDescription m_description;
   RunnerHealth m_health;
   RunTable m_runs;
   // Reports to send again when a StartRun is repeated.
--- a/executor/unverified_heartbeats.cc
+++ b/executor/unverified_heartbeats.cc
@@ -8,31 +8,31 @@
 namespace {
 
 // Maximum number of incarnations whose heartbeats are held.
-constexpr size_t kMaxHeartbeats = 8;
+constexpr size_t kMaxIncarnations = 8;
 
 }  // namespace
 
 void UnverifiedHeartbeats::Add(const RunnerHeartbeat& heartbeat, MonoTime now) {
-  const auto known = m_entries.find(heartbeat.m_process_incarnation);
-  if (known == m_entries.end()) {
-    if (m_entries.size() < kMaxHeartbeats) {
-      m_entries[heartbeat.m_process_incarnation] = {heartbeat, now};
+  auto held = m_entries.find(heartbeat.m_process_incarnation);
+  if (held == m_entries.end()) {
+    if (m_entries.size() >= kMaxIncarnations) {
+      return;
     }
-    return;
-  }
-  RunnerHeartbeat& held = known->second.m_heartbeat;
-  if (heartbeat.m_sequence > held.m_sequence) {
-    held = heartbeat;
+    held = m_entries
+               .emplace(heartbeat.m_process_incarnation,
+                        Entry{RunnerDescription(), now})
+               .first;
   }
+  held->second.m_description.Add(heartbeat, now);
 }
 
-std::optional<RunnerHeartbeat> UnverifiedHeartbeats::Take(
+std::optional<RunnerDescription> UnverifiedHeartbeats::Take(
     const RunnerIncarnation& incarnation) {
   auto taken = m_entries.extract(incarnation);
   if (taken.empty()) {
     return std::nullopt;
   }
-  return std::move(taken.mapped().m_heartbeat);
+  return std::move(taken.mapped().m_description);
 }
 
 void UnverifiedHeartbeats::RemoveRunner(const std::string& runner_id) {
--- a/executor/unverified_heartbeats.h
+++ b/executor/unverified_heartbeats.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "executor/runner_description.h"
 #include "jobs/jobs.h"
 
 namespace comfreyshift {
@@ -16,15 +17,15 @@
 // Each is verified by a poll addressed to its incarnation.
 class UnverifiedHeartbeats {
  public:
-  // Adds a heartbeat unless it is not newer than the one held of its
-  // incarnation. One of a further incarnation is dropped while kMaxHeartbeats
-  // are held; its sender repeats it.
+  // Adds a heartbeat. One of a further incarnation is dropped while
+  // kMaxIncarnations are held; its sender repeats it.
   void Add(const RunnerHeartbeat& heartbeat, MonoTime now);
   bool Contains(const RunnerIncarnation& incarnation) const {
     return m_entries.contains(incarnation);
   }
-  // Removes and returns the heartbeat of an incarnation, if it is held.
-  std::optional<RunnerHeartbeat> Take(const RunnerIncarnation& incarnation);
+  // Removes and returns what the heartbeats of an incarnation say, if any are
+  // held.
+  std::optional<RunnerDescription> Take(const RunnerIncarnation& incarnation);
   // Removes the heartbeats of all incarnations of a runner.
   void RemoveRunner(const std::string& runner_id);
 
@@ -38,7 +39,7 @@
 
  private:
   struct Entry {
-    RunnerHeartbeat m_heartbeat;
+    RunnerDescription m_description;
     // MonoTime::max() while a poll is under way.
     MonoTime m_next_poll_at;
   };
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -463,6 +463,53 @@
   EXPECT_EQ(m_executor.runner()->m_service, "service");
 }
 
+// Guards against a foreign service that is heard first, with a high number, and
+// locks out the runner's own heartbeats: after a start of the agent or of the
+// runner.
+TEST_F(RunExecutorTest, RunnersOwnServiceWinsAfterAForeignOneCameFirst) {
+  Connect();
+  const auto send_foreign = [this](const RunnerIncarnation& incarnation) {
+    RunnerHeartbeat foreign = MakeHeartbeat(incarnation, 1000);
+    foreign.m_service = "unknown";
+    m_executor.OnHeartbeat(foreign, m_now);
+  };
+  const auto expect_own_wins = [this](const RunnerIncarnation& incarnation) {
+    EXPECT_EQ(m_executor.runner()->m_service, "unknown");
+    for (uint64_t sequence = 1; sequence < 4; ++sequence) {
+      m_executor.OnHeartbeat(MakeHeartbeat(incarnation, sequence), m_now);
+      m_now += Milliseconds(1500);
+    }
+    EXPECT_EQ(m_executor.runner()->m_service, "service");
+    EXPECT_TRUE(m_executor.OnHeartbeat(MakeHeartbeat(incarnation, 4), m_now));
+  };
+  send_foreign(kRunnerIncarnation);
+  Tick();
+  AnswerPoll({});
+  expect_own_wins(kRunnerIncarnation);
+  Tick();
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  AnswerPoll(lists);
+  send_foreign(kRestarted);
+  expect_own_wins(kRestarted);
+}
+
+// Guards against a start after an acknowledged draining, which a foreign
+// heartbeat that came first would hide.
+TEST_F(RunExecutorTest, DrainingHoldsBesideAForeignService) {
+  Connect();
+  RunnerHeartbeat foreign = MakeHeartbeat(kRunnerIncarnation, 1000);
+  foreign.m_service = "unknown";
+  m_executor.OnHeartbeat(foreign, m_now);
+  Tick();
+  AnswerPoll({});
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  RunnerHeartbeat draining = MakeHeartbeat(kRunnerIncarnation, 1);
+  draining.m_is_draining = true;
+  m_executor.OnHeartbeat(draining, m_now);
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+}
+
 // Guards against waiting for runs that ended with the runner's last
 // incarnation.
 TEST_F(RunExecutorTest, NewRunnerIncarnationEndsTheRunsOfTheOldOne) {
