Hold starts after a lost connection until a list shows the runner

Cause: a start names only the runner's id, which a restarted runner keeps. An idle runner is polled every 200 ms and counts as reachable for 400 ms, so that up to 0.2 s after a restart starts reached an incarnation of another kind and exceeded its capacity.

Change: ConnectionWatch tells when a connection to the runner has ended that the agent did not close, was refused, or none is left; ends that have arrived are looked for before a new connection is used. StartGate then holds starts until a list that was requested afterwards has been read, which is requested at once. is_accepting and statuses do not change.

--- a/executor/actions.h
+++ b/executor/actions.h
@@ -41,6 +41,8 @@
   kReadLists,
   // Shows whether a heartbeat is that of the runner.
   kVerifyHeartbeat,
+  // Shows whether the known incarnation still answers.
+  kConfirmIncarnation,
 };
 
 // Reads the runner's lists of runs. Its result goes to OnPollResult.
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -283,6 +283,10 @@
     OnVerificationResult(incarnation, result, now);
     return;
   }
+  if (purpose == PollPurpose::kConfirmIncarnation) {
+    OnConfirmationResult(incarnation, result, now);
+    return;
+  }
   if (!m_runner || m_runner->m_process_incarnation != incarnation) {
     return;
   }
@@ -294,6 +298,7 @@
     return;
   }
   const auto& lists = std::get<RunLists>(result);
+  m_start_gate.OnLists(m_poll_schedule.sent_at());
   if (!IsListOf(incarnation, lists)) {
     OnRunnerRestarted(*lists.m_start_time_ms, now);
     return;
@@ -335,6 +340,23 @@
   ApplyLists(lists, now);
 }
 
+void RunExecutor::OnConfirmationResult(
+    const RunnerIncarnation& incarnation,
+    const std::variant<RunLists, PollFailure>& result,
+    MonoTime now) {
+  const auto* lists = std::get_if<RunLists>(&result);
+  if (lists == nullptr || !m_runner ||
+      m_runner->m_process_incarnation != incarnation) {
+    m_start_gate.OnCheckFailed(now);
+    return;
+  }
+  m_start_gate.OnCheckAnswered(now);
+  // The lists are not applied: a poll of the schedule may have overtaken them.
+  if (!IsListOf(incarnation, *lists)) {
+    OnRunnerRestarted(*lists->m_start_time_ms, now);
+  }
+}
+
 void RunExecutor::ApplyLists(const RunLists& lists, MonoTime now) {
   m_poll_schedule.OnLists(lists.m_clock, now);
   ApplyEndedRuns(lists, now);
@@ -470,7 +492,7 @@
 }
 
 void RunExecutor::StartWaitingRuns(MonoTime now) {
-  if (!is_accepting(now)) {
+  if (!is_accepting(now) || !m_start_gate.is_open()) {
     return;
   }
   Resources available = m_runs.UnreservedCapacity(m_runner->m_capacity);
@@ -577,16 +599,32 @@
 void RunExecutor::SendVerificationPolls(MonoTime now) {
   for (const RunnerIncarnation& incarnation :
        m_unverified_heartbeats.TakeDue(now)) {
-    PollRequest poll;
-    poll.m_process_incarnation = incarnation;
-    poll.m_purpose = PollPurpose::kVerifyHeartbeat;
-    poll.m_fencing_token = m_token;
-    poll.m_answer_by = now;
-    poll.m_give_up_at = now + m_request_latency.Timeout();
-    m_actions.push_back(poll);
+    m_actions.push_back(
+        MakeImmediatePoll(incarnation, PollPurpose::kVerifyHeartbeat, now));
+  }
+}
+
+void RunExecutor::SendConfirmationPoll(MonoTime now) {
+  if (m_runner && m_start_gate.IsCheckDue(now)) {
+    m_start_gate.OnCheckSent(now);
+    m_actions.push_back(MakeImmediatePoll(m_runner->m_process_incarnation,
+                                          PollPurpose::kConfirmIncarnation,
+                                          now));
   }
 }
 
+PollRequest RunExecutor::MakeImmediatePoll(const RunnerIncarnation& incarnation,
+                                           PollPurpose purpose,
+                                           MonoTime now) const {
+  PollRequest poll;
+  poll.m_process_incarnation = incarnation;
+  poll.m_purpose = purpose;
+  poll.m_fencing_token = m_token;
+  poll.m_answer_by = now;
+  poll.m_give_up_at = now + m_request_latency.Timeout();
+  return poll;
+}
+
 RunnerStatus RunExecutor::MakeStatus(MonoTime now) const {
   RunnerStatus status;
   status.m_agent_clock = now;
@@ -627,6 +665,7 @@
   SendStops(now);
   SendPoll(now);
   SendVerificationPolls(now);
+  SendConfirmationPoll(now);
   SendStatuses(now);
   return std::exchange(m_actions, {});
 }
@@ -634,7 +673,8 @@
 MonoTime RunExecutor::NextDeadline(MonoTime now) const {
   MonoTime next = std::min(now + kMaxTickInterval, m_entries.NextDeadline(now));
   if (m_runner) {
-    next = std::min(next, m_poll_schedule.NextPollAt(NeedsLists()));
+    next = std::min({next, m_poll_schedule.NextPollAt(NeedsLists()),
+                     m_start_gate.NextCheckAt()});
   }
   next = std::min(
       {next, m_runs.NextDeadline(now), m_unverified_heartbeats.NextPollAt()});
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -19,6 +19,7 @@
 #include "executor/runner_description.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
+#include "executor/start_gate.h"
 #include "executor/unverified_heartbeats.h"
 #include "jobs/jobs.h"
 #include "link/link.h"
@@ -62,6 +63,9 @@
   void OnStartRun(const ProcessId& entry, const StartRun& start, MonoTime now);
   void OnStopRun(const ProcessId& entry, const StopRun& stop, MonoTime now);
 
+  // A connection to the runner that the agent did not close has ended or was
+  // refused. Starts wait until the runner has shown which incarnation it is.
+  void OnConnectionLost(MonoTime now) { m_start_gate.OnConnectionLost(now); }
   void OnStartRunResult(const RunnerIncarnation& incarnation,
                         const RunKey& run,
                         StartResult result,
@@ -123,6 +127,10 @@
   void OnVerificationResult(const RunnerIncarnation& incarnation,
                             const std::variant<RunLists, PollFailure>& result,
                             MonoTime now);
+  // Handles the result of a poll that shows which incarnation answers.
+  void OnConfirmationResult(const RunnerIncarnation& incarnation,
+                            const std::variant<RunLists, PollFailure>& result,
+                            MonoTime now);
   void ApplyLists(const RunLists& lists, MonoTime now);
   // Forgets the runner that has left once nothing runs on it.
   void RemoveDepartedRunner();
@@ -150,6 +158,11 @@
   bool NeedsLists() const;
   void SendPoll(MonoTime now);
   void SendVerificationPolls(MonoTime now);
+  void SendConfirmationPoll(MonoTime now);
+  // Returns a poll that the runner answers at once.
+  PollRequest MakeImmediatePoll(const RunnerIncarnation& incarnation,
+                                PollPurpose purpose,
+                                MonoTime now) const;
   void SendStatuses(MonoTime now);
   RunnerStatus MakeStatus(MonoTime now) const;
 
@@ -177,6 +190,7 @@
 
   Milliseconds m_max_runner_lease = kMaxRunnerLease;
   PollSchedule m_poll_schedule;
+  StartGate m_start_gate;
   RequestLatency m_request_latency;
   uint64_t m_acknowledged_ends = 0;
   // Whether a list without orphaned runs has been read from this incarnation of
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -25,7 +25,9 @@
     : m_executor(std::move(self), token),
       m_runner_api(std::move(runner_api)),
       m_metrics(metrics),
-      m_ticker([this](MonoTime now) { return Tick(now); }) {}
+      m_ticker([this](MonoTime now) { return Tick(now); }) {
+  WatchConnections();
+}
 
 AgentNode::~AgentNode() {
   *m_is_alive = false;
@@ -242,6 +244,20 @@
   }
 }
 
+void AgentNode::WatchConnections() {
+  if (!m_runner_api.m_watch_connections) {
+    return;
+  }
+  m_runner_api.m_watch_connections([this, alive = m_is_alive]() {
+    if (*alive) {
+      LogEvent(LogLevel::kInfo, "fleet", "runner_connection_lost");
+      m_metrics.Count("runner_connections_lost_total");
+      m_executor.OnConnectionLost(BootClock::now());
+      m_ticker.Wake();
+    }
+  });
+}
+
 void AgentNode::CallRunner(const StartRequest& request) {
   m_runner_api.m_start(request, [this, alive = m_is_alive,
                                  incarnation = request.m_process_incarnation,
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -28,6 +28,10 @@
       const PollRequest&,
       std::function<void(const std::variant<RunLists, PollFailure>&)>)>
       m_poll;
+  // Sets the function to call when a connection to the runner that the agent
+  // did not close has ended, was refused, or none is left. Without this
+  // function, a restart of the runner shows by its lists alone.
+  std::function<void(std::function<void()>)> m_watch_connections = nullptr;
 };
 
 // Connects a RunExecutor to its entries, its runner and the main loop.
@@ -85,6 +89,7 @@
                     const RunReport& report,
                     EndEvidence evidence);
   void LogAcceptingChange(MonoTime now);
+  void WatchConnections();
   void CallRunner(const StartRequest& request);
   void CallRunner(const StopRequest& request);
   void CallRunner(const PollRequest& request);
--- a/http/client.cc
+++ b/http/client.cc
@@ -70,7 +70,8 @@
   auto impl = std::make_unique<Impl>();
   if (!server.m_is_tls && server.m_has_ipv4_address) {
     impl->m_client = std::make_shared<PlainClient>(
-        server.m_address, options.m_connections, options.m_max_answer_bytes);
+        server.m_address, options.m_connections, options.m_max_answer_bytes,
+        options.m_connection_watch);
   } else {
     const auto client = std::make_shared<SoupClient>(options);
     if (options.m_authorities) {
--- a/http/client.h
+++ b/http/client.h
@@ -9,6 +9,7 @@
 
 #include "core/core.h"
 #include "http/call.h"
+#include "http/connection_watch.h"
 #include "http/error.h"
 
 namespace comfreyshift {
@@ -22,6 +23,8 @@
   std::optional<std::filesystem::path> m_authorities = std::nullopt;
   // Longer answers end the call with kAnswerTooLarge.
   uint64_t m_max_answer_bytes = 16ULL << 20;
+  // Watches the connections over plain sockets, if set.
+  std::shared_ptr<ConnectionWatch> m_connection_watch = nullptr;
 };
 
 // An HTTP/1.1 client of one server: over plain sockets for an IPv4 address
--- a/http/http.h
+++ b/http/http.h
@@ -6,6 +6,7 @@
 
 #include "http/call.h"
 #include "http/client.h"
+#include "http/connection_watch.h"
 #include "http/error.h"
 #include "http/request.h"
 #include "http/server.h"
--- a/http/plain_client.cc
+++ b/http/plain_client.cc
@@ -55,12 +55,14 @@
 
 PlainClient::PlainClient(const Address& server,
                          uint32_t connections,
-                         uint64_t max_answer_bytes)
+                         uint64_t max_answer_bytes,
+                         std::shared_ptr<ConnectionWatch> watch)
     : m_host(server.ToString()),
       m_address(g_inet_socket_address_new_from_string(server.m_host.c_str(),
                                                       server.m_port)),
       m_max_connections(connections),
       m_max_answer_bytes(max_answer_bytes),
+      m_watch(std::move(watch)),
       // An answer that has arrived while the process could not run is read
       // before the deadline is looked at.
       m_timer([this]() { ExpireCalls(); }, G_PRIORITY_DEFAULT + 20) {}
@@ -165,6 +167,9 @@
       g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING);
   if (!is_started) {
     g_object_unref(socket);
+    if (m_watch) {
+      m_watch->OnRefused();
+    }
     Fail(call, HttpCallFailure::kConnection, TakeMessage(error));
     return 0;
   }
@@ -257,6 +262,9 @@
     return false;
   }
   connection.m_is_connecting = false;
+  if (m_watch) {
+    m_watch->OnOpened(g_socket_get_fd(connection.m_socket));
+  }
   if (!BeginWriting(id)) {
     OnBroken(id, "the connection is closed");
     return false;
@@ -323,7 +331,9 @@
 }
 
 void PlainClient::OnBroken(ConnectionId id, const std::string& reason) {
-  const uint64_t call = m_connections.at(id).m_call;
+  Connection& connection = m_connections.at(id);
+  connection.m_has_ended = true;
+  const uint64_t call = connection.m_call;
   if (call == 0) {
     Close(id);
     return;
@@ -333,6 +343,10 @@
 
 void PlainClient::Close(ConnectionId id) {
   const auto found = m_connections.find(id);
+  if (m_watch) {
+    m_watch->OnClosed(g_socket_get_fd(found->second.m_socket),
+                      found->second.m_has_ended);
+  }
   SocketPoller::Default().Remove(found->second.m_watch);
   g_socket_close(found->second.m_socket, nullptr);
   g_object_unref(found->second.m_socket);
--- a/http/plain_client.h
+++ b/http/plain_client.h
@@ -15,6 +15,7 @@
 
 #include "core/core.h"
 #include "http/call.h"
+#include "http/connection_watch.h"
 #include "http/response_parser.h"
 #include "net/net.h"
 
@@ -25,9 +26,11 @@
 // without TLS use plain sockets behind the poller. See HttpClient.
 class PlainClient : public std::enable_shared_from_this<PlainClient> {
  public:
+  // `watch` may be null.
   PlainClient(const Address& server,
               uint32_t connections,
-              uint64_t max_answer_bytes);
+              uint64_t max_answer_bytes,
+              std::shared_ptr<ConnectionWatch> watch);
   ~PlainClient();
   PlainClient(const PlainClient&) = delete;
   PlainClient& operator=(const PlainClient&) = delete;
@@ -52,6 +55,8 @@
     SocketPoller::WatchId m_watch = 0;
     bool m_is_connecting = true;
     bool m_waits_to_write = true;
+    // Whether the server has closed or refused it.
+    bool m_has_ended = false;
     // The call that it carries; 0 while it is idle.
     uint64_t m_call = 0;
     std::string m_output;
@@ -90,6 +95,7 @@
   GSocketAddress* m_address;
   uint32_t m_max_connections;
   uint64_t m_max_answer_bytes;
+  std::shared_ptr<ConnectionWatch> m_watch;
   std::map<uint64_t, Call> m_calls;
   std::deque<uint64_t> m_waiting;
   std::set<std::pair<MonoTime, uint64_t>> m_deadlines;
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -510,6 +510,54 @@
   EXPECT_FALSE(m_executor.is_accepting(m_now));
 }
 
+// Guards against a start that reaches another incarnation of the runner, which
+// may be smaller: one restarted at the same address takes it, since a start
+// names only the id.
+TEST_F(RunExecutorTest, NothingStartsAfterALostConnectionBeforeAListIsRead) {
+  Connect();
+  RegisterRunner();
+  Advance(Milliseconds(20));
+  m_executor.OnConnectionLost(m_now);
+  Advance(Milliseconds(1));
+  ASSERT_EQ(m_polls.back().m_purpose, PollPurpose::kConfirmIncarnation);
+  EXPECT_EQ(m_polls.back().m_answer_by, m_now);
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  Start(0, 1000);
+  EXPECT_TRUE(m_starts.empty());
+  EXPECT_EQ(FindReport(0), nullptr);
+  Advance(Milliseconds(1));
+  m_executor.OnPollResult(kRunnerIncarnation, PollPurpose::kConfirmIncarnation,
+                          RunLists{}, m_now);
+  Tick();
+  EXPECT_EQ(m_starts.size(), 1U);
+}
+
+// Guards against the same fault when the list shows that the runner has
+// restarted: its capacity and labels are not known before its heartbeat.
+TEST_F(RunExecutorTest, NothingStartsOnAnIncarnationThatTookThePlace) {
+  Connect();
+  RegisterRunner();
+  Advance(Milliseconds(20));
+  m_executor.OnConnectionLost(m_now);
+  Advance(Milliseconds(1));
+  Start(0, 9000);
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  m_executor.OnPollResult(kRunnerIncarnation, PollPurpose::kConfirmIncarnation,
+                          lists, m_now);
+  Tick();
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+  ASSERT_NE(FindReport(0), nullptr);
+  EXPECT_EQ(FindReport(0)->m_outcome, RunOutcome::kNotStarted);
+  RunnerHeartbeat smaller = MakeHeartbeat(kRestarted, 1);
+  smaller.m_capacity = {5000, 1000, 0};
+  m_executor.OnHeartbeat(smaller, m_now);
+  AnswerPollAs(kRestarted, lists);
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  Start(1, 9000);
+  EXPECT_TRUE(m_starts.empty());
+}
+
 // Guards against waiting for runs that ended with the runner's last
 // incarnation.
 TEST_F(RunExecutorTest, NewRunnerIncarnationEndsTheRunsOfTheOldOne) {
