--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -264,5 +264,36 @@
   }));
 }
 
+// Guards against a cancelled job that runs on although its cancel was
+// acknowledged, and against an answer that makes its client send it again.
+TEST_F(PlatformProcessesTest, DeleteStopsAJobWhoseClientWaits) {
+  ConfigureAndWaitUntilReady();
+  const auto other = SubmitJob(2);
+  const auto job = SubmitJob(6);
+  ASSERT_TRUE(RunUntil([this]() { return StartCount() == 8U; }));
+  const auto cancel = Send("DELETE", "/p/0000000000000002");
+  ASSERT_TRUE(
+      RunUntil([&]() { return cancel->m_has_arrived && job->m_has_arrived; }));
+  EXPECT_EQ(cancel->m_status, 200);
+  EXPECT_EQ(job->m_status, 200);
+  EXPECT_EQ(Json::parse(job->m_body)["state"], "failed");
+  // The other job has not ended yet: the cancelled one was stopped before its
+  // tasks were done.
+  EXPECT_FALSE(other->m_has_arrived);
+  ASSERT_TRUE(RunUntil([&]() { return other->m_has_arrived; }));
+  EXPECT_EQ(Json::parse(other->m_body)["state"], "completed");
+  EXPECT_TRUE(RunUntil([this]() {
+    return m_runners[0]->runner().Working().empty() &&
+           m_runners[1]->runner().Working().empty();
+  }));
+  // Six runs of the cancelled job ended without being done.
+  EXPECT_EQ(CountEvents(*m_agents[0], "run_not_done") +
+                CountEvents(*m_agents[1], "run_not_done"),
+            6U);
+  const auto again = Send("DELETE", "/p/0000000000000002");
+  ASSERT_TRUE(RunUntil([&]() { return again->m_has_arrived; }));
+  EXPECT_EQ(again->m_status, 410);
+}
+
 }  // namespace
 }  // namespace comfreyshift
