--- a/tests/platform/job_wire_test.cc
+++ b/tests/platform/job_wire_test.cc
@@ -58,6 +58,23 @@
   }
 }
 
+// Guards against a task that starts on a runner without the label it needs:
+// labels of another type were read as none.
+TEST(JobWireTest, RejectsRequiredLabelsOfAnotherType) {
+  Json json = Json::parse(kJob);
+  for (const Json& value : {Json::array({"a"}), Json(7), Json(nullptr),
+                            Json(false), Json::object()}) {
+    json["steps"][0]["required_labels"] = value;
+    const auto job = DecodeJob(json.dump());
+    ASSERT_FALSE(job) << value;
+    EXPECT_FALSE(job.error().m_is_unsupported) << value;
+  }
+  json["steps"][0]["required_labels"] = "a";
+  const auto job = DecodeJob(json.dump());
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job.value().m_steps[0].m_required_label, "a");
+}
+
 TEST(JobWireTest, ReadsAConfiguration) {
   const auto config = DecodeConfig(
       R"({"version":7,"routes":[{"name":"r","hostname":"h.example",)"
