--- a/jobs/config.h
+++ b/jobs/config.h
@@ -42,7 +42,8 @@
   std::vector<QueueConfig> m_queues;
   IngressLimits m_limits;
 
-  // Returns the queue with this host and the longest prefix of `path`, or null.
+  // Returns the queue with this host, in any case, and the longest prefix of
+  // `path`, or null.
   const QueueConfig* FindQueue(std::string_view host,
                                std::string_view path) const;
   // Returns the queue of this name, or null.
--- a/tests/jobs/config_test.cc
+++ b/tests/jobs/config_test.cc
@@ -26,6 +26,17 @@
   EXPECT_EQ(config.FindQueue("a.example", "/jobs/1")->m_name, "outer");
 }
 
+// Guards against a client whose Host header, or an operator whose
+// configuration, has capital letters.
+TEST(FleetConfigTest, HostsAreComparedWithoutCase) {
+  FleetConfig config = TwoQueues();
+  EXPECT_EQ(config.FindQueue("A.Example", "/jobs/1")->m_name, "outer");
+  config.m_queues[0].m_host = "A.EXAMPLE";
+  EXPECT_EQ(config.FindQueue("a.example", "/jobs/1")->m_name, "outer");
+  EXPECT_EQ(config.FindQueue("a.example", "/JOBS/1"), nullptr);
+  EXPECT_EQ(config.FindQueue("a.example.", "/jobs/1"), nullptr);
+}
+
 TEST(FleetConfigTest, UnknownHostOrPathHasNoQueue) {
   const FleetConfig config = TwoQueues();
   EXPECT_EQ(config.FindQueue("b.example", "/jobs/1"), nullptr);
