Keep runs of an agent that returns with another runner

Cause: an agent that accepts work under its name ended the runs of its earlier incarnation at once, also on another machine, where it knows nothing of the runner that has them.

--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -87,9 +87,10 @@
   m_is_median_outdated = true;
 }
 
-void AgentTable::ClearOrphans() {
+void AgentTable::ClearOrphans(MonoTime heard_before) {
   for (auto& [name, agent] : m_agents) {
-    if (agent.m_status && agent.m_status->m_is_accepting) {
+    if (agent.m_status && agent.m_status->m_is_accepting &&
+        agent.m_predecessor_heard_at < heard_before) {
       agent.m_has_orphans = false;
     }
   }
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -32,6 +32,8 @@
   std::map<uint64_t, Resources> m_pending_demand;
   // Runs of an earlier incarnation may still have an unknown outcome.
   bool m_has_orphans = false;
+  // When the last message of an earlier incarnation arrived.
+  MonoTime m_predecessor_heard_at;
   // Demand of runs that have ended since the newest status.
   Resources m_released_demand;
   // Whether the agent is in the watch set, and since when.
@@ -91,9 +93,9 @@
   // the run time on the data's rack.
   void SetRemoteFactor(double factor) { m_remote_factor = factor; }
 
-  // Clears m_has_orphans of the agents that accept work: an agent accepts work
-  // only once all runs of earlier incarnations have ended.
-  void ClearOrphans();
+  // Clears m_has_orphans of the agents that accept work and whose earlier
+  // incarnations were last heard before `heard_before`.
+  void ClearOrphans(MonoTime heard_before);
 
   // Stores a status and drops the pending demand that it accounts for.
   void ApplyStatus(AgentView& agent, const RunnerStatus& status);
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -173,6 +173,7 @@
   m_next_loss_check_at = now;
   if (view.m_incarnation != agent.m_incarnation) {
     view.m_has_orphans = true;
+    view.m_predecessor_heard_at = view.m_last_received;
     // The agent's machine may have restarted, which resets the clock.
     view.m_agent_clock = MonoTime();
   }
@@ -363,8 +364,13 @@
   agent.m_pending_demand[agent.m_sequence] = start.m_demand;
   ++agent.m_unreported_runs;
   agent.m_heartbeat_sent_at = now;
-  m_placements[task.m_run] = {*chosen, agent.m_incarnation, handle,
-                              index,   agent.m_sequence,    start.m_demand};
+  m_placements[task.m_run] = {*chosen,
+                              agent.m_incarnation,
+                              handle,
+                              index,
+                              agent.m_sequence,
+                              start.m_demand,
+                              agent.m_status->m_runner_start_time_ms};
   m_actions.push_back(SendToAgent{*chosen, std::move(start)});
   return true;
 }
@@ -436,10 +442,8 @@
     const AgentView* agent = m_agents.Find(placement.m_agent);
     const bool is_lost =
         agent == nullptr || now >= agent->m_last_received + kLostAgentTimeout;
-    // A new incarnation accepts work only once nothing of the earlier one runs.
-    const bool is_replaced = agent != nullptr &&
-                             agent->m_incarnation != placement.m_incarnation &&
-                             agent->m_status && agent->m_status->m_is_accepting;
+    const bool is_replaced =
+        agent != nullptr && HasEndedWithPredecessor(placement, *agent, now);
     if (is_lost || is_replaced) {
       lost_runs.push_back(
           {run, placement.m_agent,
@@ -456,7 +460,24 @@
     RecordRunOutcome(lost.m_run, placement, RunOutcome::kStopped, now);
     m_actions.push_back(std::move(lost));
   }
-  m_agents.ClearOrphans();
+  m_agents.ClearOrphans(now - kLostAgentTimeout);
+}
+
+// A new incarnation accepts work only once nothing of the earlier one runs on
+// its runner. Of another runner, as on another machine, it knows nothing; then
+// the runs have ended once the earlier agent would count as lost.
+bool JobScheduler::HasEndedWithPredecessor(const Placement& placement,
+                                           const AgentView& agent,
+                                           MonoTime now) {
+  if (agent.m_incarnation == placement.m_incarnation) {
+    return false;
+  }
+  const bool has_same_runner = agent.m_status &&
+                               agent.m_status->m_is_accepting &&
+                               agent.m_status->m_runner_start_time_ms ==
+                                   placement.m_runner_start_time_ms;
+  return has_same_runner ||
+         now >= agent.m_predecessor_heard_at + kLostAgentTimeout;
 }
 
 void JobScheduler::RejectOverdueJobs(MonoTime now) {
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -115,6 +115,8 @@
     size_t m_task = 0;
     uint64_t m_sequence = 0;
     Resources m_demand;
+    // Start time of the agent's runner when the agent was told.
+    int64_t m_runner_start_time_ms = 0;
   };
 
   using JobTable = std::map<JobHandle, Job>;
@@ -140,6 +142,10 @@
                         RunOutcome outcome,
                         MonoTime now);
   void EndRunsOfLostAgents(MonoTime now);
+  // Whether a run of an earlier incarnation of its agent has ended.
+  static bool HasEndedWithPredecessor(const Placement& placement,
+                                      const AgentView& agent,
+                                      MonoTime now);
   void RejectOverdueJobs(MonoTime now);
   void EndExpiredJobs(MonoTime now);
   void EndJobsAfterFreeze(MonoTime now);
