--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -605,7 +605,8 @@
 }
 
 void RunExecutor::SendConfirmationPoll(MonoTime now) {
-  if (m_runner && m_start_gate.IsCheckDue(now)) {
+  // Without a check, the polls open the gate before the runner is used again.
+  if (is_accepting(now) && m_start_gate.IsCheckDue(now)) {
     m_start_gate.OnCheckSent(now);
     m_actions.push_back(MakeImmediatePoll(m_runner->m_process_incarnation,
                                           PollPurpose::kConfirmIncarnation,
@@ -673,8 +674,10 @@
 MonoTime RunExecutor::NextDeadline(MonoTime now) const {
   MonoTime next = std::min(now + kMaxTickInterval, m_entries.NextDeadline(now));
   if (m_runner) {
-    next = std::min({next, m_poll_schedule.NextPollAt(NeedsLists()),
-                     m_start_gate.NextCheckAt()});
+    next = std::min(next, m_poll_schedule.NextPollAt(NeedsLists()));
+  }
+  if (is_accepting(now)) {
+    next = std::min(next, m_start_gate.NextCheckAt());
   }
   next = std::min(
       {next, m_runs.NextDeadline(now), m_unverified_heartbeats.NextPollAt()});
--- a/executor/start_gate.cc
+++ b/executor/start_gate.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-// A runner that closes its connections after each response would otherwise be
-// checked without a pause.
-constexpr Milliseconds kMinCheckInterval{50};
+// A runner that is down, or closes its connections after each response, would
+// otherwise be checked without a pause.
+constexpr Milliseconds kMinCheckInterval{25};
 
 }  // namespace
 
@@ -17,7 +17,7 @@
   m_lost_at = now;
   const bool was_open = std::exchange(m_is_open, false);
   if (was_open && !m_is_checking) {
-    m_next_check_at = std::max(now, m_check_sent_at + kMinCheckInterval);
+    ScheduleCheck(now);
   }
 }
 
@@ -32,12 +32,19 @@
   OnLists(m_check_sent_at);
   if (!m_is_open) {
     // A connection ended while the check was under way.
-    m_next_check_at = std::max(now, m_check_sent_at + kMinCheckInterval);
+    ScheduleCheck(now);
   }
 }
 
-void StartGate::OnCheckFailed(MonoTime) {
+void StartGate::OnCheckFailed(MonoTime now) {
   m_is_checking = false;
+  if (!m_is_open) {
+    ScheduleCheck(now);
+  }
+}
+
+void StartGate::ScheduleCheck(MonoTime now) {
+  m_next_check_at = std::max(now, m_check_sent_at + kMinCheckInterval);
 }
 
 void StartGate::OnLists(MonoTime sent_at) {
--- a/executor/start_gate.h
+++ b/executor/start_gate.h
@@ -22,13 +22,14 @@
   void OnCheckSent(MonoTime now);
   // The check returned lists.
   void OnCheckAnswered(MonoTime now);
-  // The check returned no lists. It is not repeated: the next poll that returns
-  // lists opens the gate.
+  // The check returned no lists, and is repeated while the gate is closed.
   void OnCheckFailed(MonoTime now);
   // Another poll, which was sent at `sent_at`, returned lists.
   void OnLists(MonoTime sent_at);
 
  private:
+  void ScheduleCheck(MonoTime now);
+
   bool m_is_open = true;
   bool m_is_checking = false;
   MonoTime m_lost_at;
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -532,6 +532,29 @@
   EXPECT_EQ(m_starts.size(), 1U);
 }
 
+// Guards against a loop without pauses, and against connections that are made
+// in vain, while the runner is down.
+TEST_F(RunExecutorTest, RunnerThatIsDownIsCheckedOnlyWhileItIsInUse) {
+  Connect();
+  RegisterRunner();
+  for (int i = 0; i < 200; ++i) {
+    Advance(Milliseconds(10));
+    if (m_polls.empty()) {
+      continue;
+    }
+    const PollPurpose purpose = m_polls.back().m_purpose;
+    m_polls.pop_back();
+    m_executor.OnConnectionLost(m_now);
+    m_executor.OnPollResult(kRunnerIncarnation, purpose,
+                            PollFailure::kNoResponse, m_now);
+    if (!m_executor.is_accepting(m_now)) {
+      EXPECT_NE(purpose, PollPurpose::kConfirmIncarnation);
+      EXPECT_GT(m_executor.NextDeadline(m_now), m_now);
+    }
+  }
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+}
+
 // Guards against the same fault when the list shows that the runner has
 // restarted: its capacity and labels are not known before its heartbeat.
 TEST_F(RunExecutorTest, NothingStartsOnAnIncarnationThatTookThePlace) {
