--- a/executor/poll_schedule.cc
+++ b/executor/poll_schedule.cc
@@ -34,6 +34,7 @@
 void PollSchedule::Reset(MonoTime now) {
   m_polls_in_flight = 0;
   m_has_failed = false;
+  m_lists_sent_at = MonoTime();
   m_clock = RunnerTime(0);
   m_next_poll_at = now;
   m_last_list_at = now;
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -52,20 +52,23 @@
     }
     return false;
   }
-  // An incarnation never changes its service: another writer sent this.
-  if (m_is_runner_described &&
-      (IsOutdated(runner_heartbeat, *m_runner) ||
-       runner_heartbeat.m_service != m_runner->m_service)) {
-    return false;
-  }
-  m_is_status_due |=
-      !std::exchange(m_is_runner_described, true) ||
-      m_runner->m_is_draining != runner_heartbeat.m_is_draining ||
-      m_runner->m_capacity != runner_heartbeat.m_capacity;
+  const bool was_described = !m_description.is_empty();
+  const RunnerHeartbeat earlier = *m_runner;
+  const bool is_newest = m_description.Add(runner_heartbeat, now);
+  ApplyDescription();
+  m_is_status_due |= !was_described ||
+                     m_runner->m_service != earlier.m_service ||
+                     m_runner->m_is_draining != earlier.m_is_draining ||
+                     m_runner->m_capacity != earlier.m_capacity;
   // A runner that has not left after all goes on with higher numbers.
-  m_has_runner_left = false;
-  m_runner = runner_heartbeat;
-  return true;
+  m_has_runner_left &= !is_newest;
+  return is_newest;
+}
+
+void RunExecutor::ApplyDescription() {
+  if (!m_description.is_empty()) {
+    m_runner = m_description.Current();
+  }
 }
 
 bool RunExecutor::OnRunnerLeft(const std::string& runner_id, MonoTime now) {
@@ -88,10 +91,12 @@
   }
 }
 
-void RunExecutor::BeginIncarnation(const RunnerHeartbeat& runner_heartbeat,
+void RunExecutor::BeginIncarnation(const RunnerIncarnation& incarnation,
+                                   RunnerDescription description,
                                    MonoTime now) {
-  m_runner = runner_heartbeat;
-  m_is_runner_described = true;
+  m_description = std::move(description);
+  ApplyDescription();
+  m_runner->m_process_incarnation = incarnation;
   m_has_runner_left = false;
   m_health.Reset();
   m_orphaned_runs.clear();
@@ -104,23 +109,20 @@
 void RunExecutor::OnRunnerRestarted(int64_t start_time_ms, MonoTime now) {
   RunnerIncarnation incarnation = m_runner->m_process_incarnation;
   incarnation.m_start_time_ms = start_time_ms;
-  if (const auto heartbeat = m_unverified_heartbeats.Take(incarnation)) {
-    ResumeInIncarnation(*heartbeat, now);
-    return;
-  }
-  RunnerHeartbeat undescribed = *m_runner;
-  undescribed.m_process_incarnation = incarnation;
-  ResumeInIncarnation(undescribed, now);
-  m_is_runner_described = false;
+  ResumeInIncarnation(
+      incarnation,
+      m_unverified_heartbeats.Take(incarnation).value_or(RunnerDescription()),
+      now);
 }
 
 // A started run may be in either incarnation, since its start request reached
 // whichever was there. The lists and the answers of the new one tell, but only
 // once it has seen a higher token: from then on it rejects start requests that
 // were sent before and are still on their way.
-void RunExecutor::ResumeInIncarnation(const RunnerHeartbeat& runner_heartbeat,
+void RunExecutor::ResumeInIncarnation(const RunnerIncarnation& incarnation,
+                                      RunnerDescription description,
                                       MonoTime now) {
-  BeginIncarnation(runner_heartbeat, now);
+  BeginIncarnation(incarnation, std::move(description), now);
   ++m_token;
   if (m_runs.NeedsLease()) {
     m_poll_schedule.ExtendLeases(m_max_runner_lease, now);
@@ -277,7 +279,7 @@
 // runner that must get no new runs by now.
 bool RunExecutor::CanRetryStart(const RunTable::Run& run, MonoTime now) const {
   return now < run.m_retry_until && run.m_fencing_token == m_token &&
-         is_accepting(now);
+         m_start_gate.is_open() && is_accepting(now);
 }
 
 void RunExecutor::RetryStarts(MonoTime now) {
@@ -324,6 +326,10 @@
     OnVerificationResult(incarnation, sent_at, result, now);
     return;
   }
+  if (purpose == PollPurpose::kConfirmIncarnation) {
+    OnConfirmationResult(incarnation, result, now);
+    return;
+  }
   if (!m_runner || m_runner->m_process_incarnation != incarnation) {
     return;
   }
@@ -337,6 +343,7 @@
     return;
   }
   const auto& lists = std::get<RunLists>(result);
+  m_start_gate.OnLists(sent_at);
   if (!IsListOf(incarnation, lists)) {
     OnRunnerRestarted(*lists.m_start_time_ms, now);
     return;
@@ -366,19 +373,36 @@
     return;
   }
   const auto& lists = std::get<RunLists>(result);
-  const auto heartbeat = m_unverified_heartbeats.Take(incarnation);
+  auto description = m_unverified_heartbeats.Take(incarnation);
   if (!IsListOf(incarnation, lists)) {
     return;
   }
   if (IsSentToRunner(incarnation)) {
-    ResumeInIncarnation(*heartbeat, now);
+    ResumeInIncarnation(incarnation, std::move(*description), now);
     return;
   }
   EndIncarnation(now);
-  BeginIncarnation(*heartbeat, now);
+  BeginIncarnation(incarnation, std::move(*description), now);
   ApplyLists(lists, sent_at, now);
 }
 
+void RunExecutor::OnConfirmationResult(
+    const RunnerIncarnation& incarnation,
+    const std::variant<RunLists, PollFailure>& result,
+    MonoTime now) {
+  const auto* lists = std::get_if<RunLists>(&result);
+  if (lists == nullptr || !m_runner ||
+      m_runner->m_process_incarnation != incarnation) {
+    m_start_gate.OnCheckFailed(now);
+    return;
+  }
+  m_start_gate.OnCheckAnswered(now);
+  // The lists are not applied: a poll of the schedule may have overtaken them.
+  if (!IsListOf(incarnation, *lists)) {
+    OnRunnerRestarted(*lists->m_start_time_ms, now);
+  }
+}
+
 void RunExecutor::ApplyLists(const RunLists& lists,
                              MonoTime sent_at,
                              MonoTime now) {
@@ -482,7 +506,7 @@
 }
 
 bool RunExecutor::is_accepting(MonoTime now) const {
-  return m_runner && m_is_runner_described && !m_has_runner_left &&
+  return m_runner && !m_description.is_empty() && !m_has_runner_left &&
          !m_runner->m_is_draining && !m_is_draining && m_is_reconciled &&
          !m_closed_zones.contains(m_runner->m_zone) && m_health.IsUsable(now) &&
          m_poll_schedule.IsReachable(now) && !IsStopOverdue(now);
@@ -518,7 +542,7 @@
 }
 
 void RunExecutor::StartWaitingRuns(MonoTime now) {
-  if (!is_accepting(now)) {
+  if (!is_accepting(now) || !m_start_gate.is_open()) {
     return;
   }
   Resources available = m_runs.UnreservedCapacity(m_runner->m_capacity);
@@ -639,17 +663,34 @@
 void RunExecutor::SendVerificationPolls(MonoTime now) {
   for (const RunnerIncarnation& incarnation :
        m_unverified_heartbeats.TakeDue(now)) {
-    PollRequest poll;
-    poll.m_process_incarnation = incarnation;
-    poll.m_purpose = PollPurpose::kVerifyHeartbeat;
-    poll.m_fencing_token = m_token;
-    poll.m_sent_at = now;
-    poll.m_answer_by = now;
-    poll.m_give_up_at = now + m_request_latency.Timeout();
-    m_actions.push_back(poll);
+    m_actions.push_back(
+        MakeImmediatePoll(incarnation, PollPurpose::kVerifyHeartbeat, now));
+  }
+}
+
+void RunExecutor::SendConfirmationPoll(MonoTime now) {
+  // Without a check, the polls open the gate before the runner is used again.
+  if (is_accepting(now) && m_start_gate.IsCheckDue(now)) {
+    m_start_gate.OnCheckSent(now);
+    m_actions.push_back(MakeImmediatePoll(m_runner->m_process_incarnation,
+                                          PollPurpose::kConfirmIncarnation,
+                                          now));
   }
 }
 
+PollRequest RunExecutor::MakeImmediatePoll(const RunnerIncarnation& incarnation,
+                                           PollPurpose purpose,
+                                           MonoTime now) const {
+  PollRequest poll;
+  poll.m_process_incarnation = incarnation;
+  poll.m_purpose = purpose;
+  poll.m_fencing_token = m_token;
+  poll.m_sent_at = now;
+  poll.m_answer_by = now;
+  poll.m_give_up_at = now + m_request_latency.Timeout();
+  return poll;
+}
+
 RunnerStatus RunExecutor::MakeStatus(MonoTime now) const {
   RunnerStatus status;
   status.m_agent_clock = now;
@@ -691,6 +732,7 @@
   SendStops(now);
   SendPoll(now);
   SendVerificationPolls(now);
+  SendConfirmationPoll(now);
   SendStatuses(now);
   return std::exchange(m_actions, {});
 }
@@ -700,6 +742,9 @@
   if (m_runner) {
     next = std::min(next, m_poll_schedule.NextPollAt(NeedsLists()));
   }
+  if (is_accepting(now)) {
+    next = std::min(next, m_start_gate.NextCheckAt());
+  }
   next = std::min(
       {next, m_runs.NextDeadline(now), m_unverified_heartbeats.NextPollAt()});
   if (m_health.retry_at() > now) {
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -17,8 +17,10 @@
 #include "executor/request_latency.h"
 #include "executor/request_loss.h"
 #include "executor/run_table.h"
+#include "executor/runner_description.h"
 #include "executor/runner_health.h"
 #include "executor/runner_observation.h"
+#include "executor/start_gate.h"
 #include "executor/unverified_heartbeats.h"
 #include "jobs/jobs.h"
 #include "link/link.h"
@@ -62,6 +64,9 @@
   void OnStartRun(const ProcessId& entry, const StartRun& start, MonoTime now);
   void OnStopRun(const ProcessId& entry, const StopRun& stop, MonoTime now);
 
+  // A connection to the runner that the agent did not close has ended or was
+  // refused. Starts wait until the runner has shown which incarnation it is.
+  void OnConnectionLost(MonoTime now) { m_start_gate.OnConnectionLost(now); }
   void OnStartRunResult(const RunnerIncarnation& incarnation,
                         const RunKey& run,
                         StartResult result,
@@ -102,13 +107,20 @@
     MonoTime m_stop_due_at;
   };
 
-  void BeginIncarnation(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
+  // Takes over what is known of the runner. It keeps the fields of the earlier
+  // incarnation while `description` is empty.
+  void BeginIncarnation(const RunnerIncarnation& incarnation,
+                        RunnerDescription description,
+                        MonoTime now);
+  // Sets m_runner to what m_description says.
+  void ApplyDescription();
   void EndIncarnation(MonoTime now);
   // The runner was started again under its id, at `start_time_ms`. Its
   // heartbeat may come later; until then its capacity and labels are not known.
   void OnRunnerRestarted(int64_t start_time_ms, MonoTime now);
-  // Begins a restarted incarnation that `runner_heartbeat` describes.
-  void ResumeInIncarnation(const RunnerHeartbeat& runner_heartbeat,
+  // Begins a restarted incarnation.
+  void ResumeInIncarnation(const RunnerIncarnation& incarnation,
+                           RunnerDescription description,
                            MonoTime now);
   // Whether a request to `incarnation` may have reached the present one. A
   // request names the runner's id, which a restarted runner keeps.
@@ -118,6 +130,10 @@
                             MonoTime sent_at,
                             const std::variant<RunLists, PollFailure>& result,
                             MonoTime now);
+  // Handles the result of a poll that shows which incarnation answers.
+  void OnConfirmationResult(const RunnerIncarnation& incarnation,
+                            const std::variant<RunLists, PollFailure>& result,
+                            MonoTime now);
   void ApplyLists(const RunLists& lists, MonoTime sent_at, MonoTime now);
   // Forgets the runner that has left once nothing runs on it.
   void RemoveDepartedRunner();
@@ -151,6 +167,11 @@
   bool NeedsLists() const;
   void SendPoll(MonoTime now);
   void SendVerificationPolls(MonoTime now);
+  void SendConfirmationPoll(MonoTime now);
+  // Returns a poll that the runner answers at once.
+  PollRequest MakeImmediatePoll(const RunnerIncarnation& incarnation,
+                                PollPurpose purpose,
+                                MonoTime now) const;
   void SendStatuses(MonoTime now);
   RunnerStatus MakeStatus(MonoTime now) const;
 
@@ -163,9 +184,9 @@
   // arrive.
   std::optional<RunnerHeartbeat> m_departed_runner;
   UnverifiedHeartbeats m_unverified_heartbeats;
-  // Whether m_runner holds a heartbeat of its incarnation. If not, all but the
-  // incarnation is from the one before.
-  bool m_is_runner_described = false;
+  // The heartbeats of the incarnation of m_runner. While it is empty, all but
+  // the incarnation is from the one before.
+  RunnerDescription m_description;
   RunnerHealth m_health;
   RunTable m_runs;
   // Reports to send again when a StartRun is repeated.
@@ -178,6 +199,7 @@
 
   Milliseconds m_max_runner_lease = kMaxRunnerLease;
   PollSchedule m_poll_schedule;
+  StartGate m_start_gate;
   RequestLatency m_request_latency;
   RequestLoss m_request_loss;
   uint64_t m_acknowledged_ends = 0;
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 
 namespace comfreyshift {
 namespace {
@@ -50,7 +51,7 @@
         m_stops.push_back(*stop);
       } else if (auto* poll = std::get_if<PollRequest>(&action)) {
         m_polls.push_back(*poll);
-        m_poll_sent_at = poll->m_sent_at;
+        m_poll_sent_at[poll->m_purpose] = poll->m_sent_at;
       } else {
         Collect(std::get<SendToEntry>(action));
       }
@@ -95,11 +96,18 @@
   // Passes on the result of the poll that is under way to an incarnation.
   void OnPollResult(const RunnerIncarnation& incarnation,
                     const std::variant<RunLists, PollFailure>& result) {
-    m_executor.OnPollResult(incarnation,
-                            m_executor.IsUnverified(incarnation)
-                                ? PollPurpose::kVerifyHeartbeat
-                                : PollPurpose::kReadLists,
-                            m_poll_sent_at, result, m_now);
+    OnPollResult(incarnation,
+                 m_executor.IsUnverified(incarnation)
+                     ? PollPurpose::kVerifyHeartbeat
+                     : PollPurpose::kReadLists,
+                 result);
+  }
+
+  void OnPollResult(const RunnerIncarnation& incarnation,
+                    PollPurpose purpose,
+                    const std::variant<RunLists, PollFailure>& result) {
+    m_executor.OnPollResult(incarnation, purpose, m_poll_sent_at[purpose],
+                            result, m_now);
   }
 
   size_t CountPolls(const RunnerIncarnation& incarnation) const {
@@ -152,8 +160,8 @@
   std::vector<StartRequest> m_starts;
   std::vector<StopRequest> m_stops;
   std::vector<PollRequest> m_polls;
-  // When the newest poll was sent.
-  MonoTime m_poll_sent_at;
+  // When the newest poll of each purpose was sent.
+  std::map<PollPurpose, MonoTime> m_poll_sent_at;
   std::vector<RunReport> m_reports;
   // What shows the end, for each report; empty for a repeated one.
   std::vector<std::optional<EndEvidence>> m_evidence;
@@ -516,6 +524,122 @@
   EXPECT_EQ(m_executor.runner()->m_service, "service");
 }
 
+// Guards against a foreign service that is heard first, with a high number, and
+// locks out the runner's own heartbeats: after a start of the agent or of the
+// runner.
+TEST_F(RunExecutorTest, RunnersOwnServiceWinsAfterAForeignOneCameFirst) {
+  Connect();
+  const auto send_foreign = [this](const RunnerIncarnation& incarnation) {
+    RunnerHeartbeat foreign = MakeHeartbeat(incarnation, 1000);
+    foreign.m_service = "unknown";
+    m_executor.OnHeartbeat(foreign, m_now);
+  };
+  const auto expect_own_wins = [this](const RunnerIncarnation& incarnation) {
+    EXPECT_EQ(m_executor.runner()->m_service, "unknown");
+    for (uint64_t sequence = 1; sequence < 4; ++sequence) {
+      m_executor.OnHeartbeat(MakeHeartbeat(incarnation, sequence), m_now);
+      m_now += Milliseconds(1500);
+    }
+    EXPECT_EQ(m_executor.runner()->m_service, "service");
+    EXPECT_TRUE(m_executor.OnHeartbeat(MakeHeartbeat(incarnation, 4), m_now));
+  };
+  send_foreign(kRunnerIncarnation);
+  Tick();
+  AnswerPoll({});
+  expect_own_wins(kRunnerIncarnation);
+  Tick();
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  AnswerPoll(lists);
+  send_foreign(kRestarted);
+  expect_own_wins(kRestarted);
+}
+
+// Guards against a start after an acknowledged draining, which a foreign
+// heartbeat that came first would hide.
+TEST_F(RunExecutorTest, DrainingHoldsBesideAForeignService) {
+  Connect();
+  RunnerHeartbeat foreign = MakeHeartbeat(kRunnerIncarnation, 1000);
+  foreign.m_service = "unknown";
+  m_executor.OnHeartbeat(foreign, m_now);
+  Tick();
+  AnswerPoll({});
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  RunnerHeartbeat draining = MakeHeartbeat(kRunnerIncarnation, 1);
+  draining.m_is_draining = true;
+  m_executor.OnHeartbeat(draining, m_now);
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+}
+
+// Guards against a start that reaches another incarnation of the runner, which
+// may be smaller: one restarted at the same address takes it, since a start
+// names only the id.
+TEST_F(RunExecutorTest, NothingStartsAfterALostConnectionBeforeAListIsRead) {
+  Connect();
+  RegisterRunner();
+  Advance(Milliseconds(20));
+  m_executor.OnConnectionLost(m_now);
+  Advance(Milliseconds(1));
+  ASSERT_EQ(m_polls.back().m_purpose, PollPurpose::kConfirmIncarnation);
+  EXPECT_EQ(m_polls.back().m_answer_by, m_now);
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  Start(0, 1000);
+  EXPECT_TRUE(m_starts.empty());
+  EXPECT_EQ(FindReport(0), nullptr);
+  Advance(Milliseconds(1));
+  OnPollResult(kRunnerIncarnation, PollPurpose::kConfirmIncarnation,
+               RunLists{});
+  Tick();
+  EXPECT_EQ(m_starts.size(), 1U);
+}
+
+// Guards against a loop without pauses, and against connections that are made
+// in vain, while the runner is down.
+TEST_F(RunExecutorTest, RunnerThatIsDownIsCheckedOnlyWhileItIsInUse) {
+  Connect();
+  RegisterRunner();
+  for (int i = 0; i < 200; ++i) {
+    Advance(Milliseconds(10));
+    if (m_polls.empty()) {
+      continue;
+    }
+    const PollPurpose purpose = m_polls.back().m_purpose;
+    m_polls.pop_back();
+    m_executor.OnConnectionLost(m_now);
+    OnPollResult(kRunnerIncarnation, purpose, PollFailure::kNoResponse);
+    if (!m_executor.is_accepting(m_now)) {
+      EXPECT_NE(purpose, PollPurpose::kConfirmIncarnation);
+      EXPECT_GT(m_executor.NextDeadline(m_now), m_now);
+    }
+  }
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+}
+
+// Guards against the same fault when the list shows that the runner has
+// restarted: its capacity and labels are not known before its heartbeat.
+TEST_F(RunExecutorTest, NothingStartsOnAnIncarnationThatTookThePlace) {
+  Connect();
+  RegisterRunner();
+  Advance(Milliseconds(20));
+  m_executor.OnConnectionLost(m_now);
+  Advance(Milliseconds(1));
+  Start(0, 9000);
+  RunLists lists;
+  lists.m_start_time_ms = kRestarted.m_start_time_ms;
+  OnPollResult(kRunnerIncarnation, PollPurpose::kConfirmIncarnation, lists);
+  Tick();
+  EXPECT_FALSE(m_executor.is_accepting(m_now));
+  ASSERT_NE(FindReport(0), nullptr);
+  EXPECT_EQ(FindReport(0)->m_outcome, RunOutcome::kNotStarted);
+  RunnerHeartbeat smaller = MakeHeartbeat(kRestarted, 1);
+  smaller.m_capacity = {5000, 1000, 0};
+  m_executor.OnHeartbeat(smaller, m_now);
+  AnswerPollAs(kRestarted, lists);
+  EXPECT_TRUE(m_executor.is_accepting(m_now));
+  Start(1, 9000);
+  EXPECT_TRUE(m_starts.empty());
+}
+
 // Guards against waiting for runs that ended with the runner's last
 // incarnation.
 TEST_F(RunExecutorTest, NewRunnerIncarnationEndsTheRunsOfTheOldOne) {
@@ -610,8 +734,7 @@
   AnswerPoll(lists);
   ExpectRunnerIs(kRestarted);
   lists.m_running = {};
-  m_executor.OnPollResult(kRestarted, PollPurpose::kVerifyHeartbeat,
-                          m_poll_sent_at, lists, m_now);
+  OnPollResult(kRestarted, PollPurpose::kVerifyHeartbeat, lists);
   Tick();
   EXPECT_EQ(FindReport(0), nullptr);
 }
