Emulator: replay uneven traffic beyond the capacity

load_replay had no load with unequal entries, long tails and bursts beyond the capacity, and did not show which jobs are refused while runners have room.

--- a/bench/load_replay.cc
+++ b/bench/load_replay.cc
@@ -1,7 +1,12 @@
 // Plays a load pattern against the decision code under a virtual clock and
 // prints what became of the jobs.
-// usage: load_replay [--fleet today|grown|large] [--rate FACTOR] [--seconds N]
+// usage: load_replay [--fleet today|grown|large|uneven] [--rate FACTOR]
+// [--seconds N]
 //                    [--seed N] [--scenario NAME]
+// The scenario "shortage" is that of the fleet "uneven": bursts beyond the
+// capacity, a fifth of the runners three times as slow, and 5% of the requests
+// to runners unanswered. "slow-bursts" leaves out the last of these, "bursts"
+// the last two.
 
 #include <cstdio>
 #include <cstdlib>
@@ -25,16 +30,15 @@
 
 using Scenario = std::function<void(FleetEmulation&, LoadPattern&)>;
 
-void Print(const FleetEmulation& fleet, const std::string& kind) {
-  const LoadSummary sum = fleet.Summarize(kind);
+void Print(const std::string& name, const LoadSummary& sum) {
   std::printf(
       "%-12s asked %6llu  in objective %6llu  late %5llu  refused %5llu  "
-      "failed %4llu  worth %.3f\n",
-      kind.empty() ? "all" : kind.c_str(),
-      static_cast<unsigned long long>(sum.m_asked),
+      "with room %5llu  failed %4llu  worth %.3f\n",
+      name.c_str(), static_cast<unsigned long long>(sum.m_asked),
       static_cast<unsigned long long>(sum.m_in_objective),
       static_cast<unsigned long long>(sum.m_late),
       static_cast<unsigned long long>(sum.m_refused),
+      static_cast<unsigned long long>(sum.m_refused_with_room),
       static_cast<unsigned long long>(sum.m_failed),
       sum.m_worth_asked > 0 ? sum.m_worth_earned / sum.m_worth_asked : 0.0);
 }
@@ -48,6 +52,22 @@
     pattern.m_phases.push_back({third, 2 * third, 2.5, "long"});
   } else if (scenario == "burst-small") {
     pattern.m_phases.push_back({third, 2 * third, 2.5, "small"});
+  } else if (scenario == "bursts" || scenario == "slow-bursts" ||
+             scenario == "shortage") {
+    AddBursts(pattern);
+  }
+}
+
+// A fifth of the runners is slow, and a share of the requests to runners stays
+// unanswered.
+void AddShortage(FleetEmulation& fleet,
+                 double lost_share,
+                 Microseconds length) {
+  constexpr double kSlowFactor = 3.0;
+  fleet.LoseRequests(lost_share, length);
+  constexpr size_t kSlowInterval = 5;
+  for (size_t i = 0; i < fleet.agent_count(); i += kSlowInterval) {
+    fleet.runner(i).set_slowness(kSlowFactor, fleet.now());
   }
 }
 
@@ -60,6 +80,7 @@
       {"burst", []() {}},
       {"burst-long", []() {}},
       {"burst-small", []() {}},
+      {"bursts", []() {}},
       {"fails",
        [&]() {
          fleet.runner(0).set_fails_all(true);
@@ -78,7 +99,15 @@
          }
        }},
       {"late-orders", [&]() { fleet.LoseRequests(0.06, third); }},
+      {"restart", [&]() { fleet.KillAll(); }},
   };
+  if (scenario == "shortage" || scenario == "slow-bursts") {
+    const double lost_share = scenario == "shortage" ? 0.05 : 0.0;
+    fleet.At(Milliseconds(0), [&fleet, length = 3 * third, lost_share]() {
+      AddShortage(fleet, lost_share, length);
+    });
+    return true;
+  }
   const auto found = begin.find(scenario);
   if (found == begin.end()) {
     return false;
@@ -106,6 +135,9 @@
   if (name == "grown") {
     return Deployment{GrownFleet(seed), TodaysLoad(6.0)};
   }
+  if (name == "uneven") {
+    return Deployment{UnevenFleet(seed), UnevenLoad()};
+  }
   if (name == "large") {
     return Deployment{LargeFleet(seed), LargeLoad()};
   }
@@ -142,7 +174,7 @@
        at += kSampleInterval) {
     fleet.RunUntil(at);
     const size_t first = options.m_scenario == "half" ? 5 : 0;
-    for (size_t i = first; i < 11; ++i) {
+    for (size_t i = first; i < fleet.agent_count(); ++i) {
       used += static_cast<double>(fleet.runner(i).UsedRoom().m_cpu_millis);
       capacity += static_cast<double>(fleet.runner(i).capacity().m_cpu_millis);
     }
@@ -150,9 +182,14 @@
   std::printf("use of the runners %.3f\n", used / capacity);
   fleet.RunUntil(pattern.m_length + std::chrono::seconds(5));
   for (const JobKind& kind : pattern.m_kinds) {
-    Print(fleet, kind.m_name);
+    Print(kind.m_name, fleet.Summarize(kind.m_name));
+  }
+  for (size_t entry = 0; entry < pattern.m_entry_weights.size(); ++entry) {
+    Print("entry-" + std::to_string(entry), fleet.SummarizeEntry(entry));
   }
-  Print(fleet, "");
+  Print("all", fleet.Summarize());
+  std::printf("messages %llu\n",
+              static_cast<unsigned long long>(fleet.messages()));
   std::printf("double runs %llu, overloads %llu, false refusals %llu\n",
               static_cast<unsigned long long>(fleet.double_runs()),
               static_cast<unsigned long long>(fleet.overloads()),
--- a/emulator/deployments.h
+++ b/emulator/deployments.h
@@ -15,6 +15,10 @@
 // TodaysLoad(6.0).
 FleetOptions GrownFleet(uint64_t seed);
 
+// Eleven entries, two of which have little processor time, and 64 runners of
+// two sizes and speeds. It takes UnevenLoad().
+FleetOptions UnevenFleet(uint64_t seed);
+
 // The same deployment on hundreds of machines: 35 entries and 160 runners. It
 // takes LargeLoad().
 FleetOptions LargeFleet(uint64_t seed);
--- a/emulator/fleet_emulation.cc
+++ b/emulator/fleet_emulation.cc
@@ -122,6 +122,26 @@
   WakeEntry(entry_index);
 }
 
+bool FleetEmulation::HasRoomFor(const JobRequest& request) const {
+  int64_t missing = 0;
+  for (const Step& step : request.m_steps) {
+    missing = step.m_count;
+    for (const auto& agent : m_agents) {
+      if (agent->m_executor == nullptr ||
+          !agent->m_executor->is_accepting(m_now)) {
+        continue;
+      }
+      const int64_t available = agent->m_executor->FreeCapacity().m_cpu_millis;
+      missing -= std::max<int64_t>(0, available) /
+                 std::max<int64_t>(1, step.m_demand.m_cpu_millis);
+    }
+    if (missing > 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void FleetEmulation::Finish(size_t job, const JobResult& result) {
   JobRecord& record = m_jobs[job];
   record.m_answered_at = m_now;
@@ -131,6 +151,7 @@
     record.m_result = ClientResult::kFailed;
   } else if (std::holds_alternative<JobRejected>(result)) {
     record.m_result = ClientResult::kRefused;
+    record.m_had_room = HasRoomFor(record.m_arrival.m_request);
   } else {
     record.m_result = ClientResult::kLost;
     const size_t next = m_random() % m_entries.size();
@@ -340,6 +361,15 @@
        });
 }
 
+void FleetEmulation::KillAll() {
+  for (size_t i = 0; i < m_entries.size(); ++i) {
+    KillEntry(i);
+  }
+  for (size_t i = 0; i < m_agents.size(); ++i) {
+    KillAgent(i);
+  }
+}
+
 void FleetEmulation::FreezeEntry(size_t entry, Microseconds length) {
   m_entries[entry]->m_frozen_until = m_now + length;
 }
--- a/emulator/fleet_emulation.h
+++ b/emulator/fleet_emulation.h
@@ -29,6 +29,8 @@
   // racks. Tasks away from their data take so many times as long.
   size_t m_runners_per_rack = 0;
   double m_remote_factor = kDefaultRemoteFactor;
+  // Time that each entry takes for a message of an agent; empty for none.
+  std::vector<Microseconds> m_entry_message_times;
   Microseconds m_link_delay{1400};
   Microseconds m_request_delay{500};
   uint64_t m_seed = 1;
@@ -66,9 +68,14 @@
   // Share of orders that get no answer and are carried out 2 to 8 s later.
   void LoseRequests(double share, Microseconds length);
   void DrainRunner(size_t agent);
+  // All entries and agents lose power.
+  void KillAll();
   void CloseZone(const std::string& zone);
 
   RunnerEmulation& runner(size_t agent);
+  size_t agent_count() const { return m_agents.size(); }
+  // Messages delivered between entries and agents.
+  uint64_t messages() const { return m_messages; }
   MonoTime now() const { return m_now; }
   const std::vector<JobRecord>& jobs() const { return m_jobs; }
   // Moments at which two runs of one task were at work.
@@ -81,6 +88,10 @@
   LoadSummary Summarize(const std::string& kind = "") const {
     return SummarizeLoad(m_jobs, m_pattern, kind);
   }
+  // Summary of the jobs first sent to one entry.
+  LoadSummary SummarizeEntry(size_t entry) const {
+    return comfreyshift::SummarizeEntry(m_jobs, m_pattern, entry);
+  }
 
  private:
   struct Entry;
@@ -105,6 +116,10 @@
   void Connect(size_t entry, size_t agent);
   void TryConnect(size_t entry, size_t agent);
   std::string RackOf(size_t agent) const;
+  // Whether the runners have room for all tasks of the job now.
+  bool HasRoomFor(const JobRequest& request) const;
+  // When the entry has processed a message that arrives now.
+  MonoTime ProcessedAt(size_t entry);
   bool IsCut(size_t entry, size_t agent) const;
   // When a message that is sent now arrives.
   MonoTime ArrivalAt(size_t entry, size_t agent) const;
@@ -155,6 +170,7 @@
   MonoTime m_order_loss_until;
   ClosedZones m_closed_zones;
   uint64_t m_double_runs = 0;
+  uint64_t m_messages = 0;
 };
 
 }  // namespace comfreyshift
--- a/emulator/fleet_links.cc
+++ b/emulator/fleet_links.cc
@@ -93,10 +93,28 @@
   const uint64_t connection = m_connections[{entry, agent}];
   Post(ArrivalAt(entry, agent),
        [this, agent, connection, entry, message = std::move(message)]() {
-         DeliverToEntry(agent, connection, entry, message);
+         ++m_messages;
+         const MonoTime at = ProcessedAt(entry);
+         if (at == m_now) {
+           DeliverToEntry(agent, connection, entry, message);
+           return;
+         }
+         Post(at, [this, agent, connection, entry, message]() {
+           DeliverToEntry(agent, connection, entry, message);
+         });
        });
 }
 
+MonoTime FleetEmulation::ProcessedAt(size_t entry) {
+  if (m_options.m_entry_message_times.empty()) {
+    return m_now;
+  }
+  MonoTime& busy_until = m_entries[entry]->m_busy_until;
+  busy_until =
+      std::max(busy_until, m_now) + m_options.m_entry_message_times[entry];
+  return busy_until;
+}
+
 void FleetEmulation::DeliverToAgent(size_t entry_index,
                                     uint64_t entry_life,
                                     size_t agent_index,
@@ -114,6 +132,7 @@
     });
     return;
   }
+  ++m_messages;
   const ProcessId& entry = m_entries[entry_index]->m_id;
   agent.m_heard[entry_index] = m_now;
   if (const auto* start = std::get_if<StartRun>(&message)) {
--- a/emulator/fleet_processes.h
+++ b/emulator/fleet_processes.h
@@ -29,6 +29,8 @@
   std::unique_ptr<JobScheduler> m_scheduler;
   MonoTime m_frozen_until;
   MonoTime m_tick_at = MonoTime::max();
+  // Until when it is busy with messages that have arrived.
+  MonoTime m_busy_until;
   // Last message of each agent on its connection; none if not connected.
   std::map<size_t, MonoTime> m_heard;
   // Jobs in progress.
--- a/emulator/load.cc
+++ b/emulator/load.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace comfreyshift {
 
@@ -31,7 +32,10 @@
 double RateFactor(const LoadPattern& pattern,
                   const JobKind& kind,
                   Microseconds at) {
-  double factor = 1.0;
+  const double angle = 2.0 * std::numbers::pi *
+                       static_cast<double>(at.count()) /
+                       static_cast<double>(pattern.m_swing_period.count());
+  double factor = 1.0 + pattern.m_swing * std::sin(angle);
   for (const LoadPhase& phase : pattern.m_phases) {
     if (Concerns(phase, kind, at)) {
       factor *= phase.m_rate_factor;
@@ -87,12 +91,16 @@
   step.m_estimated_run_time = Milliseconds(std::max<int64_t>(
       1, std::llround(
              DrawLogNormal(work / 1000.0, pattern.m_estimate_spread, random))));
+  const bool is_in_tail = pattern.m_tail_share > 0.0 &&
+                          std::uniform_real_distribution<double>(
+                              0.0, 1.0)(random) < pattern.m_tail_share;
+  const double actual_work = work * (is_in_tail ? pattern.m_tail_factor : 1.0);
   double total = 0.0;
   for (uint32_t index = 0; index < count; ++index) {
     TaskBehaviour task;
     task.m_demand = step.m_demand;
-    task.m_work =
-        Microseconds(std::llround(DrawLogNormal(work, kTaskSpread, random)));
+    task.m_work = Microseconds(
+        std::llround(DrawLogNormal(actual_work, kTaskSpread, random)));
     arrival.m_longest = std::max(arrival.m_longest, task.m_work);
     total += static_cast<double>(task.m_work.count()) *
              static_cast<double>(step.m_demand.m_cpu_millis);
@@ -117,6 +125,8 @@
                                   std::mt19937_64& random) {
   std::vector<Arrival> arrivals;
   std::uniform_int_distribution<size_t> draw_entry(0, entries - 1);
+  std::discrete_distribution<size_t> draw_uneven_entry(
+      pattern.m_entry_weights.begin(), pattern.m_entry_weights.end());
   for (size_t index = 0; index < pattern.m_kinds.size(); ++index) {
     const JobKind& kind = pattern.m_kinds[index];
     Microseconds at{0};
@@ -132,7 +142,9 @@
       DrawRack(pattern, kind, at, arrival, random);
       arrival.m_at = at;
       arrival.m_kind = index;
-      arrival.m_entry = draw_entry(random);
+      arrival.m_entry = pattern.m_entry_weights.empty()
+                            ? draw_entry(random)
+                            : draw_uneven_entry(random);
       arrivals.push_back(std::move(arrival));
     }
   }
@@ -156,6 +168,36 @@
   return pattern;
 }
 
+LoadPattern UnevenLoad() {
+  LoadPattern pattern;
+  pattern.m_kinds = {
+      {"short-wide", 0, 3, 181, 8.0, 32, 3000.0, Microseconds(51'000), 0.0291},
+      {"long", 2, 4, 33, 4.0, 16, 3000.0, Microseconds(760'000), 0.16},
+      {"small", 1, 2, 527, 2.0, 8, 3000.0, Microseconds(170'000), 0.01},
+  };
+  pattern.m_tail_share = 0.03;
+  pattern.m_swing = 0.55;
+  // The first two entries are the small ones of UnevenFleet.
+  pattern.m_entry_weights = {0.5, 0.6, 2.0, 1.6, 1.3, 1.2,
+                             1.0, 1.0, 0.8, 0.7, 0.6};
+  return pattern;
+}
+
+void AddBursts(LoadPattern& pattern) {
+  struct Burst {
+    Milliseconds m_from;
+    Milliseconds m_length;
+    double m_rate_factor;
+  };
+  constexpr Burst kBursts[] = {{Milliseconds(4000), Milliseconds(3000), 2.0},
+                               {Milliseconds(14'000), Milliseconds(2000), 2.8},
+                               {Milliseconds(21'000), Milliseconds(3500), 2.4}};
+  for (const Burst& burst : kBursts) {
+    pattern.m_phases.push_back(
+        {burst.m_from, burst.m_from + burst.m_length, burst.m_rate_factor, ""});
+  }
+}
+
 LoadPattern LargeLoad() {
   constexpr double kRateFactor = 9.0;
   constexpr double kCpuMillis = 10'000.0;
--- a/emulator/load.h
+++ b/emulator/load.h
@@ -46,6 +46,15 @@
   Milliseconds m_target_latency{60};
   // Errors of clients' estimates, sigma of the logarithm.
   double m_estimate_spread = 0.4;
+  // This share of the jobs runs for so many times as long as estimated.
+  double m_tail_share = 0.0;
+  double m_tail_factor = 7.0;
+  // The rate swings around its mean by this share, as a sine of the period.
+  double m_swing = 0.0;
+  Microseconds m_swing_period{13'000'000};
+  // Share of the jobs that each entry gets, in any unit; empty for equal
+  // shares.
+  std::vector<double> m_entry_weights;
   Milliseconds m_client_patience{2500};
 };
 
@@ -70,6 +79,15 @@
 // tenth of a runner.
 LoadPattern TodaysLoad(double rate_factor);
 
+// The load of UnevenFleet: 741 jobs a second at the usual rate, of which 3% run
+// for seven times as long as estimated, and a rate that swings by 0.55. Its
+// entries get unequal shares.
+LoadPattern UnevenLoad();
+
+// Adds times of two to three seconds in which jobs come 2 to 2.8 times as
+// often.
+void AddBursts(LoadPattern& pattern);
+
 // The load of LargeFleet: nine times as many jobs as today, whose tasks take
 // about a sixth of a runner.
 LoadPattern LargeLoad();
--- a/emulator/load_summary.h
+++ b/emulator/load_summary.h
@@ -25,6 +25,8 @@
   ClientResult m_result = ClientResult::kInProgress;
   MonoTime m_sent_at;
   MonoTime m_answered_at;
+  // Whether the runners had room for all its tasks when it was refused.
+  bool m_had_room = false;
   // Sendings whose connection broke or that were answered as lost.
   uint64_t m_lost_sendings = 0;
 };
@@ -35,6 +37,8 @@
   uint64_t m_in_objective = 0;
   uint64_t m_late = 0;
   uint64_t m_refused = 0;
+  // Refused although the runners had room for all tasks of the job.
+  uint64_t m_refused_with_room = 0;
   uint64_t m_failed = 0;
   double m_worth_asked = 0.0;
   double m_worth_earned = 0.0;
@@ -47,6 +51,11 @@
                           const LoadPattern& pattern,
                           const std::string& kind);
 
+// Sums over the jobs that were first sent to one entry.
+LoadSummary SummarizeEntry(const std::vector<JobRecord>& jobs,
+                           const LoadPattern& pattern,
+                           size_t entry);
+
 }  // namespace comfreyshift
 
 #endif  // EMULATOR_LOAD_SUMMARY_H_
