Entries: reject jobs by the work ahead of them, not by a fixed wait

Cause: a job was rejected once a quarter of its objective had passed, whatever became free within the rest. Runners too slow for its objective stayed idle meanwhile, and tasks left over from a started job were sent to the slowest runner as soon as they were late.

Change: - A job waits as long as it can still meet its objective.

--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -13,9 +13,8 @@
          std::ranges::find(status.m_labels, label) != status.m_labels.end();
 }
 
-// Predicted run times are off by about this factor. A runner counts as meeting
-// the objective only if it does so with this margin.
-constexpr double kPredictionMargin = 1.25;
+// Larger than any objective; its sum with the clock fits into 64 bits.
+constexpr double kMaxRunTimeUs = 4e18;
 
 // Below this share of free CPU, tasks get the slowest runner that meets their
 // objective.
@@ -162,6 +161,15 @@
   return summary;
 }
 
+Microseconds AgentTable::SafeRunTime(
+    const AgentView& agent,
+    const PlacementRequirements& requirements) const {
+  const double time = requirements.m_margin * RelativeSlowness(agent) *
+                      LocalityFactor(*agent.m_status, requirements) *
+                      static_cast<double>(requirements.m_expected.count());
+  return Microseconds(static_cast<int64_t>(std::min(time, kMaxRunTimeUs)));
+}
+
 AgentTable::Cost AgentTable::ComputeCost(
     const AgentMap::value_type& agent,
     const PlacementRequirements& requirements,
@@ -169,11 +177,11 @@
     MonoTime now) const {
   const double factor = RelativeSlowness(agent.second) *
                         LocalityFactor(*agent.second.m_status, requirements);
-  const Microseconds run_time(static_cast<int64_t>(
-      kPredictionMargin * factor *
-      static_cast<double>(requirements.m_expected.count())));
+  const Microseconds run_time = SafeRunTime(agent.second, requirements);
   Cost cost;
   cost.m_is_late = now + run_time > requirements.m_due_at;
+  cost.m_is_useless =
+      cost.m_is_late && now + run_time > requirements.m_useful_until;
   cost.m_is_avoided = agent.first == requirements.m_avoided_agent;
   // A busy fleet uses the slowest runner that meets the objective, to keep
   // faster ones free for tasks that need them; otherwise the fastest is used.
@@ -198,7 +206,7 @@
       continue;
     }
     const Cost cost = ComputeCost(agent, requirements, is_busy, now);
-    if (cost.m_is_late && !requirements.m_may_be_late) {
+    if (cost.m_is_useless) {
       continue;
     }
     if (best.m_agent == nullptr || cost < best.m_cost) {
@@ -259,6 +267,36 @@
   return watched;
 }
 
+size_t AgentTable::CountUsefulPlaces(const PlacementRequirements& requirements,
+                                     size_t limit,
+                                     MonoTime now) const {
+  size_t places = 0;
+  for (const auto* agent : m_order) {
+    if (places >= limit) {
+      break;
+    }
+    if (!IsUsable(agent->second, requirements, now) ||
+        now + SafeRunTime(agent->second, requirements) >
+            requirements.m_useful_until) {
+      continue;
+    }
+    Resources available = FreeCapacity(agent->second);
+    while (places < limit && requirements.m_demand.Fits(available)) {
+      available -= requirements.m_demand;
+      ++places;
+    }
+  }
+  return places;
+}
+
+bool AgentTable::HasAcceptingAgent(const std::string& service) const {
+  return std::ranges::any_of(m_agents, [&](const auto& item) {
+    const auto& status = item.second.m_status;
+    return item.second.m_is_connected && status && status->m_is_accepting &&
+           status->m_service == service;
+  });
+}
+
 bool AgentTable::CouldEverRun(const PlacementRequirements& requirements) const {
   return std::ranges::any_of(m_agents, [&](const auto& item) {
     const auto& status = item.second.m_status;
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -57,10 +57,14 @@
   std::string m_required_label;
   std::string m_data_rack;
   Microseconds m_expected{0};
+  // A runner counts as meeting a deadline only if it does so with the expected
+  // run time multiplied by this.
+  double m_margin = 1.0;
   // Deadline set by the job's latency objective.
   MonoTime m_due_at;
-  // Whether runners on which the task would miss the objective may be chosen.
-  bool m_may_be_late = false;
+  // Runners on which the task would miss the objective may be chosen if it ends
+  // by this time; MonoTime() if none may.
+  MonoTime m_useful_until;
   // Agent of the task's last run that was not done; chosen only if no other
   // agent can take the task. Empty for none.
   std::string m_avoided_agent;
@@ -135,6 +139,15 @@
   // without this fixed point their scales would drift together.
   double RelativeSlowness(const AgentView& agent) const;
 
+  // Returns on how many places such a task could start now and end by
+  // m_useful_until, at most `limit`.
+  size_t CountUsefulPlaces(const PlacementRequirements& requirements,
+                           size_t limit,
+                           MonoTime now) const;
+
+  // Whether any agent has said that it accepts work, whatever its zone.
+  bool HasAcceptingAgent(const std::string& service) const;
+
   // Whether any known runner could run such a task if it had no other work.
   bool CouldEverRun(const PlacementRequirements& requirements) const;
 
@@ -148,6 +161,8 @@
   struct Cost {
     // The task would miss the objective.
     bool m_is_late = false;
+    // Its result would be of no use.
+    bool m_is_useless = false;
     // The task's last run was not done on this agent.
     bool m_is_avoided = false;
     double m_slowness_rank = 0.0;
@@ -161,6 +176,10 @@
   };
 
   void UpdateMedianSlowness();
+  // Returns the expected run time of a task on an agent's runner with a margin
+  // for the error of the prediction.
+  Microseconds SafeRunTime(const AgentView& agent,
+                           const PlacementRequirements& requirements) const;
   double LocalityFactor(const RunnerStatus& status,
                         const PlacementRequirements& requirements) const;
   // Returns the best of a few agents drawn at random, from those on the rack of
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -39,8 +39,15 @@
 // After a gap this long between ticks the entry's heartbeats have expired, so
 // agents have stopped its runs.
 constexpr Milliseconds kFreezeThreshold = kEntryHeartbeatTimeout;
-// Share of its objective for which a job waits for its first task to start.
-constexpr double kMaxWaitFraction = 0.25;
+// After this share of its objective a job may be placed where it misses it, if
+// the fleet has capacity to spare, and is rejected if no runner accepts work.
+constexpr double kOnTimeWaitFraction = 0.25;
+// Clients still value a response within this multiple of the objective.
+constexpr double kUsefulObjectives = 3.0;
+// An agent that was restarted together with this entry accepts work only after
+// its runner's next heartbeat (1.5 s) and the leases of earlier runs (1 s).
+// Until then jobs wait for it.
+constexpr Milliseconds kStartupTime{3000};
 // Above the longest accepted estimate, 1e18 us. Its sum with the longest target
 // latency, also 1e18 us, and the clock fits.
 constexpr double kMaxScaledUs = 4e18;
@@ -93,10 +100,15 @@
       job.m_tasks.push_back(std::move(task));
     }
   }
+  job.m_margin = m_run_times.Margin(queue.m_name);
   const Microseconds objective =
       Scale(job.m_expected, queue.m_stretch) + queue.m_target_latency;
   job.m_due_at = now + objective;
-  job.m_reject_at = now + Scale(objective, kMaxWaitFraction);
+  job.m_may_be_late_at = now + Scale(objective, kOnTimeWaitFraction);
+  job.m_latest_start_at = std::max(
+      job.m_may_be_late_at, job.m_due_at - Scale(job.m_expected, job.m_margin));
+  job.m_useful_until = std::min(now + Scale(objective, kUsefulObjectives),
+                                job.m_request.m_give_up_at);
   if (m_is_draining) {
     EndJob(handle,
            JobRejected{RejectionReason::kStopping, now + kRetryElsewhereAfter},
@@ -274,6 +286,10 @@
   task.m_state = TaskState::kWaiting;
   --job.m_runs_in_flight;
   job.m_has_run |= outcome != RunOutcome::kNotStarted;
+  if (outcome == RunOutcome::kNotStarted) {
+    m_admission[job.m_queue.m_service].OnReturned(
+        ExpectedWork(placement.m_demand, job.m_expected), now);
+  }
   if (outcome == RunOutcome::kDone) {
     task.m_state = TaskState::kDone;
     ++job.m_done;
@@ -306,14 +322,22 @@
                                                     const Task& task,
                                                     MonoTime now) const {
   const Step& step = job.m_request.m_steps[task.m_step];
-  return {job.m_queue.m_service,
-          step.m_demand,
-          step.m_required_label,
-          step.m_data_rack,
-          job.m_expected,
-          job.m_due_at,
-          job.has_started() && now + job.m_expected > job.m_due_at,
-          task.m_last_failed_agent};
+  PlacementRequirements requirements;
+  requirements.m_service = job.m_queue.m_service;
+  requirements.m_demand = step.m_demand;
+  requirements.m_required_label = step.m_required_label;
+  requirements.m_data_rack = step.m_data_rack;
+  requirements.m_expected = job.m_expected;
+  requirements.m_margin = job.m_margin;
+  requirements.m_due_at = job.m_due_at;
+  requirements.m_avoided_agent = task.m_last_failed_agent;
+  // A task of a started job is late on any runner by now. It takes a slower one
+  // once it has waited for a faster one as long as the slower one takes longer.
+  if (job.has_started() && now > job.m_latest_start_at) {
+    requirements.m_useful_until = now + Scale(job.m_expected, job.m_margin) +
+                                  (now - job.m_latest_start_at);
+  }
+  return requirements;
 }
 
 StartRun JobScheduler::MakeStartRun(const Job& job,
@@ -337,6 +361,7 @@
                              Job& job,
                              size_t index,
                              const CapacitySummary& summary,
+                             MonoTime useful_until,
                              MonoTime now) {
   Task& task = job.m_tasks[index];
   const TaskKey key{job.m_request.m_id, task.m_step, task.m_index};
@@ -346,8 +371,8 @@
     return false;
   }
   PlacementRequirements requirements = GetRequirements(job, task, now);
-  // With capacity to spare, a late result is better than a rejection.
-  requirements.m_may_be_late |= !summary.m_is_busy && now >= job.m_reject_at;
+  requirements.m_useful_until =
+      std::max(requirements.m_useful_until, useful_until);
   const auto chosen = m_agents.Choose(requirements, summary.m_is_busy, now);
   if (!chosen) {
     return false;
@@ -363,6 +388,8 @@
   agent.m_pending_demand[agent.m_sequence] = start.m_demand;
   ++agent.m_unreported_runs;
   agent.m_heartbeat_sent_at = now;
+  m_admission[job.m_queue.m_service].OnPlaced(
+      ExpectedWork(start.m_demand, job.m_expected), now);
   m_placements[task.m_run] = {*chosen, agent.m_incarnation, handle,
                               index,   agent.m_sequence,    start.m_demand};
   m_actions.push_back(SendToAgent{*chosen, std::move(start)});
@@ -408,9 +435,13 @@
           summaries.emplace(service, m_agents.SummarizeCapacity(service, now))
               .first;
     }
+    // With capacity to spare, a late result is better than a rejection.
+    const bool may_be_late =
+        !summary->second.m_is_busy && now >= job.m_may_be_late_at;
+    const MonoTime useful_until = may_be_late ? MonoTime::max() : MonoTime();
     for (size_t index = 0; index < job.m_tasks.size(); ++index) {
       if (job.m_tasks[index].m_state == TaskState::kWaiting &&
-          !PlaceTask(handle, job, index, summary->second, now)) {
+          !PlaceTask(handle, job, index, summary->second, useful_until, now)) {
         break;
       }
     }
@@ -459,25 +490,91 @@
   m_agents.ClearOrphans();
 }
 
-void JobScheduler::RejectOverdueJobs(MonoTime now) {
-  std::vector<JobHandle> rejected;
-  for (const auto& [handle, job] : m_jobs) {
-    if (!job.has_started() && job.m_reject_at <= now) {
-      rejected.push_back(handle);
+double JobScheduler::WaitingWork(const Job& job) {
+  double work = 0.0;
+  for (const Task& task : job.m_tasks) {
+    if (task.m_state == TaskState::kWaiting) {
+      work += ExpectedWork(job.m_request.m_steps[task.m_step].m_demand,
+                           job.m_expected);
     }
   }
-  for (const JobHandle handle : rejected) {
-    const Job& job = m_jobs.at(handle);
-    const bool has_runner =
-        std::ranges::any_of(job.m_tasks, [&](const Task& task) {
-          return m_agents.CouldEverRun(GetRequirements(job, task, now));
-        });
-    EndJob(handle,
-           JobRejected{has_runner ? RejectionReason::kOverloaded
-                                  : RejectionReason::kNoRunner,
-                       m_retry_advice[job.m_queue.m_service].OnRejection(now)},
-           now);
+  return work;
+}
+
+bool JobScheduler::IsUnservable(const Job& job,
+                                double work_ahead,
+                                MonoTime now) const {
+  if (now >= job.m_latest_start_at) {
+    return true;
+  }
+  const std::string& service = job.m_queue.m_service;
+  const bool is_starting_up =
+      now < m_created_at + kStartupTime && !m_agents.HasAcceptingAgent(service);
+  const bool has_runner =
+      std::ranges::any_of(m_agents.agents(), [&](const auto& item) {
+        return m_agents.IsAccepting(item.second, service, now);
+      });
+  if (!has_runner) {
+    return !is_starting_up && now >= job.m_may_be_late_at;
   }
+  const auto admission = m_admission.find(service);
+  if (admission == m_admission.end()) {
+    return false;
+  }
+  const auto wait = admission->second.ExpectedWait(work_ahead, now);
+  return wait && now + *wait > job.m_latest_start_at;
+}
+
+bool JobScheduler::PlaceLate(JobHandle handle, Job& job, MonoTime now) {
+  std::map<uint32_t, size_t> tasks_of_step;
+  for (const Task& task : job.m_tasks) {
+    ++tasks_of_step[task.m_step];
+  }
+  for (const Task& task : job.m_tasks) {
+    size_t& tasks = tasks_of_step[task.m_step];
+    PlacementRequirements requirements = GetRequirements(job, task, now);
+    requirements.m_useful_until = job.m_useful_until;
+    if (m_agents.CountUsefulPlaces(requirements, tasks, now) < tasks) {
+      return false;
+    }
+    tasks = 0;
+  }
+  const CapacitySummary summary =
+      m_agents.SummarizeCapacity(job.m_queue.m_service, now);
+  bool is_placed = false;
+  for (size_t index = 0; index < job.m_tasks.size(); ++index) {
+    is_placed |=
+        PlaceTask(handle, job, index, summary, job.m_useful_until, now);
+  }
+  return is_placed;
+}
+
+void JobScheduler::RejectUnservableJobs(MonoTime now) {
+  std::map<std::string, double> work_ahead;
+  for (const JobHandle handle : JobsWithWaitingTasks()) {
+    Job& job = m_jobs.at(handle);
+    double& ahead = work_ahead[job.m_queue.m_service];
+    if (!job.has_started() && IsUnservable(job, ahead, now)) {
+      if (!PlaceLate(handle, job, now)) {
+        RejectJob(handle, now);
+      }
+      continue;
+    }
+    ahead += WaitingWork(job);
+  }
+}
+
+void JobScheduler::RejectJob(JobHandle handle, MonoTime now) {
+  const Job& job = m_jobs.at(handle);
+  const bool has_runner =
+      std::ranges::any_of(job.m_tasks, [&](const Task& task) {
+        return m_agents.CouldEverRun(GetRequirements(job, task, now));
+      });
+  EndJob(handle,
+         JobRejected{has_runner ? RejectionReason::kOverloaded
+                                : RejectionReason::kNoRunner,
+                     m_retry_advice[job.m_queue.m_service].OnRejection(now)},
+         now);
 }
 
 void JobScheduler::EndExpiredJobs(MonoTime now) {
@@ -581,17 +678,18 @@
   EndExpiredJobs(now);
   EndRunsOfLostAgents(now);
   PlaceWaitingTasks(now);
-  RejectOverdueJobs(now);
+  RejectUnservableJobs(now);
   SendEntryHeartbeats(now);
   return std::exchange(m_actions, {});
 }
 
-MonoTime JobScheduler::NextDeadline(MonoTime) const {
+MonoTime JobScheduler::NextDeadline(MonoTime now) const {
   MonoTime next = std::min(m_next_heartbeats_at, m_next_loss_check_at);
   for (const auto& [handle, job] : m_jobs) {
     next = std::min(next, job.m_request.m_give_up_at);
     if (!job.has_started()) {
-      next = std::min(next, job.m_reject_at);
+      next = std::min(next, now < job.m_may_be_late_at ? job.m_may_be_late_at
+                                                       : job.m_latest_start_at);
     }
   }
   return next;
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -12,6 +12,7 @@
 #include "jobs/jobs.h"
 #include "link/link.h"
 #include "scheduler/actions.h"
+#include "scheduler/admission_policy.h"
 #include "scheduler/agent_table.h"
 #include "scheduler/retry_advice.h"
 #include "scheduler/run_time_model.h"
@@ -89,10 +90,18 @@
     MonoTime m_received_at;
     // Deadline set by the latency objective.
     MonoTime m_due_at;
-    // When the job is rejected if nothing of it has started.
-    MonoTime m_reject_at;
+    // From this time on the job may miss its objective on free runners, and is
+    // rejected if no runner accepts work.
+    MonoTime m_may_be_late_at;
+    // When it must have started to meet its objective on the median runner with
+    // the margin. If nothing of it has, it is rejected.
+    MonoTime m_latest_start_at;
+    // A response after this time is of no use to the client.
+    MonoTime m_useful_until;
     // Expected run time of a task on the median runner.
     Microseconds m_expected{0};
+    // Factor by which the run time may well be longer than expected.
+    double m_margin = 1.0;
     std::vector<Task> m_tasks;
     size_t m_done = 0;
     // Runs that agents were told to start and have not reported as ended.
@@ -127,6 +136,7 @@
                  Job& job,
                  size_t index,
                  const CapacitySummary& summary,
+                 MonoTime useful_until,
                  MonoTime now);
   void PlaceWaitingTasks(MonoTime now);
   // Returns the jobs with waiting tasks, in the order in which to place them.
@@ -140,7 +150,17 @@
                         RunOutcome outcome,
                         MonoTime now);
   void EndRunsOfLostAgents(MonoTime now);
-  void RejectOverdueJobs(MonoTime now);
+  // Rejects the jobs that cannot be served in time, or places them on runners
+  // that nothing else needs.
+  void RejectUnservableJobs(MonoTime now);
+  // Whether the job cannot start in time, given the work that goes before it.
+  bool IsUnservable(const Job& job, double work_ahead, MonoTime now) const;
+  // Places all tasks of a job that has not started on runners where it misses
+  // its objective and is still of use. Returns false and places none if these
+  // do not have the capacity for all.
+  bool PlaceLate(JobHandle handle, Job& job, MonoTime now);
+  void RejectJob(JobHandle handle, MonoTime now);
+  static double WaitingWork(const Job& job);
   void EndExpiredJobs(MonoTime now);
   void EndJobsAfterFreeze(MonoTime now);
   void SendEntryHeartbeats(MonoTime now);
@@ -154,6 +174,8 @@
   AgentTable m_agents;
   RunTimeModel m_run_times;
   // Keyed by service.
+  std::map<std::string, AdmissionPolicy> m_admission;
+  // Keyed by service.
   std::map<std::string, RetryAdvice> m_retry_advice;
   JobTable m_jobs;
   std::map<RunKey, Placement> m_placements;
--- a/scheduler/run_time_model.cc
+++ b/scheduler/run_time_model.cc
@@ -16,6 +16,13 @@
 constexpr double kEstimateWeight = 0.5;
 constexpr uint64_t kMinSamples = 3;
 
+// Margin of a queue without samples: its clients' estimates may be off by a
+// quarter.
+constexpr double kDefaultMargin = 1.25;
+// Standard deviation of a normal distribution divided by its mean absolute
+// deviation, the square root of pi / 2.
+constexpr double kDeviationRatio = 1.2533;
+
 double Log(Microseconds time) {
   return std::log(std::max(1.0, static_cast<double>(time.count())));
 }
@@ -42,10 +49,26 @@
                             (1.0 - kEstimateWeight) * model.m_log_run_time)));
 }
 
+double RunTimeModel::Margin(const std::string& queue) const {
+  const auto found = m_queues.find(queue);
+  if (found == m_queues.end() || found->second.m_error_samples < kMinSamples) {
+    return kDefaultMargin;
+  }
+  return std::exp(kDeviationRatio * found->second.m_log_error);
+}
+
 void RunTimeModel::Learn(const std::string& queue,
                          Milliseconds estimate,
                          Microseconds run_time) {
   QueueModel& model = m_queues[queue];
+  if (model.m_samples >= kMinSamples) {
+    const double error = std::abs(Log(run_time) - Log(Expect(queue, estimate)));
+    ++model.m_error_samples;
+    model.m_log_error +=
+        std::max(kMinSampleWeight,
+                 1.0 / static_cast<double>(model.m_error_samples)) *
+        (error - model.m_log_error);
+  }
   ++model.m_samples;
   const double weight =
       std::max(kMinSampleWeight, 1.0 / static_cast<double>(model.m_samples));
--- a/scheduler/run_time_model.h
+++ b/scheduler/run_time_model.h
@@ -22,6 +22,11 @@
              Milliseconds estimate,
              Microseconds run_time);
 
+  // Returns the factor by which run times of the queue exceed the expected ones
+  // in about one run of six: one standard deviation, if their logarithms are
+  // normally distributed.
+  double Margin(const std::string& queue) const;
+
  private:
   // Means of natural logarithms of times in microseconds: run times of one
   // queue vary by factors, so their logarithms are averaged.
@@ -29,7 +34,13 @@
     double m_log_run_time = 0.0;
     // Logarithm of run time / estimate.
     double m_log_bias = 0.0;
+    // Mean absolute error of the expected run times' logarithms. Unlike the
+    // mean square, a few runs many times as long as expected do not dominate
+    // it.
+    double m_log_error = 0.0;
     uint64_t m_samples = 0;
+    // Samples since m_log_error is measured.
+    uint64_t m_error_samples = 0;
   };
 
   std::map<std::string, QueueModel> m_queues;
--- a/tests/emulator/shortage_test.cc
+++ b/tests/emulator/shortage_test.cc
@@ -67,5 +67,21 @@
   EXPECT_GE(WorthOf(fleet.Summarize()), kTargetWorth);
 }
 
+// Guards against rejections while runners that could still be of use are idle:
+// 12% of the jobs were rejected.
+TEST(ShortageTest, JobsUseSlowRunnersBeforeTheyAreRejected) {
+  LoadPattern pattern = UnevenLoad();
+  pattern.m_length = Milliseconds(4000);
+  pattern.m_phases = {{Milliseconds(1500), Milliseconds(3500), 1.4, ""}};
+  FleetEmulation fleet(UnevenFleet(1), pattern);
+  fleet.RunUntil(Milliseconds(10));
+  SlowDownEveryFifthRunner(fleet);
+  fleet.AddLoad();
+  fleet.RunUntil(pattern.m_length + std::chrono::seconds(3));
+  ExpectPromises(fleet);
+  const LoadSummary sum = fleet.Summarize();
+  EXPECT_LT(sum.m_refused, sum.m_asked / 12);
+}
+
 }  // namespace
 }  // namespace comfreyshift
