Entries and agents: place by priority under shortage

Cause: QueueConfig::m_priority was decoded and never read.

Change: WaitingQueue orders the waiting jobs of a service. While tasks are left without capacity, the priority that is furthest behind its share goes first; a priority has four times the share of the next lower one, so none is starved. A priority that begins to wait is level with the others. Without a shortage the order is as before. The wait of a job is estimated from the share of its priority. Agents start waiting runs by priority, then by the time left; a run waits there for 30 ms at most. The order is part of StartRun::m_queue_priority, so messages stay the same.

--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -67,6 +67,16 @@
                                              kRunnerClockDriftFactor) +
     2 * kMaxStopTime;
 
+// Returns the rank of a run among the waiting runs of all entries at an agent,
+// lowest first: by priority, then by the time left to the objective. Runs wait
+// there for kAgentQueueTime at most, so none is starved by that.
+int64_t StartOrder(int32_t priority, Microseconds time_left) {
+  constexpr int64_t kPriorityStep = int64_t{1} << 40;
+  constexpr int32_t kMaxPriority = 1 << 20;
+  return std::clamp(priority, 0, kMaxPriority) * kPriorityStep +
+         std::clamp(time_left.count(), -kPriorityStep / 2, kPriorityStep / 2);
+}
+
 Microseconds Scale(Microseconds time, double factor) {
   // Converting a double that does not fit into int64_t is undefined behaviour.
   return Microseconds(static_cast<int64_t>(
@@ -88,6 +98,7 @@
   job.m_request = std::move(request);
   job.m_queue = queue;
   job.m_received_at = now;
+  m_backlogs.try_emplace(queue.m_service);
   for (size_t step = 0; step < job.m_request.m_steps.size(); ++step) {
     const Step& spec = job.m_request.m_steps[step];
     job.m_expected =
@@ -287,7 +298,7 @@
   --job.m_runs_in_flight;
   job.m_has_run |= outcome != RunOutcome::kNotStarted;
   if (outcome == RunOutcome::kNotStarted) {
-    m_admission[job.m_queue.m_service].OnReturned(
+    m_backlogs[job.m_queue.m_service].m_admission.OnReturned(
         ExpectedWork(placement.m_demand, job.m_expected), now);
   }
   if (outcome == RunOutcome::kDone) {
@@ -349,9 +360,8 @@
   start.m_payload = job.m_request.m_payload;
   start.m_demand = job.m_request.m_steps[task.m_step].m_demand;
   start.m_expected = job.m_expected;
-  // Agents start the runs of all entries in this order: the time left to the
-  // objective, shortest first.
-  start.m_queue_priority = (job.m_due_at - now).count();
+  start.m_queue_priority =
+      StartOrder(job.m_queue.m_priority, job.m_due_at - now);
   start.m_abandon_at = job.m_request.m_give_up_at;
   start.m_queue_until = now + kAgentQueueTime;
   return start;
@@ -388,29 +398,28 @@
   agent.m_pending_demand[agent.m_sequence] = start.m_demand;
   ++agent.m_unreported_runs;
   agent.m_heartbeat_sent_at = now;
-  m_admission[job.m_queue.m_service].OnPlaced(
-      ExpectedWork(start.m_demand, job.m_expected), now);
+  const double work = ExpectedWork(start.m_demand, job.m_expected);
+  Backlog& backlog = m_backlogs[job.m_queue.m_service];
+  backlog.m_admission.OnPlaced(work, now);
+  backlog.m_queue.OnPlaced(job.m_queue.m_priority, work);
   m_placements[task.m_run] = {*chosen, agent.m_incarnation, handle,
                               index,   agent.m_sequence,    start.m_demand};
   m_actions.push_back(SendToAgent{*chosen, std::move(start)});
   return true;
 }
 
-std::vector<JobHandle> JobScheduler::JobsWithWaitingTasks() const {
-  std::vector<JobHandle> waiting;
+std::map<std::string, std::vector<WaitingJob>> JobScheduler::FindWaitingJobs()
+    const {
+  std::map<std::string, std::vector<WaitingJob>> waiting;
   for (const auto& [handle, job] : m_jobs) {
     const bool is_waiting = std::ranges::any_of(
         job.m_tasks,
         [](const Task& task) { return task.m_state == TaskState::kWaiting; });
     if (is_waiting) {
-      waiting.push_back(handle);
+      waiting[job.m_queue.m_service].push_back(
+          {handle, job.m_queue.m_priority, job.has_started(), job.m_due_at});
     }
   }
-  // Started jobs go first: their work is lost unless they are completed.
-  std::ranges::sort(waiting, {}, [this](JobHandle handle) {
-    const Job& job = m_jobs.at(handle);
-    return std::tuple(!job.has_started(), job.m_due_at, handle);
-  });
   return waiting;
 }
 
@@ -423,25 +432,35 @@
 }
 
 void JobScheduler::PlaceWaitingTasks(MonoTime now) {
+  auto waiting = FindWaitingJobs();
+  for (auto& [service, backlog] : m_backlogs) {
+    std::vector<WaitingJob>& jobs = waiting[service];
+    backlog.m_queue.Sort(jobs, backlog.m_is_short);
+    PlaceWaitingTasks(service, jobs, now);
+    RejectUnservableJobs(jobs, now);
+  }
+}
+
+void JobScheduler::PlaceWaitingTasks(const std::string& service,
+                                     const std::vector<WaitingJob>& jobs,
+                                     MonoTime now) {
+  bool& is_short = m_backlogs[service].m_is_short;
+  is_short = false;
+  if (jobs.empty()) {
+    return;
+  }
   // Placements only reduce the free capacity, so a summary stays an upper bound
   // for the whole pass.
-  std::map<std::string, CapacitySummary> summaries;
-  for (const JobHandle handle : JobsWithWaitingTasks()) {
-    Job& job = m_jobs.at(handle);
-    const std::string& service = job.m_queue.m_service;
-    auto summary = summaries.find(service);
-    if (summary == summaries.end()) {
-      summary =
-          summaries.emplace(service, m_agents.SummarizeCapacity(service, now))
-              .first;
-    }
+  const CapacitySummary summary = m_agents.SummarizeCapacity(service, now);
+  for (const WaitingJob& waiting : jobs) {
+    Job& job = m_jobs.at(waiting.m_job);
     // With capacity to spare, a late result is better than a rejection.
-    const bool may_be_late =
-        !summary->second.m_is_busy && now >= job.m_may_be_late_at;
+    const bool may_be_late = !summary.m_is_busy && now >= job.m_may_be_late_at;
     const MonoTime useful_until = may_be_late ? MonoTime::max() : MonoTime();
     for (size_t index = 0; index < job.m_tasks.size(); ++index) {
       if (job.m_tasks[index].m_state == TaskState::kWaiting &&
-          !PlaceTask(handle, job, index, summary->second, useful_until, now)) {
+          !PlaceTask(waiting.m_job, job, index, summary, useful_until, now)) {
+        is_short = true;
         break;
       }
     }
@@ -517,11 +536,8 @@
   if (!has_runner) {
     return !is_starting_up && now >= job.m_may_be_late_at;
   }
-  const auto admission = m_admission.find(service);
-  if (admission == m_admission.end()) {
-    return false;
-  }
-  const auto wait = admission->second.ExpectedWait(work_ahead, now);
+  const auto wait =
+      m_backlogs.at(service).m_admission.ExpectedWait(work_ahead, now);
   return wait && now + *wait > job.m_latest_start_at;
 }
 
@@ -549,18 +565,26 @@
   return is_placed;
 }
 
-void JobScheduler::RejectUnservableJobs(MonoTime now) {
-  std::map<std::string, double> work_ahead;
-  for (const JobHandle handle : JobsWithWaitingTasks()) {
-    Job& job = m_jobs.at(handle);
-    double& ahead = work_ahead[job.m_queue.m_service];
-    if (!job.has_started() && IsUnservable(job, ahead, now)) {
-      if (!PlaceLate(handle, job, now)) {
-        RejectJob(handle, now);
+void JobScheduler::RejectUnservableJobs(const std::vector<WaitingJob>& jobs,
+                                        MonoTime now) {
+  // Work ahead of the job, in all and of its own priority.
+  double ahead = 0.0;
+  std::map<int32_t, double> ahead_in_priority;
+  for (const WaitingJob& waiting : jobs) {
+    Job& job = m_jobs.at(waiting.m_job);
+    const double work = WaitingWork(job);
+    double& own = ahead_in_priority[waiting.m_priority];
+    const double share =
+        m_backlogs[job.m_queue.m_service].m_queue.ShareOf(waiting.m_priority);
+    if (!job.has_started() &&
+        IsUnservable(job, std::min(ahead, own / share), now)) {
+      if (!PlaceLate(waiting.m_job, job, now)) {
+        RejectJob(waiting.m_job, now);
       }
       continue;
     }
-    ahead += WaitingWork(job);
+    ahead += work;
+    own += work;
   }
 }
 
@@ -678,7 +702,6 @@
   EndExpiredJobs(now);
   EndRunsOfLostAgents(now);
   PlaceWaitingTasks(now);
-  RejectUnservableJobs(now);
   SendEntryHeartbeats(now);
   return std::exchange(m_actions, {});
 }
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -16,6 +16,7 @@
 #include "scheduler/agent_table.h"
 #include "scheduler/retry_advice.h"
 #include "scheduler/run_time_model.h"
+#include "scheduler/waiting_queue.h"
 
 namespace comfreyshift {
 
@@ -139,8 +140,12 @@
                  MonoTime useful_until,
                  MonoTime now);
   void PlaceWaitingTasks(MonoTime now);
-  // Returns the jobs with waiting tasks, in the order in which to place them.
-  std::vector<JobHandle> JobsWithWaitingTasks() const;
+  // Places waiting tasks of one service, in the order of the jobs.
+  void PlaceWaitingTasks(const std::string& service,
+                         const std::vector<WaitingJob>& jobs,
+                         MonoTime now);
+  // Returns the jobs with waiting tasks by their service, in no order.
+  std::map<std::string, std::vector<WaitingJob>> FindWaitingJobs() const;
   void EndJob(JobHandle handle, JobResult outcome, MonoTime now);
   JobDiagnostics GetDiagnostics(const Job& job, MonoTime now) const;
   static void RecordPlacement(Job& job, const std::string& agent, MonoTime now);
@@ -151,8 +156,9 @@
                         MonoTime now);
   void EndRunsOfLostAgents(MonoTime now);
   // Rejects the jobs that cannot be served in time, or places them on runners
-  // that nothing else needs.
-  void RejectUnservableJobs(MonoTime now);
+  // that nothing else needs. `jobs` are those of one service in the order in
+  // which they are placed.
+  void RejectUnservableJobs(const std::vector<WaitingJob>& jobs, MonoTime now);
   // Whether the job cannot start in time, given the work that goes before it.
   bool IsUnservable(const Job& job, double work_ahead, MonoTime now) const;
   // Places all tasks of a job that has not started on runners where it misses
@@ -173,8 +179,16 @@
 
   AgentTable m_agents;
   RunTimeModel m_run_times;
+  // Jobs of one service that wait for capacity.
+  struct Backlog {
+    AdmissionPolicy m_admission;
+    WaitingQueue m_queue;
+    // Whether tasks were left without capacity by the last pass.
+    bool m_is_short = false;
+  };
+
   // Keyed by service.
-  std::map<std::string, AdmissionPolicy> m_admission;
+  std::map<std::string, Backlog> m_backlogs;
   // Keyed by service.
   std::map<std::string, RetryAdvice> m_retry_advice;
   JobTable m_jobs;
--- a/tests/emulator/shortage_test.cc
+++ b/tests/emulator/shortage_test.cc
@@ -83,5 +83,19 @@
   EXPECT_LT(sum.m_refused, sum.m_asked / 12);
 }
 
+// Guards against a queue of priority 0 that fares worse than the others because
+// its jobs are short and wide.
+TEST(ShortageTest, HighestPriorityKeepsItsWorth) {
+  LoadPattern pattern = UnevenLoad();
+  pattern.m_length = Milliseconds(4000);
+  pattern.m_phases = {{Milliseconds(1000), Milliseconds(4000), 1.8, ""}};
+  FleetEmulation fleet(UnevenFleet(1), pattern);
+  fleet.RunUntil(Milliseconds(10));
+  fleet.AddLoad();
+  fleet.RunUntil(pattern.m_length + std::chrono::seconds(3));
+  ExpectPromises(fleet);
+  EXPECT_GE(WorthOf(fleet.Summarize("short-wide")), kTargetWorth);
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -51,6 +51,7 @@
     queue.m_name = "queue";
     queue.m_service = "service";
     queue.m_max_attempts = 2;
+    queue.m_priority = m_priority;
     queue.m_stretch = 1.6;
     queue.m_target_latency = Milliseconds(60);
     const JobHandle job = m_scheduler.Submit(request, queue, m_now);
@@ -109,6 +110,8 @@
   MonoTime m_now = kStart;
   JobScheduler m_scheduler{1'000'000, /*seed=*/1, kStart};
   uint64_t m_jobs = 0;
+  // Priority of the jobs submitted from now on.
+  int32_t m_priority = 0;
   // Data rack of the jobs submitted from now on.
   std::string m_data_rack;
   std::vector<SentStart> m_starts;
@@ -263,6 +266,26 @@
   EXPECT_EQ(m_starts.size(), 1U);
 }
 
+// Guards against a priority that is configured and not read: of two waiting
+// jobs, the one with the higher priority starts first, although it is due
+// later.
+TEST_F(JobSchedulerTest, WaitingJobOfHigherPriorityStartsFirst) {
+  AddAgent("a", 1.0, /*cpu=*/1000);
+  Submit(1);
+  m_priority = 2;
+  Submit(1, Milliseconds(90));
+  m_priority = 0;
+  Submit(1, Milliseconds(200));
+  const std::string higher = "job" + std::to_string(m_jobs);
+  ASSERT_EQ(m_starts.size(), 1U);
+  m_now += Milliseconds(20);
+  ReportRun(0, RunOutcome::kDone);
+  ASSERT_EQ(m_starts.size(), 2U);
+  EXPECT_EQ(m_starts[1].m_start.m_run.m_task.m_job, higher);
+  // Agents start the waiting runs of all entries in this order.
+  EXPECT_LT(m_starts[1].m_start.m_queue_priority, int64_t{1} << 40);
+}
+
 // Guards against jobs that wait for a runner although there is none.
 TEST_F(JobSchedulerTest, JobWithoutARunnerIsRejectedEarlyLongAfterTheStart) {
   Advance(Milliseconds(5000));
