--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -39,8 +39,15 @@
 // After a gap this long between ticks the entry's heartbeats have expired, so
 // agents have stopped its runs.
 constexpr Milliseconds kFreezeThreshold = kEntryHeartbeatTimeout;
-// Share of its objective for which a job waits for its first task to start.
-constexpr double kMaxWaitFraction = 0.25;
+// After this share of its objective a job may be placed where it misses it, if
+// the fleet has capacity to spare, and is rejected if no runner accepts work.
+constexpr double kOnTimeWaitFraction = 0.25;
+// Clients still value a response within this multiple of the objective.
+constexpr double kUsefulObjectives = 3.0;
+// An agent that was restarted together with this entry accepts work only after
+// its runner's next heartbeat (1.5 s) and the leases of earlier runs (1 s).
+// Until then jobs wait for it.
+constexpr Milliseconds kStartupTime{3000};
 // Above the longest accepted estimate, 1e18 us. Its sum with the longest target
 // latency, also 1e18 us, and the clock fits.
 constexpr double kMaxScaledUs = 4e18;
@@ -60,6 +67,16 @@
                                              kRunnerClockDriftFactor) +
     2 * kMaxStopTime;
 
+// Returns the rank of a run among the waiting runs of all entries at an agent,
+// lowest first: by priority, then by the time left to the objective. Runs wait
+// there for kAgentQueueTime at most, so none is starved by that.
+int64_t StartOrder(int32_t priority, Microseconds time_left) {
+  constexpr int64_t kPriorityStep = int64_t{1} << 40;
+  constexpr int32_t kMaxPriority = 1 << 20;
+  return std::clamp(priority, 0, kMaxPriority) * kPriorityStep +
+         std::clamp(time_left.count(), -kPriorityStep / 2, kPriorityStep / 2);
+}
+
 Microseconds Scale(Microseconds time, double factor) {
   // Converting a double that does not fit into int64_t is undefined behaviour.
   return Microseconds(static_cast<int64_t>(
@@ -81,6 +98,7 @@
   job.m_request = std::move(request);
   job.m_queue = queue;
   job.m_received_at = now;
+  m_backlogs.try_emplace(queue.m_service);
   for (size_t step = 0; step < job.m_request.m_steps.size(); ++step) {
     const Step& spec = job.m_request.m_steps[step];
     job.m_expected =
@@ -93,10 +111,15 @@
       job.m_tasks.push_back(std::move(task));
     }
   }
+  job.m_margin = m_run_times.Margin(queue.m_name);
   const Microseconds objective =
       Scale(job.m_expected, queue.m_stretch) + queue.m_target_latency;
   job.m_due_at = now + objective;
-  job.m_reject_at = now + Scale(objective, kMaxWaitFraction);
+  job.m_may_be_late_at = now + Scale(objective, kOnTimeWaitFraction);
+  job.m_latest_start_at = std::max(
+      job.m_may_be_late_at, job.m_due_at - Scale(job.m_expected, job.m_margin));
+  job.m_useful_until = std::min(now + Scale(objective, kUsefulObjectives),
+                                job.m_request.m_give_up_at);
   if (m_is_draining) {
     EndJob(handle,
            JobRejected{RejectionReason::kStopping, now + kRetryElsewhereAfter},
@@ -275,6 +298,10 @@
   task.m_state = TaskState::kWaiting;
   --job.m_runs_in_flight;
   job.m_has_run |= outcome != RunOutcome::kNotStarted;
+  if (outcome == RunOutcome::kNotStarted) {
+    m_backlogs[job.m_queue.m_service].m_admission.OnReturned(
+        ExpectedWork(placement.m_demand, job.m_expected), now);
+  }
   if (outcome == RunOutcome::kDone) {
     task.m_state = TaskState::kDone;
     ++job.m_done;
@@ -307,14 +334,22 @@
                                                     const Task& task,
                                                     MonoTime now) const {
   const Step& step = job.m_request.m_steps[task.m_step];
-  return {job.m_queue.m_service,
-          step.m_demand,
-          step.m_required_label,
-          step.m_data_rack,
-          job.m_expected,
-          job.m_due_at,
-          job.has_started() && now + job.m_expected > job.m_due_at,
-          task.m_last_failed_agent};
+  PlacementRequirements requirements;
+  requirements.m_service = job.m_queue.m_service;
+  requirements.m_demand = step.m_demand;
+  requirements.m_required_label = step.m_required_label;
+  requirements.m_data_rack = step.m_data_rack;
+  requirements.m_expected = job.m_expected;
+  requirements.m_margin = job.m_margin;
+  requirements.m_due_at = job.m_due_at;
+  requirements.m_avoided_agent = task.m_last_failed_agent;
+  // A task of a started job is late on any runner by now. It takes a slower one
+  // once it has waited for a faster one as long as the slower one takes longer.
+  if (job.has_started() && now > job.m_latest_start_at) {
+    requirements.m_useful_until = now + Scale(job.m_expected, job.m_margin) +
+                                  (now - job.m_latest_start_at);
+  }
+  return requirements;
 }
 
 StartRun JobScheduler::MakeStartRun(const Job& job,
@@ -326,9 +361,8 @@
   start.m_payload = job.m_request.m_payload;
   start.m_demand = job.m_request.m_steps[task.m_step].m_demand;
   start.m_expected = job.m_expected;
-  // Agents start the runs of all entries in this order: the time left to the
-  // objective, shortest first.
-  start.m_queue_priority = (job.m_due_at - now).count();
+  start.m_queue_priority =
+      StartOrder(job.m_queue.m_priority, job.m_due_at - now);
   start.m_abandon_at = job.m_request.m_give_up_at;
   start.m_queue_until = now + kAgentQueueTime;
   return start;
@@ -338,6 +372,7 @@
                              Job& job,
                              size_t index,
                              const CapacitySummary& summary,
+                             MonoTime useful_until,
                              MonoTime now) {
   Task& task = job.m_tasks[index];
   const TaskKey key{job.m_request.m_id, task.m_step, task.m_index};
@@ -347,8 +382,8 @@
     return false;
   }
   PlacementRequirements requirements = GetRequirements(job, task, now);
-  // With capacity to spare, a late result is better than a rejection.
-  requirements.m_may_be_late |= !summary.m_is_busy && now >= job.m_reject_at;
+  requirements.m_useful_until =
+      std::max(requirements.m_useful_until, useful_until);
   const auto chosen = m_agents.Choose(requirements, summary.m_is_busy, now);
   if (!chosen) {
     return false;
@@ -364,6 +399,10 @@
   agent.m_pending_demand[agent.m_sequence] = start.m_demand;
   ++agent.m_unreported_runs;
   agent.m_heartbeat_sent_at = now;
+  const double work = ExpectedWork(start.m_demand, job.m_expected);
+  Backlog& backlog = m_backlogs[job.m_queue.m_service];
+  backlog.m_admission.OnPlaced(work, now);
+  backlog.m_queue.OnPlaced(job.m_queue.m_priority, work);
   m_placements[task.m_run] = {*chosen,
                               agent.m_incarnation,
                               handle,
@@ -375,21 +414,18 @@
   return true;
 }
 
-std::vector<JobHandle> JobScheduler::JobsWithWaitingTasks() const {
-  std::vector<JobHandle> waiting;
+std::map<std::string, std::vector<WaitingJob>> JobScheduler::FindWaitingJobs()
+    const {
+  std::map<std::string, std::vector<WaitingJob>> waiting;
   for (const auto& [handle, job] : m_jobs) {
     const bool is_waiting = std::ranges::any_of(
         job.m_tasks,
         [](const Task& task) { return task.m_state == TaskState::kWaiting; });
     if (is_waiting) {
-      waiting.push_back(handle);
+      waiting[job.m_queue.m_service].push_back(
+          {handle, job.m_queue.m_priority, job.has_started(), job.m_due_at});
     }
   }
-  // Started jobs go first: their work is lost unless they are completed.
-  std::ranges::sort(waiting, {}, [this](JobHandle handle) {
-    const Job& job = m_jobs.at(handle);
-    return std::tuple(!job.has_started(), job.m_due_at, handle);
-  });
   return waiting;
 }
 
@@ -402,21 +438,35 @@
 }
 
 void JobScheduler::PlaceWaitingTasks(MonoTime now) {
+  auto waiting = FindWaitingJobs();
+  for (auto& [service, backlog] : m_backlogs) {
+    std::vector<WaitingJob>& jobs = waiting[service];
+    backlog.m_queue.Sort(jobs, backlog.m_is_short);
+    PlaceWaitingTasks(service, jobs, now);
+    RejectUnservableJobs(jobs, now);
+  }
+}
+
+void JobScheduler::PlaceWaitingTasks(const std::string& service,
+                                     const std::vector<WaitingJob>& jobs,
+                                     MonoTime now) {
+  bool& is_short = m_backlogs[service].m_is_short;
+  is_short = false;
+  if (jobs.empty()) {
+    return;
+  }
   // Placements only reduce the free capacity, so a summary stays an upper bound
   // for the whole pass.
-  std::map<std::string, CapacitySummary> summaries;
-  for (const JobHandle handle : JobsWithWaitingTasks()) {
-    Job& job = m_jobs.at(handle);
-    const std::string& service = job.m_queue.m_service;
-    auto summary = summaries.find(service);
-    if (summary == summaries.end()) {
-      summary =
-          summaries.emplace(service, m_agents.SummarizeCapacity(service, now))
-              .first;
-    }
+  const CapacitySummary summary = m_agents.SummarizeCapacity(service, now);
+  for (const WaitingJob& waiting : jobs) {
+    Job& job = m_jobs.at(waiting.m_job);
+    // With capacity to spare, a late result is better than a rejection.
+    const bool may_be_late = !summary.m_is_busy && now >= job.m_may_be_late_at;
+    const MonoTime useful_until = may_be_late ? MonoTime::max() : MonoTime();
     for (size_t index = 0; index < job.m_tasks.size(); ++index) {
       if (job.m_tasks[index].m_state == TaskState::kWaiting &&
-          !PlaceTask(handle, job, index, summary->second, now)) {
+          !PlaceTask(waiting.m_job, job, index, summary, useful_until, now)) {
+        is_short = true;
         break;
       }
     }
@@ -480,25 +530,96 @@
          now >= agent.m_predecessor_heard_at + kLostAgentTimeout;
 }
 
-void JobScheduler::RejectOverdueJobs(MonoTime now) {
-  std::vector<JobHandle> rejected;
-  for (const auto& [handle, job] : m_jobs) {
-    if (!job.has_started() && job.m_reject_at <= now) {
-      rejected.push_back(handle);
+double JobScheduler::WaitingWork(const Job& job) {
+  double work = 0.0;
+  for (const Task& task : job.m_tasks) {
+    if (task.m_state == TaskState::kWaiting) {
+      work += ExpectedWork(job.m_request.m_steps[task.m_step].m_demand,
+                           job.m_expected);
     }
   }
-  for (const JobHandle handle : rejected) {
-    const Job& job = m_jobs.at(handle);
-    const bool has_runner =
-        std::ranges::any_of(job.m_tasks, [&](const Task& task) {
-          return m_agents.CouldEverRun(GetRequirements(job, task, now));
-        });
-    EndJob(handle,
-           JobRejected{has_runner ? RejectionReason::kOverloaded
-                                  : RejectionReason::kNoRunner,
-                       m_retry_advice[job.m_queue.m_service].OnRejection(now)},
-           now);
+  return work;
+}
+
+bool JobScheduler::IsUnservable(const Job& job,
+                                double work_ahead,
+                                MonoTime now) const {
+  if (now >= job.m_latest_start_at) {
+    return true;
+  }
+  const std::string& service = job.m_queue.m_service;
+  const bool is_starting_up =
+      now < m_created_at + kStartupTime && !m_agents.HasAcceptingAgent(service);
+  const bool has_runner =
+      std::ranges::any_of(m_agents.agents(), [&](const auto& item) {
+        return m_agents.IsAccepting(item.second, service, now);
+      });
+  if (!has_runner) {
+    return !is_starting_up && now >= job.m_may_be_late_at;
+  }
+  const auto wait =
+      m_backlogs.at(service).m_admission.ExpectedWait(work_ahead, now);
+  return wait && now + *wait > job.m_latest_start_at;
+}
+
+bool JobScheduler::PlaceLate(JobHandle handle, Job& job, MonoTime now) {
+  std::map<uint32_t, size_t> tasks_of_step;
+  for (const Task& task : job.m_tasks) {
+    ++tasks_of_step[task.m_step];
   }
+  for (const Task& task : job.m_tasks) {
+    size_t& tasks = tasks_of_step[task.m_step];
+    PlacementRequirements requirements = GetRequirements(job, task, now);
+    requirements.m_useful_until = job.m_useful_until;
+    if (m_agents.CountUsefulPlaces(requirements, tasks, now) < tasks) {
+      return false;
+    }
+    tasks = 0;
+  }
+  const CapacitySummary summary =
+      m_agents.SummarizeCapacity(job.m_queue.m_service, now);
+  bool is_placed = false;
+  for (size_t index = 0; index < job.m_tasks.size(); ++index) {
+    is_placed |=
+        PlaceTask(handle, job, index, summary, job.m_useful_until, now);
+  }
+  return is_placed;
+}
+
+void JobScheduler::RejectUnservableJobs(const std::vector<WaitingJob>& jobs,
+                                        MonoTime now) {
+  // Work ahead of the job, in all and of its own priority.
+  double ahead = 0.0;
+  std::map<int32_t, double> ahead_in_priority;
+  for (const WaitingJob& waiting : jobs) {
+    Job& job = m_jobs.at(waiting.m_job);
+    const double work = WaitingWork(job);
+    double& own = ahead_in_priority[waiting.m_priority];
+    const double share =
+        m_backlogs[job.m_queue.m_service].m_queue.ShareOf(waiting.m_priority);
+    if (!job.has_started() &&
+        IsUnservable(job, std::min(ahead, own / share), now)) {
+      if (!PlaceLate(waiting.m_job, job, now)) {
+        RejectJob(waiting.m_job, now);
+      }
+      continue;
+    }
+    ahead += work;
+    own += work;
+  }
+}
+
+void JobScheduler::RejectJob(JobHandle handle, MonoTime now) {
+  const Job& job = m_jobs.at(handle);
+  const bool has_runner =
+      std::ranges::any_of(job.m_tasks, [&](const Task& task) {
+        return m_agents.CouldEverRun(GetRequirements(job, task, now));
+      });
+  EndJob(handle,
+         JobRejected{has_runner ? RejectionReason::kOverloaded
+                                : RejectionReason::kNoRunner,
+                     m_retry_advice[job.m_queue.m_service].OnRejection(now)},
+         now);
 }
 
 void JobScheduler::EndExpiredJobs(MonoTime now) {
@@ -602,17 +723,17 @@
   EndExpiredJobs(now);
   EndRunsOfLostAgents(now);
   PlaceWaitingTasks(now);
-  RejectOverdueJobs(now);
   SendEntryHeartbeats(now);
   return std::exchange(m_actions, {});
 }
 
-MonoTime JobScheduler::NextDeadline(MonoTime) const {
+MonoTime JobScheduler::NextDeadline(MonoTime now) const {
   MonoTime next = std::min(m_next_heartbeats_at, m_next_loss_check_at);
   for (const auto& [handle, job] : m_jobs) {
     next = std::min(next, job.m_request.m_give_up_at);
     if (!job.has_started()) {
-      next = std::min(next, job.m_reject_at);
+      next = std::min(next, now < job.m_may_be_late_at ? job.m_may_be_late_at
+                                                       : job.m_latest_start_at);
     }
   }
   return next;
