Hedge late reads of the store

Cause: the waits of one read followed one another. A watch on a silent connection was given up after 2.2 s, then one agent was asked for another 2.2 s, and that agent may have used a silent connection too. An entry needed up to 4.7 s to see a change after its open connections to the store went silent.

Agents make relayed reads on new connections. Agents that got no response either are asked last.

KvClient now creates its connections itself, so the tests pass it the store's URL instead of an HttpClient.

--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -14,6 +14,9 @@
 // Delay before reconnecting to an address at which an agent of another name has
 // answered.
 constexpr Milliseconds kWrongAgentRetryDelay{5000};
+// Number of agents that make the same read of the store at the same time: one
+// of them may be cut off from the store as well.
+constexpr size_t kAgentsPerRead = 2;
 // Interval between checks of all connections. Checking them at every tick took
 // a seventh of an entry's run time with 66 agents.
 constexpr Milliseconds kConnectionCheckInterval{20};
@@ -85,24 +88,28 @@
   m_scheduler.Drain();
 }
 
-void EntryNode::ReadThroughAgent(const std::string& request,
-                                 MonoTime give_up_at,
-                                 StoreResponseFunction on_response) {
-  std::vector<decltype(m_peers)::const_pointer> connected;
-  for (const auto& peer : m_peers) {
-    const AgentView* agent = m_scheduler.FindAgent(peer.first);
+size_t EntryNode::ReadThroughAgents(const std::string& request,
+                                    MonoTime give_up_at,
+                                    const StoreResponseFunction& on_response) {
+  std::vector<std::string> chosen;
+  for (const auto& [name, peer] : m_peers) {
+    const AgentView* agent = m_scheduler.FindAgent(name);
     if (agent != nullptr && agent->m_is_connected) {
-      connected.push_back(&peer);
+      chosen.push_back(name);
     }
   }
-  if (connected.empty()) {
-    on_response(std::nullopt);
-    return;
+  std::ranges::shuffle(chosen, m_random);
+  // Agents that got no response either are asked only if there are no others.
+  std::ranges::stable_partition(chosen, [this](const std::string& name) {
+    return !m_relay.HasFailed(name);
+  });
+  chosen.resize(std::min(chosen.size(), kAgentsPerRead));
+  for (const std::string& name : chosen) {
+    m_peers.at(name).m_session->Send(
+        m_relay.CreateRead(name, request, give_up_at, on_response));
   }
-  const auto& [name, peer] = *connected[m_random() % connected.size()];
-  peer.m_session->Send(
-      m_relay.CreateRead(name, request, give_up_at, std::move(on_response)));
   m_ticker.Wake();
+  return chosen.size();
 }
 
 size_t EntryNode::connected_agents() const {
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -42,12 +42,12 @@
   void Cancel(JobHandle job);
   void Drain();
 
-  // Reads from the store through a randomly chosen agent, for an entry whose
-  // requests the store rejects. Calls `on_response` with nullopt if no agent is
-  // connected.
-  void ReadThroughAgent(const std::string& request,
-                        MonoTime give_up_at,
-                        StoreResponseFunction on_response);
+  // Reads from the store through up to two randomly chosen agents, for an entry
+  // whose requests the store rejects or does not answer. See
+  // StoreRelayFunction.
+  size_t ReadThroughAgents(const std::string& request,
+                           MonoTime give_up_at,
+                           const StoreResponseFunction& on_response);
 
   // Number of jobs in `queue` none of whose runs have started.
   size_t CountWaitingJobs(const std::string& queue) const {
--- a/fleet/store_relay.cc
+++ b/fleet/store_relay.cc
@@ -20,6 +20,11 @@
   if (pending_read.empty()) {
     return;
   }
+  if (response.m_is_answered) {
+    m_failed_agents.erase(pending_read.mapped().m_agent);
+  } else {
+    m_failed_agents.insert(pending_read.mapped().m_agent);
+  }
   pending_read.mapped().m_on_response(
       response.m_is_answered
           ? std::optional(
@@ -33,6 +38,7 @@
   std::erase_if(m_pending_reads, [&](auto& item) {
     const bool fails = is_failed(item.second);
     if (fails) {
+      m_failed_agents.insert(item.second.m_agent);
       failed.push_back(std::move(item.second.m_on_response));
     }
     return fails;
@@ -47,6 +53,7 @@
   FailIf([&](const PendingRead& pending_read) {
     return pending_read.m_agent == agent;
   });
+  m_failed_agents.erase(agent);
 }
 
 void StoreRelay::Expire(MonoTime now) {
--- a/fleet/store_relay.h
+++ b/fleet/store_relay.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "core/core.h"
@@ -21,14 +22,22 @@
 // Called exactly once, with nullopt if the store did not respond.
 using StoreResponseFunction = std::function<void(std::optional<StoreResponse>)>;
 
-// Relays the read `request` to the store: in an entry through an agent, in an
-// agent on behalf of an entry. The read fails if there is no response by
-// `give_up_at`.
+// Sends the read `request` to the store on behalf of an entry. The read fails
+// if there is no response by `give_up_at`.
 using StoreReadFunction =
     std::function<void(const std::string& request,
                        MonoTime give_up_at,
                        StoreResponseFunction on_response)>;
 
+// Sends the read `request` to the store through several agents at the same
+// time. Returns their number. `on_response` is called once for each of them,
+// never from within this function, with nullopt if there is no response by
+// `give_up_at`.
+using StoreRelayFunction =
+    std::function<size_t(const std::string& request,
+                         MonoTime give_up_at,
+                         const StoreResponseFunction& on_response)>;
+
 // The store reads that an entry has sent to agents and that are in flight.
 class StoreRelay {
  public:
@@ -39,6 +48,10 @@
                        StoreResponseFunction on_response);
   // Completes a read. Responses to reads that have already ended are ignored.
   void OnRelayAnswer(RelayAnswer response);
+  // Whether the last read through `agent` that has ended got no response.
+  bool HasFailed(const std::string& agent) const {
+    return m_failed_agents.contains(agent);
+  }
   // Fails the reads sent to `agent`, whose connection has been closed.
   void OnAgentLost(const std::string& agent);
   // Fails the reads whose deadline has passed.
@@ -58,6 +71,7 @@
 
   uint64_t m_next_id = 1;
   std::map<uint64_t, PendingRead> m_pending_reads;
+  std::set<std::string> m_failed_agents;
 };
 
 }  // namespace comfreyshift
--- a/tests/fleet/store_relay_test.cc
+++ b/tests/fleet/store_relay_test.cc
@@ -63,5 +63,19 @@
   EXPECT_FALSE(m_last_response);
 }
 
+// Guards against asking the same agents again that are cut off from the store
+// themselves.
+TEST_F(StoreRelayTest, RemembersAgentsThatGotNoResponse) {
+  const RelayRead rejected = CreateRead("agent-1");
+  m_relay.OnRelayAnswer({rejected.m_id, false, 0, ""});
+  CreateRead("agent-2");
+  m_relay.Expire(kNow + Milliseconds(500));
+  EXPECT_TRUE(m_relay.HasFailed("agent-1"));
+  EXPECT_TRUE(m_relay.HasFailed("agent-2"));
+  EXPECT_FALSE(m_relay.HasFailed("agent-3"));
+  m_relay.OnRelayAnswer({CreateRead("agent-1").m_id, true, 200, "body"});
+  EXPECT_FALSE(m_relay.HasFailed("agent-1"));
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -1,31 +1,34 @@
 #include <gtest/gtest.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "fleet/fleet.h"
-#include "http/http.h"
 #include "platform/kv_client.h"
 #include "tests/platform/platform_fleet.h"
+#include "tests/standins/fault_proxy.h"
 #include "tests/standins/platform_store_standin.h"
 
 namespace comfreyshift::platform {
 namespace {
 
 constexpr const char* kPrefix = "p/";
+// Within this time after its connections went silent a mirror has a change. It
+// is longer than a watch and its answer may take, and shorter than two such
+// waits in a row.
+constexpr Milliseconds kFreshWithin{2600};
 
 // A stand-in of the store and a mirror of its keys under kPrefix.
 struct MirroredStore {
   MirroredStore() {
-    HttpClientOptions options;
-    options.m_base_url = "http://" + m_store.address().ToString();
-    const auto client = std::make_shared<KvClient>(
-        HttpClient::Make(options).value(), m_metrics);
     m_mirror = std::make_shared<KvMirror>(
-        client, kPrefix, [this](const KvMirror::Items& items) {
+        m_client, kPrefix, [this](const KvMirror::Items& items) {
           m_keys.clear();
           for (const auto& [key, item] : items) {
             m_keys.insert(key);
@@ -36,7 +39,12 @@
   }
 
   PlatformStoreStandin m_store;
+  // Injects faults between the store and the client.
+  FaultProxy m_proxy{m_store.address()};
   NodeMetrics m_metrics;
+  std::shared_ptr<KvClient> m_client =
+      std::make_shared<KvClient>("http://" + m_proxy.address().ToString(),
+                                 m_metrics);
   std::shared_ptr<KvMirror> m_mirror;
   std::set<std::string> m_keys;
   size_t m_change_count = 0;
@@ -141,5 +149,109 @@
   }
 }
 
+// The mirror reads through agents, which share the client `m_agent`.
+class RelayedMirrorTest : public KvMirrorTest {
+ protected:
+  // How the agents that are asked for a read respond.
+  enum class AgentFault : uint8_t { kNone, kOneIsCutOff, kAllAreCutOff };
+
+  void SetUp() override {
+    KvMirrorTest::SetUp();
+    m_mirrored.m_client->SetRelay(
+        [this](const std::string& request, MonoTime give_up_at,
+               const StoreResponseFunction& on_response) {
+          Forward(request, give_up_at, on_response);
+          return kAgents;
+        });
+  }
+
+  void TearDown() override {
+    m_mirrored.m_client->SetRelay(nullptr);
+    // Ends the mirror's requests that refer to the test.
+    RunFor(Milliseconds(10));
+  }
+
+  // Whether the mirror has the item in time.
+  bool IsFreshInTime(const std::string& key) {
+    const MonoTime changed_at = BootClock::now();
+    m_store.Put(key, "");
+    return RunUntil([&]() {
+             return m_keys.contains(key) ||
+                    BootClock::now() >= changed_at + kFreshWithin;
+           }) &&
+           m_keys.contains(key);
+  }
+
+  static constexpr size_t kAgents = 2;
+  AgentFault m_agent_fault = AgentFault::kNone;
+  FaultProxy m_agent_proxy{m_store.address()};
+
+ private:
+  void Forward(const std::string& request,
+               MonoTime give_up_at,
+               const StoreResponseFunction& on_response) {
+    const auto cut_off = [&]() {
+      CallAt(give_up_at, [on_response]() { on_response(std::nullopt); });
+    };
+    switch (m_agent_fault) {
+      case AgentFault::kNone:
+        m_agent->ForwardRead(request, give_up_at, on_response);
+        m_agent->ForwardRead(request, give_up_at, on_response);
+        return;
+      case AgentFault::kOneIsCutOff:
+        cut_off();
+        m_agent->ForwardRead(request, give_up_at, on_response);
+        return;
+      case AgentFault::kAllAreCutOff:
+        cut_off();
+        cut_off();
+        return;
+    }
+  }
+
+  std::shared_ptr<KvClient> m_agent =
+      std::make_shared<KvClient>("http://" + m_agent_proxy.address().ToString(),
+                                 m_mirrored.m_metrics);
+};
+
+// Guards against waits that follow one another: the client's own watch and a
+// read through an agent that is cut off took 4.7 s together.
+TEST_F(RelayedMirrorTest, ChangeIsSeenAfterOpenConnectionsWentSilent) {
+  m_agent_fault = AgentFault::kAllAreCutOff;
+  for (int round = 0; round < 3; ++round) {
+    m_mirrored.m_proxy.SilenceOpenConnections();
+    EXPECT_TRUE(IsFreshInTime("p/" + std::to_string(round))) << round;
+    RunFor(Milliseconds(370));
+  }
+}
+
+// Guards against a read that waits for the one agent that is cut off as well.
+TEST_F(RelayedMirrorTest, ChangeIsSeenThroughTheSecondAgent) {
+  m_agent_fault = AgentFault::kOneIsCutOff;
+  m_mirrored.m_proxy.SetFault(LinkFault::kSilent);
+  EXPECT_TRUE(IsFreshInTime("p/first"));
+  EXPECT_TRUE(IsFreshInTime("p/second"));
+  m_mirrored.m_proxy.SetFault(LinkFault::kNone);
+}
+
+// Guards against relayed reads that an agent makes on a connection that went
+// silent while it was idle.
+TEST_F(RelayedMirrorTest, AgentReadsOnANewConnection) {
+  m_mirrored.m_proxy.SetFault(LinkFault::kSilent);
+  ASSERT_TRUE(IsFreshInTime("p/first"));
+  m_agent_proxy.SilenceOpenConnections();
+  EXPECT_TRUE(IsFreshInTime("p/second"));
+  m_mirrored.m_proxy.SetFault(LinkFault::kNone);
+}
+
+// Guards against a store that is called more often than before while all is
+// well: each call is paid for.
+TEST_F(RelayedMirrorTest, NoReadIsHedgedWhileTheStoreAnswers) {
+  const uint64_t calls = m_store.calls();
+  RunFor(Milliseconds(3200));
+  // A watch takes 1.5 s.
+  EXPECT_LE(m_store.calls() - calls, 3U);
+}
+
 }  // namespace
 }  // namespace comfreyshift::platform
--- a/tests/platform/registration_test.cc
+++ b/tests/platform/registration_test.cc
@@ -22,10 +22,8 @@
 // agent.
 struct RegisteredAgent {
   RegisteredAgent() {
-    HttpClientOptions options;
-    options.m_base_url = "http://" + m_store.address().ToString();
-    m_client = std::make_shared<KvClient>(HttpClient::Make(options).value(),
-                                          m_metrics);
+    m_client = std::make_shared<KvClient>(
+        "http://" + m_store.address().ToString(), m_metrics);
   }
 
   std::shared_ptr<Registration> Start(uint16_t port) {
