Pass closed zones between entries and agents

Cause: only entries checked closed zones, so that agents with a path to the store started what an entry that was cut off sent them for a closed zone.

Change: entries and agents send each other the closed zones with the store revision of the operator's last change, on connect before any StartRun and on change, only to a peer that has an older revision. The higher revision wins on both sides. An agent does not accept in a closed zone, reports what is sent to it or waits there as not started, and leaves what runs alone. Hello and Welcome carry a version: peers of version 0 close a connection on which an unknown message arrives, so the new message is not sent to them. From now on messages of unknown types are ignored.

KvMirror passes the revision of the newest change to its callback.

--- a/cmake/fleet.cmake
+++ b/cmake/fleet.cmake
@@ -1,2 +1,6 @@
 comfreyshift_library(fleet core logging jobs net link scheduler executor PkgConfig::GLIB)
 comfreyshift_tests(fleet fleet)
+if(TARGET fleet_tests)
+  target_sources(fleet_tests PRIVATE tests/standins/test_ports.cc)
+  target_include_directories(fleet_tests PRIVATE ${CMAKE_SOURCE_DIR})
+endif()
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -141,9 +141,19 @@
   }
 }
 
-void RunExecutor::OnClosedZones(const ClosedZones& zones, MonoTime) {
+void RunExecutor::OnClosedZones(const ClosedZones& zones, MonoTime now) {
   m_closed_zones = zones;
   m_is_status_due = true;
+  if (!m_runner || !m_closed_zones.contains(m_runner->m_zone)) {
+    return;
+  }
+  for (auto run = m_runs.begin(); run != m_runs.end();) {
+    const auto next = std::next(run);
+    if (run->second.m_state == RunTable::State::kWaiting) {
+      Finish(run, RunOutcome::kNotStarted, EndEvidence::kNotRequested, now);
+    }
+    run = next;
+  }
 }
 
 void RunExecutor::Drain(MonoTime) {
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -45,6 +45,8 @@
   // reported once its answers or its leases show that they have ended. Returns
   // whether no runner remains for new runs.
   bool OnRunnerLeft(const std::string& runner_id, MonoTime now);
+  // Sets the closed zones. In one of them nothing starts, and runs that wait
+  // there are reported as not started.
   void OnClosedZones(const ClosedZones& zones, MonoTime now);
   // Starts no more runs from now on, because the process is stopping.
   void Drain(MonoTime now);
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -67,6 +67,7 @@
   for (const ExecutorAction& action : m_executor.Tick(now)) {
     Perform(action);
   }
+  SendOperatorState();
   LinkSession::FlushAll();
   LogAcceptingChange(now);
   return std::min(m_executor.NextDeadline(now), now + kMaxTickInterval);
@@ -155,6 +156,8 @@
     known->Close();
   }
   known = session;
+  m_operator_state_peers[hello.m_entry] = OperatorStatePeer(hello.m_version);
+  m_is_operator_state_due = true;
   LogEvent(LogLevel::kInfo, "fleet", "entry_connected",
            {{"entry", hello.m_entry.m_name},
             {"incarnation", hello.m_entry.m_incarnation}});
@@ -183,6 +186,8 @@
     m_executor.OnEntryHeartbeat(*entry, *heartbeat, now);
   } else if (const auto* read = std::get_if<RelayRead>(&message)) {
     OnRelayRead(session, *read);
+  } else if (const auto* state = std::get_if<OperatorState>(&message)) {
+    OnOperatorState(*entry, *state);
   } else {
     LogEvent(LogLevel::kWarning, "fleet", "unexpected_message",
              {{"entry", entry->m_name}});
@@ -210,6 +215,30 @@
       });
 }
 
+void AgentNode::OnOperatorState(const ProcessId& entry,
+                                const OperatorState& state) {
+  m_operator_state_peers[entry].OnReceived(state.m_revision);
+  if (state.m_revision <= m_operator_state.m_revision) {
+    m_is_operator_state_due |= state.m_revision < m_operator_state.m_revision;
+    return;
+  }
+  m_operator_state = state;
+  m_is_operator_state_due = true;
+  m_executor.OnClosedZones(state.m_closed_zones, BootClock::now());
+  LogOperatorStateReceived("entry", entry.m_name, state);
+}
+
+void AgentNode::SendOperatorState() {
+  if (!std::exchange(m_is_operator_state_due, false)) {
+    return;
+  }
+  for (auto& [entry, peer] : m_operator_state_peers) {
+    if (peer.TakeDue(m_operator_state.m_revision)) {
+      m_sessions.at(entry)->Send(m_operator_state);
+    }
+  }
+}
+
 void AgentNode::OnClosed(const SessionPointer& session) {
   const auto found = std::ranges::find_if(
       m_sessions, [&](const auto& item) { return item.second == session; });
@@ -219,6 +248,7 @@
   LogEvent(LogLevel::kInfo, "fleet", "entry_disconnected",
            {{"entry", found->first.m_name}});
   m_executor.OnEntryDisconnected(found->first, BootClock::now());
+  m_operator_state_peers.erase(found->first);
   m_sessions.erase(found);
   m_ticker.Wake();
 }
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -11,6 +11,7 @@
 #include "core/core.h"
 #include "executor/executor.h"
 #include "fleet/node_metrics.h"
+#include "fleet/operator_state_peer.h"
 #include "fleet/store_relay.h"
 #include "fleet/ticker.h"
 #include "link/link.h"
@@ -63,6 +64,9 @@
   // they are answered as failed.
   void SetStoreRead(StoreReadFunction read) { m_store_read = std::move(read); }
 
+  // The newest operator state that an entry has sent; of revision 0 before the
+  // first.
+  const OperatorState& operator_state() const { return m_operator_state; }
   bool has_runs() const { return m_executor.has_runs(); }
   // Updates the metrics of the runner and the connections.
   void UpdateMetrics();
@@ -76,6 +80,9 @@
   void OnMessage(const SessionPointer& session, const LinkMessage& message);
   void OnHello(const SessionPointer& session, const Hello& hello);
   void OnRelayRead(const SessionPointer& session, const RelayRead& read);
+  void OnOperatorState(const ProcessId& entry, const OperatorState& state);
+  // Sends the operator's state to the entries that have an older one.
+  void SendOperatorState();
   void OnClosed(const SessionPointer& session);
   // Returns the entry at the other end of `session`, or null if its Hello has
   // not arrived.
@@ -103,6 +110,11 @@
   bool m_was_accepting = false;
   // Connections whose Hello has arrived.
   std::map<ProcessId, SessionPointer> m_sessions;
+  OperatorState m_operator_state;
+  // Entries of m_sessions.
+  std::map<ProcessId, OperatorStatePeer> m_operator_state_peers;
+  // Whether an entry may have older state than this process.
+  bool m_is_operator_state_due = false;
   // Set to false by the destructor, so that callbacks invoked later do nothing.
   std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
   Ticker m_ticker;
--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -63,8 +63,16 @@
   m_ticker.Wake();
 }
 
-void EntryNode::SetClosedZones(const ClosedZones& zones) {
-  m_scheduler.OnClosedZones(zones);
+void EntryNode::SetOperatorState(const OperatorState& state) {
+  if (state.m_revision >= m_operator_state.m_revision) {
+    ApplyOperatorState(state);
+  }
+}
+
+void EntryNode::ApplyOperatorState(const OperatorState& state) {
+  m_operator_state = state;
+  m_is_operator_state_due = true;
+  m_scheduler.OnClosedZones(state.m_closed_zones);
   m_ticker.Wake();
 }
 
@@ -124,6 +132,8 @@
     m_next_check_at = now + kConnectionCheckInterval;
     CheckConnections(now);
   }
+  // Before any StartRun of this tick.
+  SendOperatorState();
   for (const SchedulerAction& action : m_scheduler.Tick(now)) {
     Perform(action);
   }
@@ -178,6 +188,7 @@
 
 void EntryNode::Connect(const std::string& name, Peer& peer, MonoTime now) {
   peer.m_connect_at = now + kReconnectDelay;
+  peer.m_operator_state = OperatorStatePeer();
   peer.m_session = LinkSession::Connect(
       peer.m_address,
       [this, name](const std::shared_ptr<LinkSession>&,
@@ -201,6 +212,7 @@
             m_scheduler.OnReport(name, report, now);
           },
           [&](const RelayAnswer& response) { m_relay.OnRelayAnswer(response); },
+          [&](const OperatorState& state) { OnOperatorState(name, state); },
           [&](const auto&) {
             LogEvent(LogLevel::kWarning, "fleet", "unexpected_message",
                      {{"agent", name}});
@@ -224,9 +236,39 @@
   }
   LogEvent(LogLevel::kInfo, "fleet", "agent_connected",
            {{"agent", name}, {"incarnation", welcome.m_agent.m_incarnation}});
+  if (const auto found = m_peers.find(name); found != m_peers.end()) {
+    found->second.m_operator_state = OperatorStatePeer(welcome.m_version);
+    m_is_operator_state_due = true;
+  }
   m_scheduler.OnAgentConnected(name, welcome.m_agent, now);
 }
 
+void EntryNode::OnOperatorState(const std::string& name,
+                                const OperatorState& state) {
+  if (const auto found = m_peers.find(name); found != m_peers.end()) {
+    found->second.m_operator_state.OnReceived(state.m_revision);
+  }
+  if (state.m_revision <= m_operator_state.m_revision) {
+    return;
+  }
+  LogOperatorStateReceived("agent", name, state);
+  ApplyOperatorState(state);
+  if (m_on_newer_state) {
+    m_on_newer_state(state.m_revision);
+  }
+}
+
+void EntryNode::SendOperatorState() {
+  if (!std::exchange(m_is_operator_state_due, false)) {
+    return;
+  }
+  for (auto& [name, peer] : m_peers) {
+    if (peer.m_operator_state.TakeDue(m_operator_state.m_revision)) {
+      peer.m_session->Send(m_operator_state);
+    }
+  }
+}
+
 void EntryNode::OnClosed(const std::string& name,
                          const std::shared_ptr<LinkSession>& session) {
   const auto found = m_peers.find(name);
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -6,8 +6,10 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 
 #include "core/core.h"
+#include "fleet/operator_state_peer.h"
 #include "fleet/store_relay.h"
 #include "fleet/ticker.h"
 #include "link/link.h"
@@ -30,7 +32,15 @@
   // until they break, because registrations also expire when the registry is
   // failing.
   void SetAgents(const std::map<std::string, Address>& agents);
-  void SetClosedZones(const ClosedZones& zones);
+  // Sets the operator's state as read from the store. Has no effect if an agent
+  // has sent newer state.
+  void SetOperatorState(const OperatorState& state);
+  // Sets the function that is called with the revision of newer state that an
+  // agent has sent. Its closed zones are already in force then.
+  void SetNewerStateFunction(std::function<void(uint64_t revision)> function) {
+    m_on_newer_state = std::move(function);
+  }
+  const OperatorState& operator_state() const { return m_operator_state; }
   // Sets the ratio of a task's run time away from its data to that near it.
   void SetRemoteFactor(double factor) { m_scheduler.SetRemoteFactor(factor); }
 
@@ -64,6 +74,7 @@
     // False if the agent is no longer registered: it is removed once its
     // connection breaks.
     bool m_is_listed = true;
+    OperatorStatePeer m_operator_state;
   };
 
   MonoTime Tick(MonoTime now);
@@ -79,6 +90,10 @@
   // Closes the connection if an agent of another name answers: a registration
   // may hold the address of a different agent.
   void OnWelcome(const std::string& name, const Welcome& welcome, MonoTime now);
+  void OnOperatorState(const std::string& name, const OperatorState& state);
+  void ApplyOperatorState(const OperatorState& state);
+  // Sends the operator's state to the agents that have an older one.
+  void SendOperatorState();
   void OnClosed(const std::string& name,
                 const std::shared_ptr<LinkSession>& session);
   static void LogRunEnd(const std::string& agent, const RunReport& report);
@@ -91,6 +106,10 @@
   MonoTime m_next_check_at;
   std::map<JobHandle, ResultFunction> m_result_callbacks;
   StoreRelay m_relay;
+  OperatorState m_operator_state;
+  std::function<void(uint64_t revision)> m_on_newer_state;
+  // Whether an agent may have older state than this process.
+  bool m_is_operator_state_due = false;
   std::minstd_rand m_random;
   Ticker m_ticker;
 };
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -8,6 +8,7 @@
 #include "fleet/entry_node.h"
 #include "fleet/graceful_main_loop.h"
 #include "fleet/node_metrics.h"
+#include "fleet/operator_state_peer.h"
 #include "fleet/process_signals.h"
 #include "fleet/store_relay.h"
 #include "fleet/ticker.h"
--- a/link/codec.cc
+++ b/link/codec.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <cstring>
+#include <optional>
+#include <utility>
 
 #include "link/link.capnp.h"
 
@@ -109,12 +111,14 @@
     auto wire = m_wire.initHello();
     wire.setEntry(Text(hello.m_entry.m_name));
     wire.setIncarnation(hello.m_entry.m_incarnation);
+    wire.setVersion(hello.m_version);
   }
 
   void operator()(const Welcome& welcome) {
     auto wire = m_wire.initWelcome();
     wire.setAgent(Text(welcome.m_agent.m_name));
     wire.setIncarnation(welcome.m_agent.m_incarnation);
+    wire.setVersion(welcome.m_version);
   }
 
   void operator()(const EntryHeartbeat& heartbeat) {
@@ -183,6 +187,17 @@
         answer.m_body.size()));
   }
 
+  void operator()(const OperatorState& state) {
+    auto wire = m_wire.initOperatorState();
+    wire.setRevision(state.m_revision);
+    auto zones = wire.initClosedZones(
+        static_cast<unsigned>(state.m_closed_zones.size()));
+    unsigned i = 0;
+    for (const std::string& zone : state.m_closed_zones) {
+      zones.set(i++, Text(zone));
+    }
+  }
+
  private:
   link_wire::Message::Builder m_wire;
   MonoTime m_now;
@@ -234,14 +249,27 @@
       std::string(reinterpret_cast<const char*>(body.begin()), body.size())};
 }
 
-LinkMessage ReadMessage(link_wire::Message::Reader wire, MonoTime now) {
+OperatorState ReadOperatorState(link_wire::OperatorState::Reader wire) {
+  OperatorState state;
+  state.m_revision = wire.getRevision();
+  for (const auto zone : wire.getClosedZones()) {
+    state.m_closed_zones.insert(ToString(zone));
+  }
+  return state;
+}
+
+// Returns nothing for a message of a type that only later versions know.
+std::optional<LinkMessage> ReadMessage(link_wire::Message::Reader wire,
+                                       MonoTime now) {
   switch (wire.which()) {
     case link_wire::Message::HELLO:
       return Hello{{ToString(wire.getHello().getEntry()),
-                    wire.getHello().getIncarnation()}};
+                    wire.getHello().getIncarnation()},
+                   wire.getHello().getVersion()};
     case link_wire::Message::WELCOME:
       return Welcome{{ToString(wire.getWelcome().getAgent()),
-                      wire.getWelcome().getIncarnation()}};
+                      wire.getWelcome().getIncarnation()},
+                     wire.getWelcome().getVersion()};
     case link_wire::Message::CLAIM:
       return EntryHeartbeat{
           ReadAgentClock(wire.getClaim().getAgentClockUs()),
@@ -260,8 +288,10 @@
                        ReadDeadline(wire.getRelayRead().getGiveUpInUs(), now)};
     case link_wire::Message::RELAY_ANSWER:
       return ReadRelayAnswer(wire.getRelayAnswer());
+    case link_wire::Message::OPERATOR_STATE:
+      return ReadOperatorState(wire.getOperatorState());
   }
-  KJ_FAIL_REQUIRE("unknown message type");
+  return std::nullopt;
 }
 
 void ReadFrame(std::string_view frame,
@@ -281,7 +311,9 @@
   const auto batch = reader.getRoot<link_wire::Batch>().getMessages();
   KJ_REQUIRE(batch.size() <= words.size(), "more messages than words");
   for (const auto wire : batch) {
-    messages.push_back(ReadMessage(wire, now));
+    if (auto message = ReadMessage(wire, now)) {
+      messages.push_back(std::move(*message));
+    }
   }
 }
 
--- a/link/link.capnp
+++ b/link/link.capnp
@@ -22,17 +22,22 @@
     runReport @6 :RunReport;
     relayRead @7 :RelayRead;
     relayAnswer @8 :RelayAnswer;
+    operatorState @9 :OperatorState;
   }
 }
 
 struct Hello {
   entry @0 :Text;
   incarnation @1 :UInt64;
+  # 0 from versions that lack this field.
+  version @2 :UInt32;
 }
 
 struct Welcome {
   agent @0 :Text;
   incarnation @1 :UInt64;
+  # 0 from versions that lack this field.
+  version @2 :UInt32;
 }
 
 struct Claim {
@@ -96,6 +101,11 @@
   giveUpInUs @2 :Int64;
 }
 
+struct OperatorState {
+  revision @0 :UInt64;
+  closedZones @1 :List(Text);
+}
+
 struct RelayAnswer {
   id @0 :UInt64;
   isAnswered @1 :Bool;
--- a/link/link.capnp.h
+++ b/link/link.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(9a9a4f2ef47bdb0c);
 CAPNP_DECLARE_SCHEMA(d9f6936b32ccb965);
 CAPNP_DECLARE_SCHEMA(9ba27396a1f66422);
+CAPNP_DECLARE_SCHEMA(9183436062af2180);
 CAPNP_DECLARE_SCHEMA(db50e8f0cc75d7a8);
 
 }  // namespace schemas
@@ -67,6 +68,7 @@
     RUN_REPORT,
     RELAY_READ,
     RELAY_ANSWER,
+    OPERATOR_STATE,
   };
 
   struct _capnpPrivate {
@@ -85,7 +87,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e186cad72b52ae39, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e186cad72b52ae39, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -100,7 +102,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e04b6acc259dfafd, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e04b6acc259dfafd, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -227,6 +229,21 @@
   };
 };
 
+struct OperatorState {
+  OperatorState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9183436062af2180, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RelayAnswer {
   RelayAnswer() = delete;
 
@@ -379,6 +396,10 @@
   inline bool hasRelayAnswer() const;
   inline  ::comfreyshift::link_wire::RelayAnswer::Reader getRelayAnswer() const;
 
+  inline bool isOperatorState() const;
+  inline bool hasOperatorState() const;
+  inline  ::comfreyshift::link_wire::OperatorState::Reader getOperatorState() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -480,6 +501,14 @@
   inline void adoptRelayAnswer(::capnp::Orphan< ::comfreyshift::link_wire::RelayAnswer>&& value);
   inline ::capnp::Orphan< ::comfreyshift::link_wire::RelayAnswer> disownRelayAnswer();
 
+  inline bool isOperatorState();
+  inline bool hasOperatorState();
+  inline  ::comfreyshift::link_wire::OperatorState::Builder getOperatorState();
+  inline void setOperatorState( ::comfreyshift::link_wire::OperatorState::Reader value);
+  inline  ::comfreyshift::link_wire::OperatorState::Builder initOperatorState();
+  inline void adoptOperatorState(::capnp::Orphan< ::comfreyshift::link_wire::OperatorState>&& value);
+  inline ::capnp::Orphan< ::comfreyshift::link_wire::OperatorState> disownOperatorState();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -528,6 +557,8 @@
 
   inline  ::uint64_t getIncarnation() const;
 
+  inline  ::uint32_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -566,6 +597,9 @@
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -614,6 +648,8 @@
 
   inline  ::uint64_t getIncarnation() const;
 
+  inline  ::uint32_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -652,6 +688,9 @@
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1503,6 +1542,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class OperatorState::Reader {
+public:
+  typedef OperatorState Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasClosedZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getClosedZones() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OperatorState::Builder {
+public:
+  typedef OperatorState Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasClosedZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getClosedZones();
+  inline void setClosedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setClosedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initClosedZones(unsigned int size);
+  inline void adoptClosedZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownClosedZones();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OperatorState::Pipeline {
+public:
+  typedef OperatorState Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RelayAnswer::Reader {
 public:
   typedef RelayAnswer Reads;
@@ -2130,6 +2256,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isOperatorState() const {
+  return which() == Message::OPERATOR_STATE;
+}
+inline bool Message::Builder::isOperatorState() {
+  return which() == Message::OPERATOR_STATE;
+}
+inline bool Message::Reader::hasOperatorState() const {
+  if (which() != Message::OPERATOR_STATE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasOperatorState() {
+  if (which() != Message::OPERATOR_STATE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::comfreyshift::link_wire::OperatorState::Reader Message::Reader::getOperatorState() const {
+  KJ_IREQUIRE((which() == Message::OPERATOR_STATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::OperatorState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::comfreyshift::link_wire::OperatorState::Builder Message::Builder::getOperatorState() {
+  KJ_IREQUIRE((which() == Message::OPERATOR_STATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::OperatorState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setOperatorState( ::comfreyshift::link_wire::OperatorState::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::OPERATOR_STATE);
+  ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::OperatorState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::comfreyshift::link_wire::OperatorState::Builder Message::Builder::initOperatorState() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::OPERATOR_STATE);
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::OperatorState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptOperatorState(
+    ::capnp::Orphan< ::comfreyshift::link_wire::OperatorState>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::OPERATOR_STATE);
+  ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::OperatorState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::comfreyshift::link_wire::OperatorState> Message::Builder::disownOperatorState() {
+  KJ_IREQUIRE((which() == Message::OPERATOR_STATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::comfreyshift::link_wire::OperatorState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Hello::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2178,6 +2358,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Hello::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Welcome::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2226,6 +2420,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Welcome::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Welcome::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Welcome::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t Claim::Reader::getAgentClockUs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3038,6 +3246,58 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t OperatorState::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OperatorState::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OperatorState::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OperatorState::Reader::hasClosedZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OperatorState::Builder::hasClosedZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader OperatorState::Reader::getClosedZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OperatorState::Builder::getClosedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OperatorState::Builder::setClosedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void OperatorState::Builder::setClosedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OperatorState::Builder::initClosedZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OperatorState::Builder::adoptClosedZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> OperatorState::Builder::disownClosedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RelayAnswer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/link/messages.h
+++ b/link/messages.h
@@ -12,14 +12,22 @@
 
 namespace comfreyshift {
 
+// Version of the messages on a link. Peers of version 0 close a connection on
+// which a message of an unknown type arrives; later ones ignore it.
+inline constexpr uint32_t kLinkVersion = 1;
+// The first version that knows OperatorState.
+inline constexpr uint32_t kOperatorStateVersion = 1;
+
 // Entry to agent: the first message on each connection.
 struct Hello {
   ProcessId m_entry;
+  uint32_t m_version = kLinkVersion;
 };
 
 // Agent to entry: the reply to Hello.
 struct Welcome {
   ProcessId m_agent;
+  uint32_t m_version = kLinkVersion;
 };
 
 // Entry to agent: the entry is alive and still needs its runs. The agent stops
@@ -112,6 +120,17 @@
   std::string m_body;
 };
 
+// In both directions: what the operator has stored. Sent to a peer that has
+// older state, on connect before any StartRun and after a change.
+struct OperatorState {
+  // The store's revision at which the operator's items were last seen to
+  // change. The state of the higher revision is the newer one; 0: not known.
+  uint64_t m_revision = 0;
+  ClosedZones m_closed_zones;
+
+  bool operator==(const OperatorState&) const = default;
+};
+
 // Returns how long nothing may arrive on a connection with this status interval
 // before either side closes it.
 constexpr Microseconds IdleConnectionTimeout(Microseconds status_interval) {
@@ -127,7 +146,8 @@
                                  RunnerStatus,
                                  RunReport,
                                  RelayRead,
-                                 RelayAnswer>;
+                                 RelayAnswer,
+                                 OperatorState>;
 
 }  // namespace comfreyshift
 
--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -1190,5 +1190,31 @@
   EXPECT_TRUE(m_executor.has_runs());  // Its reservation is kept.
 }
 
+// Guards against starting what an entry with outdated state sends.
+TEST_F(RunExecutorTest, NothingStartsInAClosedZone) {
+  Connect();
+  RegisterRunner();
+  Start(0, 6000);
+  Start(1, 6000);
+  ASSERT_EQ(m_starts.size(), 1U);
+  m_executor.OnClosedZones({"zone"}, m_now);
+  Tick();
+  EXPECT_FALSE(m_status->m_is_accepting);
+  // It waited for capacity.
+  ASSERT_NE(FindReport(1), nullptr);
+  EXPECT_EQ(FindReport(1)->m_outcome, RunOutcome::kNotStarted);
+  Start(2, 1000);
+  ASSERT_NE(FindReport(2), nullptr);
+  EXPECT_EQ(FindReport(2)->m_outcome, RunOutcome::kNotStarted);
+  // What runs already goes on.
+  EXPECT_EQ(FindReport(0), nullptr);
+  EXPECT_TRUE(m_stops.empty());
+  m_executor.OnClosedZones({"other"}, m_now);
+  Advance(Milliseconds(20));
+  EXPECT_TRUE(m_status->m_is_accepting);
+  Start(3, 1000);
+  EXPECT_EQ(m_starts.size(), 2U);
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/link/codec_test.cc
+++ b/tests/link/codec_test.cc
@@ -75,11 +75,14 @@
        status,
        RunReport{{{"j", 0, 1}, 2}, RunOutcome::kFailed, true, Milliseconds(70)},
        RelayRead{3, "/key", kNow + Milliseconds(900)},
-       RelayAnswer{4, true, 200, std::string("\0\1", 2)}},
+       RelayAnswer{4, true, 200, std::string("\0\1", 2)},
+       OperatorState{9, {"z1", "z2"}}},
       kNow);
-  ASSERT_EQ(decoded.size(), 7U);
+  ASSERT_EQ(decoded.size(), 8U);
   EXPECT_EQ(std::get<Hello>(decoded[0]).m_entry, (ProcessId{"entry", 5}));
   EXPECT_EQ(std::get<Welcome>(decoded[1]).m_agent, (ProcessId{"agent", 6}));
+  EXPECT_EQ(std::get<Hello>(decoded[0]).m_version, kLinkVersion);
+  EXPECT_EQ(std::get<Welcome>(decoded[1]).m_version, kLinkVersion);
   EXPECT_EQ(std::get<StopRun>(decoded[2]).m_run.m_number, 2U);
   EXPECT_EQ(std::get<RunnerStatus>(decoded[3]).m_free, status.m_free);
   EXPECT_EQ(std::get<RunnerStatus>(decoded[3]).m_labels, status.m_labels);
@@ -89,6 +92,8 @@
             kNow + Milliseconds(900));
   EXPECT_EQ(std::get<RelayAnswer>(decoded[6]).m_status, 200);
   EXPECT_EQ(std::get<RelayAnswer>(decoded[6]).m_body, std::string("\0\1", 2));
+  EXPECT_EQ(std::get<OperatorState>(decoded[7]),
+            (OperatorState{9, {"z1", "z2"}}));
 }
 
 // Guards against an overflow: the sum of a huge remaining time and the
@@ -192,6 +197,25 @@
   EXPECT_EQ(decoded.size(), 2U);
 }
 
+// Guards against closing the connection to a peer of a later version, and
+// against losing the messages beside the unknown one.
+TEST(LinkCodecTest, IgnoresMessagesOfUnknownTypes) {
+  // Position of the first message's type: after the length, the segment table,
+  // the pointers to the batch and its list, and the list's tag.
+  constexpr size_t kTypePosition = 4 + 8 + 8 + 8 + 8;
+  constexpr char kStopRunType = 4;
+  const std::vector<LinkMessage> messages = {StopRun{{{"j", 0, 1}, 2}},
+                                             StopRun{{{"j", 0, 2}, 3}}};
+  std::string frame;
+  EncodeBatch(messages, kNow, frame);
+  ASSERT_EQ(frame[kTypePosition], kStopRunType);
+  frame[kTypePosition] = 99;
+  std::vector<LinkMessage> decoded;
+  EXPECT_EQ(DecodeBatches(frame, kNow, decoded), std::nullopt);
+  ASSERT_EQ(decoded.size(), 1U);
+  EXPECT_EQ(std::get<StopRun>(decoded[0]).m_run.m_number, 3U);
+}
+
 // Guards against buffering a frame of any announced size, and against messages
 // that are read from a corrupt stream.
 TEST(LinkCodecTest, RejectsOversizedAndMalformedFrames) {
--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -29,7 +29,7 @@
 struct MirroredStore {
   MirroredStore() {
     m_mirror = std::make_shared<KvMirror>(
-        m_client, kPrefix, [this](const KvMirror::Items& items) {
+        m_client, kPrefix, [this](const KvMirror::Items& items, uint64_t) {
           m_keys.clear();
           for (const auto& [key, item] : items) {
             m_keys.insert(key);
