--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -255,6 +255,39 @@
   EXPECT_TRUE(response);
 }
 
+// Guards against waiting for a watch on a silent connection although another
+// process has announced a change.
+TEST_F(RelayedMirrorTest, AnnouncedChangeIsReadAtOnce) {
+  // Longer than the delay before such a read, and shorter than a watch.
+  constexpr Milliseconds kReadWithin{700};
+  // A new watch has just begun.
+  m_store.Put("p/first", "");
+  ASSERT_TRUE(RunUntil([this]() { return m_keys.contains("p/first"); }));
+  RunFor(Milliseconds(50));
+  m_mirrored.m_proxy.SilenceOpenConnections();
+  m_store.Put("p/second", "");
+  m_mirrored.m_mirror->OnNewerRevision(m_store.revision());
+  const MonoTime read_by = BootClock::now() + kReadWithin;
+  ASSERT_TRUE(RunUntil([&]() {
+    return m_keys.contains("p/second") || BootClock::now() >= read_by;
+  }));
+  EXPECT_TRUE(m_keys.contains("p/second"));
+}
+
+// Guards against further calls to the store for each change that is announced
+// while the mirror sees it itself.
+TEST_F(RelayedMirrorTest, AnnouncedChangeThatIsSeenCausesNoRead) {
+  // The first watch has reached the store.
+  RunFor(Milliseconds(50));
+  const uint64_t calls = m_store.calls();
+  m_store.Put("p/first", "");
+  m_mirrored.m_mirror->OnNewerRevision(m_store.revision());
+  RunFor(Milliseconds(300));
+  EXPECT_TRUE(m_keys.contains("p/first"));
+  // The watch that follows the change.
+  EXPECT_LE(m_store.calls() - calls, 1U);
+}
+
 // Guards against a store that is called more often than before while all is
 // well: each call is paid for.
 TEST_F(RelayedMirrorTest, NoReadIsHedgedWhileTheStoreAnswers) {
--- a/tests/standins/platform_store_standin.h
+++ b/tests/standins/platform_store_standin.h
@@ -52,6 +52,7 @@
   std::string Value(const std::string& key) const;
   bool Has(const std::string& key) const { return m_items.contains(key); }
   uint64_t calls() const { return m_calls; }
+  uint64_t revision() const { return m_revision; }
 
  private:
   using RequestPointer = std::shared_ptr<HttpRequest>;
