--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -108,9 +108,9 @@
   }
   std::ranges::shuffle(chosen, m_random);
   // Agents that got no response either are asked only if there are no others.
-  std::ranges::stable_partition(chosen, [this](const std::string& name) {
-    return !m_relay.HasFailed(name);
-  });
+  std::stable_partition(
+      chosen.begin(), chosen.end(),
+      [this](const std::string& name) { return !m_relay.HasFailed(name); });
   chosen.resize(std::min(chosen.size(), kAgentsPerRead));
   for (const std::string& name : chosen) {
     m_peers.at(name).m_session->Send(
--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -295,6 +295,8 @@
   RunFor(Milliseconds(3200));
   // A watch takes 1.5 s.
   EXPECT_LE(m_store.calls() - calls, 3U);
+  EXPECT_EQ(m_mirrored.m_metrics.Render().find("store_reads_hedged_total"),
+            std::string::npos);
 }
 
 }  // namespace
