--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <gtest/gtest.h>
 
 #include <cstddef>
@@ -288,6 +289,29 @@
   EXPECT_LE(m_store.calls() - calls, 1U);
 }
 
+// Guards against hedged reads of a process that got no processor time while the
+// response arrived.
+TEST_F(RelayedMirrorTest, ResponseThatHasArrivedIsReadBeforeAHedge) {
+  m_store.Put("p/zone", "");
+  const auto client = std::make_shared<KvClient>(
+      "http://" + m_store.address().ToString(), m_mirrored.m_metrics);
+  size_t relayed = 0;
+  client->SetRelay([&](const std::string&, MonoTime,
+                       const StoreResponseFunction&) -> size_t {
+    ++relayed;
+    return 0;
+  });
+  bool is_read = false;
+  client->Watch("p/", m_store.revision(), BootClock::now() + Milliseconds(400),
+                [&](const Result<StoreChanges, KvError>&) { is_read = true; });
+  RunFor(Milliseconds(200));
+  m_store.Put("p/zone", "changed");
+  // The watch is hedged 700 ms after it began.
+  g_usleep(600'000);
+  ASSERT_TRUE(RunUntil([&]() { return is_read; }));
+  EXPECT_EQ(relayed, 0U);
+}
+
 // Guards against a store that is called more often than before while all is
 // well: each call is paid for.
 TEST_F(RelayedMirrorTest, NoReadIsHedgedWhileTheStoreAnswers) {
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -5,11 +5,17 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
+#include "fleet/fleet.h"
+#include "platform/kv_client.h"
+#include "platform/registration.h"
+#include "platform/store_wire.h"
 #include "tests/platform/platform_fleet.h"
 #include "tests/standins/platform_documents.h"
 
@@ -122,6 +128,40 @@
   }
 }
 
+// An entry in this process sends state that the other processes have not read
+// from the store. Guards against agents and entries that use a closed zone
+// because they wait for the store.
+TEST_F(PlatformProcessesTest, ClosedZonesOfAPeerAreInForceEverywhere) {
+  constexpr uint64_t kLaterRevision = 1'000'000;
+  ConfigureAndWaitUntilReady();
+  std::map<std::string, Address> addresses;
+  for (const std::string name : {"agent-0", "agent-1"}) {
+    const auto record = platform::DecodeAgentRecord(
+        m_store.Value(platform::kAgentsPrefix + name));
+    ASSERT_TRUE(record) << name;
+    addresses[name] = record.value().m_address;
+  }
+  EntryNode peer({"peer", 1});
+  peer.SetAgents(addresses);
+  peer.SetOperatorState({kLaterRevision, {"zone"}});
+  EXPECT_TRUE(RunUntil([&]() {
+    return CountEvents(*m_entry, "operator_state_received") == 1 &&
+           CountEvents(*m_entry, "announced_revision_read") >= 1 &&
+           CountEvents(*m_agents[0], "runner_not_accepting") == 1 &&
+           CountEvents(*m_agents[1], "runner_not_accepting") == 1;
+  }));
+  const uint64_t starts = StartCount();
+  const auto job = SubmitJob(2);
+  EXPECT_TRUE(RunUntil([&]() { return job->m_has_arrived; }));
+  EXPECT_EQ(job->m_status, 503);
+  EXPECT_EQ(StartCount(), starts);
+  peer.SetOperatorState({kLaterRevision + 1, {}});
+  EXPECT_TRUE(RunUntil([&]() {
+    return CountEvents(*m_agents[0], "runner_accepting") == 2 &&
+           CountEvents(*m_agents[1], "runner_accepting") == 2;
+  }));
+}
+
 // SIGHUP asks for a reload of the settings file. Guards against its default
 // action, which ends the process and with it every job in progress.
 TEST_F(PlatformProcessesTest, ReloadInterruptsNoJobs) {
