--- a/tests/platform/registration_test.cc
+++ b/tests/platform/registration_test.cc
@@ -22,10 +22,8 @@
 // agent.
 struct RegisteredAgent {
   RegisteredAgent() {
-    HttpClientOptions options;
-    options.m_base_url = "http://" + m_store.address().ToString();
-    m_client = std::make_shared<KvClient>(HttpClient::Make(options).value(),
-                                          m_metrics);
+    m_client = std::make_shared<KvClient>(
+        "http://" + m_store.address().ToString(), m_metrics);
   }
 
   std::shared_ptr<Registration> Start(uint16_t port) {
@@ -97,5 +95,20 @@
   EXPECT_FALSE(record.value().m_runner_heartbeat);
 }
 
+// Guards against an exception that ends the entry: a response of the store may
+// hold keys that do not start with the prefix, also shorter ones.
+TEST(ReadAgentsTest, IgnoresKeysWithoutThePrefix) {
+  const std::string record = EncodeAgentRecord({"127.0.0.1", 1}, "", "");
+  KvMirror::Items items;
+  for (const std::string& key :
+       {kKey, std::string(kAgentsPrefix), std::string("a"), std::string(),
+        "other/" + std::string(kAgentsPrefix) + "agent-2"}) {
+    items[key] = {key, record, 1};
+  }
+  const auto agents = ReadAgents(items);
+  ASSERT_EQ(agents.size(), 1U);
+  EXPECT_TRUE(agents.contains("agent"));
+}
+
 }  // namespace
 }  // namespace comfreyshift::platform
