--- a/net/net.h
+++ b/net/net.h
@@ -1,10 +1,12 @@
 #ifndef NET_NET_H_
 #define NET_NET_H_
 
-// Public header of the net library: sockets and deadlines on the GLib main
-// loop.
+// Public header of the net library: sockets and deadlines on the GLib main loop,
+// and a budget for what clients hold.
 
+#include "net/client_budget.h"
 #include "net/loop_timer.h"
 #include "net/socket_poller.h"
+#include "net/socket_queues.h"
 
 #endif  // NET_NET_H_
