Charge what HTTP clients hold, and refuse from the head

Cause: libsoup kept one object of about 100 bytes for each chunk of a body, so chunks of one byte cost 50 times their size, and bodies of connections that stop halfway were held without bound.

Change: the bytes of chunks go into a buffer of the request; connections are charged to a budget, which closes those that hold most and progress least; the body limit is decided from the head; header fields and tiny pieces are bounded; head, body and answer have deadlines; kernel buffers of accepted connections can be fixed.

--- a/http/http.h
+++ b/http/http.h
@@ -8,7 +8,9 @@
 #include "http/client.h"
 #include "http/error.h"
 #include "http/request.h"
+#include "http/route_table.h"
 #include "http/server.h"
+#include "http/server_options.h"
 #include "http/token.h"
 
 #endif  // HTTP_HTTP_H_
--- a/http/request.cc
+++ b/http/request.cc
@@ -2,6 +2,7 @@
 
 #include <libsoup/soup.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -10,6 +11,13 @@
 
 namespace comfreyshift {
 
+namespace {
+
+// Most bodies fit, and are not moved while they arrive.
+constexpr size_t kMinBodyCapacity = size_t{8} * 1024;
+
+}  // namespace
+
 HttpRequest::HttpRequest(_SoupServerMessage* message)
     : m_message(SOUP_SERVER_MESSAGE(g_object_ref(message))),
       m_method(soup_server_message_get_method(message)),
@@ -36,13 +44,24 @@
   return found->second;
 }
 
-void HttpRequest::ReadMessage() {
-  SoupMessageBody* body = soup_server_message_get_request_body(m_message);
-  GBytes* bytes = soup_message_body_flatten(body);
-  gsize size = 0;
-  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-  m_body.assign(data == nullptr ? "" : data, size);
-  g_bytes_unref(bytes);
+void HttpRequest::Abandon() {
+  ReleaseBody();
+  m_is_abandoned = true;
+}
+
+// Reserves for a declared length step by step, so that a client cannot make the
+// process reserve what it never sends.
+void HttpRequest::AppendBody(std::string_view piece) {
+  const size_t size = m_body.size() + piece.size();
+  if (size > m_body.capacity()) {
+    const size_t doubled = std::max(2 * m_body.capacity(), kMinBodyCapacity);
+    const size_t bound = m_declared_bytes > 0 ? m_declared_bytes : SIZE_MAX;
+    m_body.reserve(std::max(size, std::min(doubled, bound)));
+  }
+  m_body.append(piece);
+}
+
+void HttpRequest::ReadQuery() {
   const char* query = g_uri_get_query(soup_server_message_get_uri(m_message));
   if (query == nullptr) {
     return;
@@ -136,6 +155,7 @@
 }
 
 void HttpRequest::Close() {
+  m_account = nullptr;
   if (m_message == nullptr) {
     return;
   }
--- a/http/request.h
+++ b/http/request.h
@@ -10,6 +10,9 @@
 #include <string_view>
 #include <vector>
 
+#include "http/refusal.h"
+#include "http/server_options.h"
+
 // A type of libsoup, under the name its headers give it.
 // NOLINTNEXTLINE(bugprone-reserved-identifier,readability-identifier-naming)
 struct _SoupServerMessage;
@@ -32,6 +35,15 @@
   // The path as sent, without the query and not unescaped.
   const std::string& path() const { return m_path; }
   const std::string& body() const { return m_body; }
+  // Bytes of the body that have arrived, kept or not.
+  size_t received_bytes() const { return m_received_bytes; }
+  // Whether the whole request has arrived.
+  bool is_received() const { return m_is_received; }
+
+  // Frees the body, which the handler has taken in.
+  void ReleaseBody() { std::string().swap(m_body); }
+  // Frees the body; the request is not handed to a handler.
+  void Abandon();
 
   // The client whose token was used; empty for other kinds of access.
   const std::string& client() const { return m_client; }
@@ -73,7 +85,8 @@
  private:
   friend class HttpServer;
 
-  void ReadMessage();
+  void ReadQuery();
+  void AppendBody(std::string_view piece);
   void Pause();
   void HandleDisconnect();
   void DropConnection();
@@ -88,8 +101,19 @@
   std::vector<std::string> m_arguments;
   std::map<std::string, std::string> m_query;
   std::function<void()> m_on_disconnect;
+  // Where the bytes it holds are charged; null once it is closed.
+  std::shared_ptr<ClientAccount> m_account;
+  BodyRule m_body_rule;
+  // Charged for the head.
+  size_t m_head_bytes = 0;
+  size_t m_declared_bytes = 0;
   size_t m_received_bytes = 0;
-  bool m_is_too_large = false;
+  size_t m_pieces = 0;
+  size_t m_progress_steps = 0;
+  bool m_is_received = false;
+  // Refused before it was received, or closed by a limit.
+  bool m_is_abandoned = false;
+  Refusal m_refusal;
   bool m_is_paused = false;
   bool m_is_answered = false;
   bool m_is_disconnected = false;
--- a/http/server.cc
+++ b/http/server.cc
@@ -6,79 +6,54 @@
 #include <utility>
 #include <vector>
 
+#include "http/head_shape.h"
 #include "http/message_socket.h"
+#include "http/refusal.h"
 #include "http/server_connection.h"
 #include "http/server_listener.h"
+#include "http/server_sweep.h"
 #include "http/soup_server.h"
 
 namespace comfreyshift {
 
 namespace {
 
-// A client that goes on sending a refused body is cut off after this many times
-// the limit, and this many bytes more.
+// Above TLS, a client that goes on sending a refused body is cut off after this
+// many times the limit, and this many bytes more.
 constexpr uint64_t kCutOffFactor = 2;
 constexpr uint64_t kCutOffBytes = 1 << 20;
 
 // Idle connections are looked for this many times within the timeout.
 constexpr int64_t kIdleChecks = 3;
 
-std::vector<std::string> SplitPath(std::string_view path) {
-  std::vector<std::string> parts;
-  while (!path.empty()) {
-    const size_t slash = path.find('/');
-    parts.emplace_back(path.substr(0, slash));
-    if (slash == std::string_view::npos) {
-      return parts;
-    }
-    path.remove_prefix(slash + 1);
-    if (path.empty()) {
-      parts.emplace_back();
-    }
-  }
-  return parts;
-}
-
-struct Route {
-  std::string m_method;
-  std::vector<std::string> m_pattern;
-  Access m_access;
-  HttpHandler m_handler;
-
-  // Whether the path fits; fills `arguments` from the parts at `{}`.
-  bool Fits(const std::vector<std::string>& path,
-            std::vector<std::string>& arguments) const {
-    arguments.clear();
-    if (path.size() != m_pattern.size()) {
-      return false;
-    }
-    for (size_t i = 0; i < path.size(); ++i) {
-      if (m_pattern[i] == "{}" && !path[i].empty()) {
-        arguments.push_back(path[i]);
-      } else if (m_pattern[i] != path[i]) {
-        return false;
-      }
-    }
-    return true;
-  }
-};
+// Fewer bytes of a body are no progress: a client that sends single bytes would
+// otherwise never be seen as stalled.
+constexpr size_t kProgressBytes = size_t{4} * 1024;
 
 }  // namespace
 
 struct HttpServer::Impl {
-  Impl(uint64_t max_body_bytes, Milliseconds idle_timeout)
-      : m_listener([this](GSocketConnection* connection, GIOStream* stream) {
-          Accept(connection, stream);
-        }),
-        m_max_body_bytes(max_body_bytes),
-        m_idle_timeout(idle_timeout) {
-    m_idle_source =
-        g_timeout_add(static_cast<guint>(idle_timeout.count() / kIdleChecks),
-                      &Impl::OnIdleCheck, this);
+  explicit Impl(HttpServerOptions options)
+      : m_options(std::move(options)),
+        m_budget(m_options.m_budget != nullptr
+                     ? m_options.m_budget
+                     : std::make_shared<ClientBudget>()),
+        m_listener(
+            [this](GSocketConnection* connection, GIOStream* stream) {
+              Accept(connection, stream);
+            },
+            m_options.m_socket_buffer_bytes) {
+    const Milliseconds interval = m_options.m_sweep_interval.count() > 0
+                                      ? m_options.m_sweep_interval
+                                      : m_options.m_idle_timeout / kIdleChecks;
+    // Ahead of the sockets, so that a flood of input cannot hold it back.
+    m_sweep_source = g_timeout_add_full(G_PRIORITY_HIGH,
+                                        static_cast<guint>(interval.count()),
+                                        &Impl::OnSweep, this, nullptr);
   }
 
   ~Impl() {
-    for (const guint source : {m_done_source, m_reap_source, m_idle_source}) {
+    for (const guint source : {m_done_source, m_reap_source, m_sweep_source}) {
       if (source != 0) {
         g_source_remove(source);
       }
@@ -94,11 +69,14 @@
   Impl& operator=(const Impl&) = delete;
 
   void Accept(GSocketConnection* connection, GIOStream* stream) {
-    m_connections[g_socket_connection_get_socket(connection)] =
-        std::make_shared<ServerConnection>(
-            connection, stream,
-            [this](ServerConnection& ready) { Serve(ready); },
-            [this](ServerConnection& gone) { OnGone(gone); });
+    const auto accepted = std::make_shared<ServerConnection>(
+        connection, stream, m_budget,
+        m_connections.size() < m_options.m_reserved_connections,
+        [this](ServerConnection& ready) { Serve(ready); },
+        [this](ServerConnection& gone) { OnGone(gone); });
+    if (accepted->is_admitted()) {
+      m_connections[g_socket_connection_get_socket(connection)] = accepted;
+    }
   }
 
   // Hands a connection to libsoup, which reads the next request.
@@ -149,18 +127,26 @@
     return G_SOURCE_REMOVE;
   }
 
-  // Ends connections on which no request has begun for too long. Whoever holds
-  // many of them would otherwise use up the descriptors.
-  static gboolean OnIdleCheck(gpointer data) {
+  // Ends connections on which no request has begun for too long, or which have
+  // missed a deadline. Whoever holds many of them would otherwise use up the
+  // descriptors.
+  static gboolean OnSweep(gpointer data) {
     auto* self = static_cast<Impl*>(data);
     const MonoTime now = BootClock::now();
     for (auto& [socket, connection] : self->m_connections) {
       const bool is_idle =
-          connection->request() == nullptr &&
-          now >= connection->idle_since() + self->m_idle_timeout;
+          !connection->is_serving() &&
+          now >= connection->idle_since() + self->m_options.m_idle_timeout;
       // libsoup closes connections with malformed requests by itself.
       if (is_idle || g_socket_is_closed(socket)) {
         connection->MarkGone();
+        continue;
+      }
+      if (const auto missed =
+              SweepConnection(*connection, self->m_options, now)) {
+        connection->account()->Record(*missed);
+        connection->Abort(*missed);
+        connection->MarkGone();
       }
     }
     return G_SOURCE_CONTINUE;
@@ -186,17 +172,53 @@
     self->m_pending[message] = request;
     if (ServerConnection* connection = self->ConnectionOf(message)) {
       connection->SetRequest(request);
+      request->m_account = connection->account();
     }
     g_signal_connect(message, "got-chunk", G_CALLBACK(&Impl::OnChunk), self);
     g_signal_connect(message, "wrote-body", G_CALLBACK(&Impl::OnWroteBody),
                      self);
     g_signal_connect(message, "finished", G_CALLBACK(&Impl::OnFinished), self);
-    if (length > 0 && static_cast<uint64_t>(length) > self->m_max_body_bytes) {
-      self->DropBody(*request);
-      self->RefuseFromHead(*request);
+    // libsoup would keep one object for each piece.
+    soup_message_body_set_accumulate(
+        soup_server_message_get_request_body(message), FALSE);
+    request->m_declared_bytes =
+        static_cast<size_t>(std::max<goffset>(0, length));
+    self->CheckHead(*request, headers);
+  }
+
+  void CheckHead(HttpRequest& request, SoupMessageHeaders* headers) const {
+    const HeadShape shape = MeasureHead(headers);
+    if (shape.m_fields > m_options.m_max_head_fields ||
+        shape.m_bytes > m_options.m_max_head_bytes) {
+      Refuse(request, ClientLimit::kHeadFields);
+      // Frees them now; many such heads may arrive before libsoup frees them.
+      soup_message_headers_clear(headers);
+      return;
+    }
+    request.m_body_rule = BodyRuleFor(request);
+    if (request.m_declared_bytes > request.m_body_rule.m_max_bytes) {
+      Refuse(request, ClientLimit::kBodyBytes);
+      return;
+    }
+    if (request.m_account != nullptr) {
+      request.m_head_bytes = request.m_account->held_bytes() + shape.m_held;
+      request.m_account->HoldOutside(0);
+      request.m_account->Hold(request.m_head_bytes);
     }
   }
 
+  BodyRule BodyRuleFor(const HttpRequest& request) const {
+    if (m_options.m_body_rule) {
+      return m_options.m_body_rule(request);
+    }
+    const bool is_routed =
+        m_default_handler ||
+        m_routes.Find(request.method(), request.path()).m_route != nullptr;
+    return {is_routed ? m_options.m_max_body_bytes
+                      : std::min(m_options.m_max_body_bytes,
+                                 m_options.m_max_unrouted_body_bytes)};
+  }
+
   // Called by libsoup for each piece of a body, which may have no length in
   // its headers.
   static void OnChunk(SoupServerMessage* message, GBytes* chunk, Impl* self) {
@@ -205,13 +227,49 @@
       return;
     }
     HttpRequest& request = *found->second;
-    request.m_received_bytes += g_bytes_get_size(chunk);
-    if (request.m_received_bytes > self->m_max_body_bytes) {
-      self->DropBody(request);
+    gsize size = 0;
+    const auto* data = static_cast<const char*>(g_bytes_get_data(chunk, &size));
+    request.m_received_bytes += size;
+    ++request.m_pieces;
+    if (request.m_is_abandoned) {
+      self->CutOff(request);
+    } else if (request.m_received_bytes > request.m_body_rule.m_max_bytes) {
+      self->Refuse(request, ClientLimit::kBodyBytes);
+    } else if (self->HasTinyPieces(request)) {
+      self->Refuse(request, ClientLimit::kBodyPieces);
+    } else {
+      request.AppendBody({data, size});
+      ChargeBody(request);
+    }
+  }
+
+  // Whether a body comes in so many small pieces that reading it costs more
+  // than the job.
+  bool HasTinyPieces(const HttpRequest& request) const {
+    return request.m_pieces > m_options.m_max_small_pieces &&
+           request.m_received_bytes <
+               request.m_pieces * m_options.m_min_piece_bytes;
+  }
+
+  // May abandon the request.
+  static void ChargeBody(HttpRequest& request) {
+    const std::shared_ptr<ClientAccount> account = request.m_account;
+    if (account == nullptr) {
+      return;
+    }
+    const size_t before = request.m_received_bytes / kProgressBytes;
+    if (before != request.m_progress_steps) {
+      request.m_progress_steps = before;
+      account->SetProgress(BootClock::now());
     }
+    account->Hold(request.m_head_bytes + request.m_body.capacity());
+  }
+
+  // Ends the connection of a client that goes on sending a refused body.
+  void CutOff(const HttpRequest& request) const {
     const uint64_t cut_off =
-        self->m_max_body_bytes * kCutOffFactor + kCutOffBytes;
-    GSocket* socket = SocketOf(message);
+        m_options.m_max_body_bytes * kCutOffFactor + kCutOffBytes;
+    GSocket* socket = SocketOf(request.m_message);
     if (request.m_received_bytes > cut_off && socket != nullptr) {
       g_socket_shutdown(socket, TRUE, TRUE, nullptr);
     }
@@ -232,10 +290,18 @@
     }
     const std::shared_ptr<HttpRequest> request = found->second;
     const ServerConnection* connection = self->ConnectionOf(message);
+    request->m_is_received = true;
     request->m_closes_connection =
         self->m_ends_connections ||
         (connection != nullptr && connection->is_used_up());
+    const std::shared_ptr<ClientAccount> account = request->m_account;
+    if (account != nullptr) {
+      account->SetState(ClientBudget::State::kRunning);
+    }
     self->Dispatch(request);
+    if (account != nullptr && request->is_answered()) {
+      account->SetState(ClientBudget::State::kTransferring);
+    }
     if (!request->is_answered() && request->m_message != nullptr) {
       request->Pause();
     }
@@ -320,34 +386,32 @@
     return G_SOURCE_REMOVE;
   }
 
-  void DropBody(HttpRequest& request) const {
-    request.m_is_too_large = true;
-    SoupMessageBody* body =
-        soup_server_message_get_request_body(request.m_message);
-    soup_message_body_set_accumulate(body, FALSE);
-    soup_message_body_truncate(body);
-  }
-
-  // libsoup answers only when the whole body is read, so this answer goes to
-  // the socket below it. On TLS connections the body is dropped as it comes.
-  void RefuseFromHead(HttpRequest& request) const {
+  // Refuses a request that is being received. libsoup answers only when the
+  // whole body is read, so the answer goes to the socket below it. On TLS
+  // connections the body is dropped as it comes, and answered at its end.
+  void Refuse(HttpRequest& request, ClientLimit limit) const {
+    request.Abandon();
+    request.m_refusal = RefusalFor(limit);
+    if (limit == ClientLimit::kBodyBytes) {
+      request.m_refusal = {request.m_body_rule.m_status,
+                           std::string(request.m_body_rule.m_code)};
+    }
+    if (request.m_account != nullptr) {
+      request.m_account->Record(limit);
+    }
     GSocket* socket = SocketOf(request.m_message);
-    if (socket == nullptr || m_listener.uses_tls()) {
-      return;
+    if (socket != nullptr && !m_listener.uses_tls()) {
+      RefuseOnSocket(socket, request.m_refusal);
     }
-    constexpr std::string_view kAnswer =
-        "HTTP/1.1 413 Payload Too Large\r\nContent-Type: application/json\r\n"
-        "Connection: close\r\nContent-Length: 36\r\n\r\n"
-        R"({"error":{"code":"body_too_large"}})"
-        "\n";
-    g_socket_send(socket, kAnswer.data(), kAnswer.size(), nullptr, nullptr);
-    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
   }
 
-  void ReplyTooLarge(HttpRequest& request) const {
-    request.ReplyError(SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "body_too_large",
-                       "the body may have at most " +
-                           std::to_string(m_max_body_bytes) + " bytes");
+  void ReplyRefused(HttpRequest& request) const {
+    request.ReplyError(
+        request.m_refusal.m_status, request.m_refusal.m_code,
+        request.m_refusal.m_status == SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE
+            ? "the body may have at most " +
+                  std::to_string(request.m_body_rule.m_max_bytes) + " bytes"
+            : "the request exceeds a limit; nothing was run");
   }
 
   void Dispatch(const std::shared_ptr<HttpRequest>& request) {
@@ -356,33 +420,37 @@
                           "this process is stopping; nothing was run");
       return;
     }
-    if (m_routes.empty() && m_default_handler) {
-      Handle({"", {}, PublicAccess{}, m_default_handler}, request);
+    // A request without a refusal was closed by the budget.
+    const bool is_closed =
+        request->m_is_abandoned && request->m_refusal.m_status == 0;
+    if (is_closed ||
+        (!m_budget->has_room() && !m_options.m_answers_over_budget)) {
+      if (!is_closed && request->m_account != nullptr) {
+        request->m_account->Record(ClientLimit::kMemory);
+      }
+      request->ReplyError(SOUP_STATUS_SERVICE_UNAVAILABLE, "overloaded",
+                          "this process has too much to do; nothing was run",
+                          {{"Retry-After", "1"}});
       return;
     }
-    const std::vector<std::string> path = SplitPath(request->path());
-    std::string allowed;
-    for (const Route& route : m_routes) {
-      if (!route.Fits(path, request->m_arguments)) {
-        continue;
-      }
-      if (route.m_method == request->method()) {
-        Handle(route, request);
-        return;
-      }
-      allowed += (allowed.empty() ? "" : ", ") + route.m_method;
+    RouteMatch match = m_routes.Find(request->method(), request->path());
+    request->m_arguments = std::move(match.m_arguments);
+    if (match.m_route != nullptr) {
+      Handle(*match.m_route, request);
+      return;
     }
-    if (allowed.empty() && m_default_handler) {
+    if (match.m_allowed.empty() && m_default_handler) {
       Handle({"", {}, PublicAccess{}, m_default_handler}, request);
       return;
     }
-    if (allowed.empty()) {
+    if (match.m_allowed.empty()) {
       request->ReplyError(SOUP_STATUS_NOT_FOUND, "unknown_path",
                           "there is no path " + request->path());
       return;
     }
     request->ReplyError(SOUP_STATUS_METHOD_NOT_ALLOWED, "wrong_method",
-                        "this path takes " + allowed, {{"Allow", allowed}});
+                        "this path takes " + match.m_allowed,
+                        {{"Allow", match.m_allowed}});
   }
 
   void Handle(const Route& route, const std::shared_ptr<HttpRequest>& request) {
@@ -395,12 +463,12 @@
                           {{"WWW-Authenticate", "Bearer"}});
       return;
     }
-    if (request->m_is_too_large) {
-      ReplyTooLarge(*request);
+    if (request->m_is_abandoned) {
+      ReplyRefused(*request);
       return;
     }
     request->m_client = std::move(*client);
-    request->ReadMessage();
+    request->ReadQuery();
     // A handler may add routes, which moves them.
     const HttpHandler handler = route.m_handler;
     handler(request);
@@ -412,10 +480,10 @@
     }
   }
 
+  HttpServerOptions m_options;
+  std::shared_ptr<ClientBudget> m_budget;
   ServerListener m_listener;
-  uint64_t m_max_body_bytes;
-  Milliseconds m_idle_timeout;
-  std::vector<Route> m_routes;
+  RouteTable m_routes;
   HttpHandler m_default_handler;
   std::shared_ptr<SoupServerHandle> m_server;
   // Dropped outside of libsoup's calls.
@@ -425,13 +493,22 @@
   std::function<void()> m_done;
   guint m_done_source = 0;
   guint m_reap_source = 0;
-  guint m_idle_source = 0;
+  guint m_sweep_source = 0;
   bool m_is_stopping = false;
   bool m_ends_connections = false;
 };
 
 HttpServer::HttpServer(uint64_t max_body_bytes, Milliseconds idle_timeout)
-    : m_impl(std::make_unique<Impl>(max_body_bytes, idle_timeout)) {}
+    : HttpServer([&]() {
+        HttpServerOptions options;
+        options.m_max_body_bytes = max_body_bytes;
+        options.m_idle_timeout = idle_timeout;
+        options.m_head_timeout = idle_timeout;
+        return options;
+      }()) {}
+
+HttpServer::HttpServer(HttpServerOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(options))) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -449,8 +526,7 @@
                           std::string_view pattern,
                           Access access,
                           HttpHandler handler) {
-  m_impl->m_routes.push_back({std::string(method), SplitPath(pattern),
-                              std::move(access), std::move(handler)});
+  m_impl->m_routes.Add(method, pattern, std::move(access), std::move(handler));
 }
 
 void HttpServer::SetDefaultHandler(HttpHandler handler) {
--- a/http/server.h
+++ b/http/server.h
@@ -11,24 +11,24 @@
 #include "core/core.h"
 #include "http/error.h"
 #include "http/request.h"
+#include "http/route_table.h"
+#include "http/server_options.h"
 #include "http/token.h"
 
 namespace comfreyshift {
 
-// Idle connections hold descriptors that others need.
-inline constexpr Milliseconds kDefaultIdleTimeout{15'000};
-
-using HttpHandler = std::function<void(const std::shared_ptr<HttpRequest>&)>;
-
 // An HTTP/1.1 server with asynchronous handlers. It answers by itself: 404
 // `unknown_path`, 405 `wrong_method`, 401 `unauthorized`, 413 `body_too_large`
-// and, after Stop, 503 `stopping`.
+// and, after Stop, 503 `stopping`. With a budget or more options it also answers
+// 408 `request_timeout`, 413 `body_pieces_too_small`, 431 `head_too_large` and
+// 503 `overloaded`; no handler is called then.
 class HttpServer {
  public:
   // Larger bodies are answered with 413 and not kept. Connections that carry no
   // request for `idle_timeout` are closed.
   explicit HttpServer(uint64_t max_body_bytes,
                       Milliseconds idle_timeout = kDefaultIdleTimeout);
+  explicit HttpServer(HttpServerOptions options);
 
   // Breaks the connections of requests in progress; see Stop.
   ~HttpServer();
--- a/http/server_connection.cc
+++ b/http/server_connection.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "http/message_socket.h"
+#include "http/refusal.h"
 
 namespace comfreyshift {
 
@@ -11,10 +12,31 @@
 // Each leaves 16 bytes; see is_used_up.
 constexpr uint64_t kRequestsPerConnection = 10'000;
 
+// A connection without a request: its objects here and in GLib, and the
+// kernel's.
+constexpr size_t kIdleConnectionBytes = size_t{6} * 1024;
+// What libsoup adds to serve a request, and its first read.
+constexpr size_t kServingBytes = size_t{10} * 1024;
+
+// Returns the IP number of a client, without the port.
+std::string HostOf(GSocketAddress* address) {
+  if (!G_IS_INET_SOCKET_ADDRESS(address)) {
+    return "unknown";
+  }
+  gchar* text =
+      g_inet_address_to_string(g_inet_socket_address_get_address(
+          G_INET_SOCKET_ADDRESS(address)));
+  std::string host(text);
+  g_free(text);
+  return host;
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(GSocketConnection* connection,
                                    GIOStream* stream,
+                                   const std::shared_ptr<ClientBudget>& budget,
+                                   bool is_reserved,
                                    Function on_request,
                                    Function on_gone)
     : m_connection(G_SOCKET_CONNECTION(g_object_ref(connection))),
@@ -27,7 +49,13 @@
       m_watch(SocketPoller::Default().Add(
           g_socket_get_fd(m_socket),
           SocketInterest::kArrivals,
-          [this](SocketEvents events) { OnReady(events); })) {
+          [this](SocketEvents events) { OnReady(events); })),
+      m_account(std::make_shared<ClientAccount>(
+          budget,
+          HostOf(m_remote),
+          is_reserved,
+          [this](ClientLimit limit) { Abort(limit); })) {
+  m_account->Hold(kIdleConnectionBytes);
   if (m_remote != nullptr) {
     AttachSocket(m_remote, m_socket);
   }
@@ -35,6 +63,8 @@
 
 ServerConnection::~ServerConnection() {
   StopWatching();
+  // A request may keep the account for longer.
+  m_account->Close();
   g_socket_close(m_socket, nullptr);
   g_clear_object(&m_local);
   g_clear_object(&m_remote);
@@ -65,8 +95,35 @@
   }
 }
 
+void ServerConnection::Abort(ClientLimit limit) {
+  const std::shared_ptr<HttpRequest> request = m_request;
+  if (request != nullptr && !request->is_received()) {
+    request->Abandon();
+  }
+  const bool is_answering = request != nullptr && request->is_received();
+  const bool uses_tls = G_IS_TLS_CONNECTION(m_stream);
+  if (is_serving() && !is_answering && !uses_tls) {
+    RefuseOnSocket(m_socket, RefusalFor(limit));
+  } else {
+    g_socket_shutdown(m_socket, TRUE, TRUE, nullptr);
+  }
+}
+
+ServerConnection::Phase ServerConnection::phase() const {
+  if (m_request == nullptr) {
+    return is_serving() ? Phase::kHead : Phase::kIdle;
+  }
+  if (!m_request->is_received()) {
+    return Phase::kBody;
+  }
+  return m_request->is_answered() ? Phase::kAnswer : Phase::kHandler;
+}
+
 void ServerConnection::Begin(std::shared_ptr<void> server) {
   m_server = std::move(server);
+  m_begun_at = BootClock::now();
+  m_account->SetState(ClientBudget::State::kTransferring);
+  m_account->Hold(kIdleConnectionBytes + kServingBytes);
 }
 
 void ServerConnection::SetRequest(std::shared_ptr<HttpRequest> request) {
@@ -81,6 +138,9 @@
 void ServerConnection::EndRequest() {
   m_request = nullptr;
   m_idle_since = BootClock::now();
+  m_account->SetState(ClientBudget::State::kIdle);
+  m_account->HoldOutside(0);
+  m_account->Hold(kIdleConnectionBytes);
 }
 
 std::shared_ptr<void> ServerConnection::Rest(GIOStream* stream) {
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -19,11 +19,17 @@
  public:
   using Function = std::function<void(ServerConnection&)>;
 
+  // What a connection is doing.
+  enum class Phase : uint8_t { kIdle, kHead, kBody, kHandler, kAnswer };
+
   // `stream` carries the requests: `socket` itself, or TLS above it.
   // `on_request` is called when the first bytes of a request arrive,
   // `on_gone` once when the client has closed its side or the connection broke.
+  // It is charged to `budget`; see is_admitted.
   ServerConnection(GSocketConnection* connection,
                    GIOStream* stream,
+                   const std::shared_ptr<ClientBudget>& budget,
+                   bool is_reserved,
                    Function on_request,
                    Function on_gone);
   // Closes the connection.
@@ -38,6 +44,24 @@
   // The request in progress, or null. A copy, since handling its end clears it.
   std::shared_ptr<HttpRequest> request() const { return m_request; }
   MonoTime idle_since() const { return m_idle_since; }
+  // Whether the budget has room for it. Otherwise it is to be destroyed.
+  bool is_admitted() const { return m_account->is_admitted(); }
+  const std::shared_ptr<ClientAccount>& account() const { return m_account; }
+  Phase phase() const;
+  // Requests that have begun on it.
+  uint64_t requests() const { return m_requests; }
+  // When its socket was handed to libsoup last.
+  MonoTime begun_at() const { return m_begun_at; }
+
+  // Until when the present phase must end or progress, as the sweep stores it.
+  struct Deadline {
+    Phase m_phase = Phase::kIdle;
+    MonoTime m_at = MonoTime::max();
+    // Requests that had begun, and bytes of the body that had arrived.
+    uint64_t m_requests = 0;
+    size_t m_received_bytes = 0;
+  };
+  Deadline& deadline() { return m_deadline; }
 
   // libsoup's server object serves it from now on; it is kept alive meanwhile.
   void Begin(std::shared_ptr<void> server);
@@ -56,6 +80,9 @@
   std::shared_ptr<void> Rest(GIOStream* stream);
   // Nothing more is to be done with it.
   void MarkGone();
+  // Ends the connection because of a limit. Frees the body of a request that is
+  // being received; the rest follows when libsoup has found it broken.
+  void Abort(ClientLimit limit);
 
  private:
   void OnReady(SocketEvents events);
@@ -77,6 +104,9 @@
   // Set while libsoup serves it.
   std::shared_ptr<void> m_server;
   bool m_is_gone = false;
+  MonoTime m_begun_at;
+  Deadline m_deadline;
+  std::shared_ptr<ClientAccount> m_account;
 };
 
 }  // namespace comfreyshift
--- a/http/server_listener.cc
+++ b/http/server_listener.cc
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "net/net.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -21,11 +23,15 @@
 
 }  // namespace
 
-ServerListener::ServerListener(AcceptFunction accept)
-    : m_accept(std::move(accept)), m_service(g_socket_service_new()) {
+ServerListener::ServerListener(AcceptFunction accept, int buffer_bytes)
+    : m_accept(std::move(accept)),
+      m_buffer_bytes(buffer_bytes),
+      m_service(g_socket_service_new()) {
   g_socket_listener_set_backlog(G_SOCKET_LISTENER(m_service), kBacklog);
   g_signal_connect(m_service, "incoming",
                    G_CALLBACK(&ServerListener::OnIncoming), this);
+  g_signal_connect(m_service, "event", G_CALLBACK(&ServerListener::OnEvent),
+                   this);
 }
 
 ServerListener::~ServerListener() {
@@ -76,6 +82,17 @@
   g_socket_listener_close(G_SOCKET_LISTENER(m_service));
 }
 
+// Accepted connections inherit the buffers of the listening socket from their
+// first byte on.
+void ServerListener::OnEvent(GSocketListener* /*listener*/,
+                             GSocketListenerEvent event,
+                             GSocket* socket,
+                             ServerListener* self) {
+  if (event == G_SOCKET_LISTENER_BINDING && self->m_buffer_bytes > 0) {
+    BoundSocketBuffers(g_socket_get_fd(socket), self->m_buffer_bytes);
+  }
+}
+
 gboolean ServerListener::OnIncoming(GSocketService* /*service*/,
                                     GSocketConnection* connection,
                                     GObject* /*source*/,
--- a/http/server_listener.h
+++ b/http/server_listener.h
@@ -21,7 +21,9 @@
   using AcceptFunction =
       std::function<void(GSocketConnection* connection, GIOStream* stream)>;
 
-  explicit ServerListener(AcceptFunction accept);
+  // Bounds the kernel's buffers of accepted connections to `buffer_bytes`,
+  // unless it is 0.
+  explicit ServerListener(AcceptFunction accept, int buffer_bytes = 0);
   ~ServerListener();
   ServerListener(const ServerListener&) = delete;
   ServerListener& operator=(const ServerListener&) = delete;
@@ -37,6 +39,10 @@
   bool uses_tls() const { return m_certificate != nullptr; }
 
  private:
+  static void OnEvent(GSocketListener* listener,
+                      GSocketListenerEvent event,
+                      GSocket* socket,
+                      ServerListener* self);
   static gboolean OnIncoming(GSocketService* service,
                              GSocketConnection* connection,
                              GObject* source,
@@ -45,6 +51,7 @@
   GIOStream* Wrap(GSocketConnection* connection) const;
 
   AcceptFunction m_accept;
+  int m_buffer_bytes;
   GSocketService* m_service;
   GTlsCertificate* m_certificate = nullptr;
 };
--- a/net/client_budget.cc
+++ b/net/client_budget.cc
@@ -249,7 +249,14 @@
 void ClientAccount::Hold(size_t bytes) {
   if (m_held_bytes != bytes) {
     m_held_bytes = bytes;
-    m_budget->Hold(m_id, bytes, BootClock::now());
+    m_budget->Hold(m_id, m_held_bytes + m_outside_bytes, BootClock::now());
+  }
+}
+
+void ClientAccount::HoldOutside(size_t bytes) {
+  if (m_outside_bytes != bytes) {
+    m_outside_bytes = bytes;
+    m_budget->Hold(m_id, m_held_bytes + m_outside_bytes, BootClock::now());
   }
 }
 
--- a/net/client_budget.h
+++ b/net/client_budget.h
@@ -153,7 +153,13 @@
   const std::string& address() const { return m_address; }
   ClientBudget& budget() const { return *m_budget; }
 
+  // Sets the bytes held in this process's own buffers, and those held
+  // elsewhere on the connection's behalf.
   void Hold(size_t bytes);
+  void HoldOutside(size_t bytes);
+  size_t held_bytes() const { return m_held_bytes; }
+  // Removes the record; the object does nothing from then on.
+  void Close() { m_budget->Close(m_id); }
   void SetProgress(MonoTime now) { m_budget->SetProgress(m_id, now); }
   void SetState(ClientBudget::State state);
   // Counts and logs what happened to this connection.
@@ -164,6 +170,7 @@
   std::string m_address;
   ClientBudget::Id m_id;
   size_t m_held_bytes = 0;
+  size_t m_outside_bytes = 0;
 };
 
 }  // namespace comfreyshift
