Bound what clients of the platform roles hold

Jobs and heartbeats have bounds on JSON members, elements and values, checked before a tree is built.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -1,4 +1,4 @@
-comfreyshift_library(platform core cli logging jobs json fleet http nlohmann_json::nlohmann_json PkgConfig::GLIB)
+comfreyshift_library(platform core cli logging jobs json net fleet http nlohmann_json::nlohmann_json PkgConfig::GLIB)
 comfreyshift_tests(platform platform emulator)
 if(TARGET platform_tests)
   # The process tests run the real program against stand-ins.
--- a/json/parse.cc
+++ b/json/parse.cc
@@ -1,5 +1,6 @@
 #include "json/parse.h"
 
+#include <array>
 #include <cmath>
 #include <set>
 #include <utility>
@@ -11,10 +12,55 @@
 
 using Json = nlohmann::json;
 
-// Only counts brackets outside of strings; all other validation is left to the
-// parser.
-bool IsTooDeep(std::string_view text) {
-  size_t depth = 0;
+// Counts the values of a text by its brackets and commas, without building
+// anything. All other validation is left to the parser.
+class ShapeCheck {
+ public:
+  explicit ShapeCheck(const JsonLimits& limits) : m_limits(limits) {}
+
+  // Returns false once the text is nested too deep or exceeds a limit.
+  bool Add(char c) {
+    if (c == '[' || c == '{') {
+      if (m_depth == kMaxJsonDepth) {
+        return false;
+      }
+      m_open[m_depth++] = {c == '{' ? m_limits.m_max_members
+                                    : m_limits.m_max_elements};
+      return AddValue();
+    }
+    if (c == ',') {
+      return AddValue();
+    }
+    if ((c == ']' || c == '}') && m_depth > 0) {
+      --m_depth;
+    }
+    return true;
+  }
+
+ private:
+  struct Container {
+    size_t m_max_values = 0;
+    size_t m_values = 0;
+  };
+
+  // A container that opens counts as having one value, each comma as one more.
+  bool AddValue() {
+    if (m_depth == 0) {
+      return true;
+    }
+    Container& container = m_open[m_depth - 1];
+    return ++container.m_values <= container.m_max_values &&
+           ++m_values <= m_limits.m_max_values;
+  }
+
+  const JsonLimits& m_limits;
+  std::array<Container, kMaxJsonDepth> m_open;
+  size_t m_depth = 0;
+  size_t m_values = 0;
+};
+
+bool HasShape(std::string_view text, const JsonLimits& limits) {
+  ShapeCheck check(limits);
   bool is_in_string = false;
   for (size_t i = 0; i < text.size(); ++i) {
     const char c = text[i];
@@ -26,15 +72,11 @@
       }
     } else if (c == '"') {
       is_in_string = true;
-    } else if (c == '[' || c == '{') {
-      if (++depth > kMaxJsonDepth) {
-        return true;
-      }
-    } else if ((c == ']' || c == '}') && depth > 0) {
-      --depth;
+    } else if (!check.Add(c)) {
+      return false;
     }
   }
-  return false;
+  return true;
 }
 
 // Returns a discarded value if any object in `text` has a repeated key.
@@ -63,8 +105,9 @@
 }  // namespace
 
 std::optional<Json> ParseJson(std::string_view text,
-                              DuplicateKeys repeated_keys) {
-  if (IsTooDeep(text)) {
+                              DuplicateKeys repeated_keys,
+                              const JsonLimits& limits) {
+  if (!HasShape(text, limits)) {
     return std::nullopt;
   }
   Json json = repeated_keys == DuplicateKeys::kRejected
@@ -77,8 +120,9 @@
 }
 
 std::optional<Json> ParseJsonObject(std::string_view text,
-                                    DuplicateKeys repeated_keys) {
-  auto json = ParseJson(text, repeated_keys);
+                                    DuplicateKeys repeated_keys,
+                                    const JsonLimits& limits) {
+  auto json = ParseJson(text, repeated_keys, limits);
   if (json && !json->is_object()) {
     return std::nullopt;
   }
--- a/json/parse.h
+++ b/json/parse.h
@@ -14,20 +14,34 @@
 // recurse to its depth, so deeply nested input could overflow the stack.
 constexpr size_t kMaxJsonDepth = 64;
 
+// What a text may contain at most. A value of one character takes 16 to 110
+// bytes once it is parsed.
+struct JsonLimits {
+  // Of one object.
+  size_t m_max_members = SIZE_MAX;
+  // Of one array.
+  size_t m_max_elements = SIZE_MAX;
+  // Members and elements in all.
+  size_t m_max_values = SIZE_MAX;
+};
+
 // How an object that has the same key more than once is handled.
 enum class DuplicateKeys : uint8_t { kLastWins, kRejected };
 
 // Returns nullopt if `text` is not valid UTF-8 JSON (RFC 8259), is nested
-// deeper than kMaxJsonDepth, or has a repeated key and `repeated_keys` is
-// kRejected.
+// deeper than kMaxJsonDepth, exceeds `limits`, or has a repeated key and
+// `repeated_keys` is kRejected. Depth and limits are checked before anything is
+// built.
 std::optional<nlohmann::json> ParseJson(
     std::string_view text,
-    DuplicateKeys repeated_keys = DuplicateKeys::kLastWins);
+    DuplicateKeys repeated_keys = DuplicateKeys::kLastWins,
+    const JsonLimits& limits = {});
 
 // Like ParseJson, but also returns nullopt for a value that is not an object.
 std::optional<nlohmann::json> ParseJsonObject(
     std::string_view text,
-    DuplicateKeys repeated_keys = DuplicateKeys::kLastWins);
+    DuplicateKeys repeated_keys = DuplicateKeys::kLastWins,
+    const JsonLimits& limits = {});
 
 // The integers from `m_min` to `m_max`, both inclusive.
 struct IntegerRange {
--- a/net/client_budget.cc
+++ b/net/client_budget.cc
@@ -113,6 +113,7 @@
   m_bytes = m_bytes - connection.m_bytes + bytes;
   usage.m_bytes = usage.m_bytes - connection.m_bytes + bytes;
   connection.m_bytes = bytes;
+  m_peak_bytes = std::max(m_peak_bytes, m_bytes);
   if (!has_room() && !m_is_closing && now >= m_next_search_at) {
     CloseForMemory(now);
   }
--- a/net/client_budget.h
+++ b/net/client_budget.h
@@ -97,6 +97,9 @@
   // being run hold them.
   bool has_room() const { return m_bytes <= m_limits.m_max_bytes; }
   size_t bytes() const { return m_bytes; }
+  // The most bytes held since the last ResetPeak.
+  size_t peak_bytes() const { return m_peak_bytes; }
+  void ResetPeak() { m_peak_bytes = m_bytes; }
   size_t connections() const { return m_connections.size(); }
   const ClientBudgetLimits& limits() const { return m_limits; }
 
@@ -130,6 +133,7 @@
   Connections m_connections;
   UsageByAddress m_usage;
   size_t m_bytes = 0;
+  size_t m_peak_bytes = 0;
   Id m_next_id = 1;
   // Running connections may hold more than the maximum; no victims are looked
   // for again before this time.
