Bound the layers that requests sent ahead leave on a connection

Cause: each request that was sent ahead left one more layer on the stream that libsoup reads from, 290 KB after 3,000 requests, and reads pass through all layers.

Change: the layers are dropped once nothing is left in them; at 64 the connection ends after its answer.

--- a/http/server_connection.cc
+++ b/http/server_connection.cc
@@ -12,6 +12,11 @@
 // Each leaves 16 bytes; see is_used_up.
 constexpr uint64_t kRequestsPerConnection = 10'000;
 
+// While a client sends requests ahead, each request adds a layer to the stream
+// that libsoup reads from. 3,000 layers took 290 KB, and each read passes
+// through all of them.
+constexpr size_t kMaxStreamLayers = 64;
+
 // A connection without a request: its objects here and in GLib, and the
 // kernel's.
 constexpr size_t kIdleConnectionBytes = size_t{6} * 1024;
@@ -132,7 +137,8 @@
 }
 
 bool ServerConnection::is_used_up() const {
-  return m_requests >= kRequestsPerConnection;
+  return m_requests >= kRequestsPerConnection ||
+         m_stream_layers >= kMaxStreamLayers;
 }
 
 void ServerConnection::EndRequest() {
@@ -144,6 +150,13 @@
 }
 
 std::shared_ptr<void> ServerConnection::Rest(GIOStream* stream) {
+  if (stream != nullptr) {
+    ++m_stream_layers;
+  } else if (m_stream_layers > 0) {
+    // Nothing is left in the layers.
+    m_stream_layers = 0;
+    stream = G_IO_STREAM(m_connection);
+  }
   if (stream != nullptr) {
     g_object_unref(std::exchange(m_stream, G_IO_STREAM(g_object_ref(stream))));
   }
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -70,7 +70,8 @@
   // The head of a request has been read.
   void SetRequest(std::shared_ptr<HttpRequest> request);
   // Whether its next answer must end it: libsoup leaves a few bytes on a
-  // connection with each request.
+  // connection with each request, and a layer of the stream with each one that
+  // was sent ahead.
   bool is_used_up() const;
   // The request in progress has ended, answered or not.
   void EndRequest();
@@ -101,6 +102,7 @@
   // When it was accepted, or its last answer was written.
   MonoTime m_idle_since = BootClock::now();
   uint64_t m_requests = 0;
+  size_t m_stream_layers = 0;
   // Set while libsoup serves it.
   std::shared_ptr<void> m_server;
   bool m_is_gone = false;
