--- a/tests/json/parse_test.cc
+++ b/tests/json/parse_test.cc
@@ -78,5 +78,30 @@
   }
 }
 
+// A member of 4 bytes of text takes over 100 bytes once it is parsed.
+TEST(ParseJsonTest, BoundsMembersAndElements) {
+  const auto parses = [](std::string_view text, const JsonLimits& limits) {
+    return ParseJson(text, DuplicateKeys::kLastWins, limits).has_value();
+  };
+  const JsonLimits members{.m_max_members = 2};
+  EXPECT_TRUE(parses(R"({"a":1,"b":[1,2,3,4]})", members));
+  EXPECT_FALSE(parses(R"({"a":1,"b":2,"c":3})", members));
+  EXPECT_FALSE(parses(R"([{"a":1,"b":2,"c":3}])", members));
+  const JsonLimits elements{.m_max_elements = 2};
+  EXPECT_TRUE(parses(R"({"a":1,"b":2,"c":[1,2]})", elements));
+  EXPECT_FALSE(parses("[1,2,3]", elements));
+  EXPECT_TRUE(parses("[[1,2],[1,2]]", elements));
+  const JsonLimits values{.m_max_values = 5};
+  EXPECT_TRUE(parses("[[1],[2,3]]", values));
+  EXPECT_FALSE(parses("[[1],[2,3],[4]]", values));
+}
+
+// Text inside of strings has no shape.
+TEST(ParseJsonTest, CountsNoCommasInStrings) {
+  const JsonLimits limits{.m_max_members = 1, .m_max_elements = 1};
+  EXPECT_TRUE(ParseJson(R"({"a,,,[[":"b,\",,{{"})", DuplicateKeys::kLastWins,
+                        limits));
+}
+
 }  // namespace
 }  // namespace comfreyshift
