Bound the connections to an agent's link address

Cause: a connection that said no Hello was kept forever, and an unfinished frame could hold 4 MiB on each.

Change: Hello is due within 5 s, at most 64 connections wait for it, the first frame has a bound, and buffers are charged to the budget of the process. Connections of entries are closed in favor of others only while they hold more than 64 KiB.

--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -140,7 +140,8 @@
       [this](const SessionPointer& session, const LinkMessage& message) {
         OnMessage(session, message);
       },
-      [this](const SessionPointer& session) { OnClosed(session); });
+      [this](const SessionPointer& session) { OnClosed(session); },
+      m_link_admission);
 }
 
 const ProcessId* AgentNode::FindEntry(const SessionPointer& session) const {
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -54,6 +54,11 @@
   bool OnRunnerLeft(const std::string& runner_id);
   void Drain();
 
+  // Bounds the connections accepted from now on, charged to `budget`.
+  void SetClientBudget(std::shared_ptr<ClientBudget> budget) {
+    m_link_admission = std::make_shared<LinkAdmission>(std::move(budget));
+  }
+
   // Sets the longest lease that the runner grants.
   void SetMaxRunnerLease(Milliseconds lease) {
     m_executor.SetMaxRunnerLease(lease);
@@ -98,6 +103,8 @@
   RunnerApi m_runner_api;
   StoreReadFunction m_store_read;
   NodeMetrics& m_metrics;
+  // Null until SetClientBudget: connections are not bounded.
+  std::shared_ptr<LinkAdmission> m_link_admission;
   std::unique_ptr<LinkListener> m_listener;
   MonoTime m_next_idle_check_at;
   bool m_was_accepting = false;
--- a/link/session.cc
+++ b/link/session.cc
@@ -18,6 +18,33 @@
 // would soon be disconnected for its silence anyway.
 constexpr size_t kMaxUnwrittenBytes = size_t{8} << 20;
 
+// An accepted connection without buffers.
+constexpr size_t kSessionBytes = size_t{8} << 10;
+
+// Buffers that large are freed when they are empty.
+constexpr size_t kMaxIdleBufferBytes = size_t{64} << 10;
+
+void FreeIfLarge(std::string& buffer) {
+  if (buffer.empty() && buffer.capacity() > kMaxIdleBufferBytes) {
+    std::string().swap(buffer);
+  }
+}
+
+// Returns the IP number of the peer.
+std::string RemoteHost(GSocketConnection* connection) {
+  GSocketAddress* remote =
+      g_socket_connection_get_remote_address(connection, nullptr);
+  std::string host = "unknown";
+  if (G_IS_INET_SOCKET_ADDRESS(remote)) {
+    gchar* text = g_inet_address_to_string(
+        g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(remote)));
+    host = text;
+    g_free(text);
+  }
+  g_clear_object(&remote);
+  return host;
+}
+
 // The caller must unref the result.
 GSocketAddress* ToSocketAddress(const Address& address) {
   return g_inet_socket_address_new_from_string(address.m_host.c_str(),
@@ -65,10 +92,16 @@
 
 std::shared_ptr<LinkSession> LinkSession::Accept(GSocketConnection* connection,
                                                  MessageFunction on_message,
-                                                 CloseFunction on_close) {
+                                                 CloseFunction on_close,
+                                                 std::shared_ptr<LinkAdmission>
+                                                     admission) {
   std::shared_ptr<LinkSession> session(
       new LinkSession(std::move(on_message), std::move(on_close)));
   session->m_connection = G_SOCKET_CONNECTION(g_object_ref(connection));
+  if (admission != nullptr && !session->Admit(std::move(admission))) {
+    session->Close();
+    return session;
+  }
   session->Open(g_socket_connection_get_socket(connection),
                 /*is_connecting=*/false);
   return session;
@@ -85,6 +118,50 @@
                                         [this](SocketEvents) { OnReady(); });
 }
 
+bool LinkSession::Admit(std::shared_ptr<LinkAdmission> admission) {
+  m_account = std::make_shared<ClientAccount>(
+      admission->budget(), RemoteHost(m_connection), /*is_reserved=*/false,
+      [this](ClientLimit) { CloseAndNotify(); });
+  if (!m_account->is_admitted()) {
+    return false;
+  }
+  m_admission = std::move(admission);
+  m_admission->AddPending(m_account, [this]() { CloseAndNotify(); });
+  m_hello_timer = std::make_unique<LoopTimer>(
+      [this]() { CloseForLimit(ClientLimit::kLinkHelloTime); });
+  m_hello_timer->Set(BootClock::now() + m_admission->hello_timeout());
+  // May close this session.
+  m_account->Hold(kSessionBytes);
+  return m_admission != nullptr;
+}
+
+void LinkSession::OnHello() {
+  if (m_admission != nullptr && !m_has_hello) {
+    m_has_hello = true;
+    m_hello_timer = nullptr;
+    m_admission->RemovePending(m_account);
+    m_account->SetState(ClientBudget::State::kRunning);
+  }
+}
+
+void LinkSession::CloseForLimit(ClientLimit limit) {
+  m_account->Record(limit);
+  CloseAndNotify();
+}
+
+void LinkSession::ChargeBuffers() {
+  if (m_admission == nullptr || !is_open()) {
+    return;
+  }
+  const size_t bytes = m_input.capacity() + m_output.capacity();
+  if (m_has_hello) {
+    m_account->SetState(bytes > kMaxProtectedLinkBytes
+                            ? ClientBudget::State::kTransferring
+                            : ClientBudget::State::kRunning);
+  }
+  m_account->Hold(kSessionBytes + bytes);
+}
+
 void LinkSession::SetWaitingToWrite(bool is_waiting) {
   if (m_is_waiting_to_write != is_waiting) {
     m_is_waiting_to_write = is_waiting;
@@ -115,6 +192,10 @@
   if (m_output.size() - m_output_offset > kMaxUnwrittenBytes ||
       !WriteOutput()) {
     CloseAndNotify();
+    return;
+  }
+  if (!m_output.empty()) {
+    ChargeBuffers();
   }
 }
 
@@ -140,6 +221,7 @@
   }
   m_output.clear();
   m_output_offset = 0;
+  FreeIfLarge(m_output);
   SetWaitingToWrite(false);
   return true;
 }
@@ -164,12 +246,23 @@
     if (!is_open()) {
       return true;
     }
+    if (std::holds_alternative<Hello>(message)) {
+      OnHello();
+    }
     m_on_message(shared_from_this(), std::move(message));
   }
   if (frame_error) {
     LogEvent(LogLevel::kWarning, "link", "malformed_frame", {});
+    return false;
   }
-  return !frame_error;
+  if (m_admission != nullptr && !m_has_hello &&
+      m_input.size() > kMaxFirstFrameBytes) {
+    m_account->Record(ClientLimit::kLinkFrame);
+    return false;
+  }
+  FreeIfLarge(m_input);
+  ChargeBuffers();
+  return true;
 }
 
 void LinkSession::OnReady() {
@@ -198,6 +291,11 @@
 }
 
 void LinkSession::Close() {
+  m_hello_timer = nullptr;
+  if (const auto admission = std::exchange(m_admission, nullptr)) {
+    admission->RemovePending(m_account);
+    m_account->Close();
+  }
   SocketPoller::Default().Remove(std::exchange(m_watch, 0));
   if (m_socket != nullptr) {
     g_socket_close(m_socket, nullptr);
--- a/link/session.h
+++ b/link/session.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "link/admission.h"
 #include "link/messages.h"
 #include "net/net.h"
 
@@ -28,10 +29,14 @@
   static std::shared_ptr<LinkSession> Connect(const Address& address,
                                               MessageFunction on_message,
                                               CloseFunction on_close);
-  // Wraps an accepted connection.
-  static std::shared_ptr<LinkSession> Accept(GSocketConnection* connection,
-                                             MessageFunction on_message,
-                                             CloseFunction on_close);
+  // Wraps an accepted connection. With an `admission` it is bounded: it must say
+  // Hello in time, and what it holds is charged. Returns a closed session if
+  // there is no room for it.
+  static std::shared_ptr<LinkSession> Accept(
+      GSocketConnection* connection,
+      MessageFunction on_message,
+      CloseFunction on_close,
+      std::shared_ptr<LinkAdmission> admission = nullptr);
 
   ~LinkSession();
   LinkSession(const LinkSession&) = delete;
@@ -63,6 +68,11 @@
   bool WriteOutput();
   void CloseAndNotify();
   void OnReady();
+  bool Admit(std::shared_ptr<LinkAdmission> admission);
+  void OnHello();
+  void CloseForLimit(ClientLimit limit);
+  // Charges the buffers. May close the session.
+  void ChargeBuffers();
 
   MessageFunction m_on_message;
   CloseFunction m_on_close;
@@ -80,6 +90,12 @@
   std::string m_output;
   size_t m_output_offset = 0;
   MonoTime m_last_received;
+  // Null for connections that are not bounded.
+  std::shared_ptr<LinkAdmission> m_admission;
+  std::shared_ptr<ClientAccount> m_account;
+  // Runs until the Hello.
+  std::unique_ptr<LoopTimer> m_hello_timer;
+  bool m_has_hello = false;
 };
 
 // Accepts incoming link connections.
