--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -26,8 +26,8 @@
   }
 }
 
-bool RunUntil(const std::function<bool()>& condition) {
-  const MonoTime end = BootClock::now() + std::chrono::seconds(10);
+bool RunUntil(const std::function<bool()>& condition, Milliseconds limit) {
+  const MonoTime end = BootClock::now() + limit;
   while (!condition()) {
     if (BootClock::now() >= end) {
       return false;
@@ -56,7 +56,8 @@
 
 std::string PlatformFleet::EntrySettings() const {
   return EntrySettingsText("entry", m_client_address, m_readiness_address,
-                           TestAddress(6).m_port, m_store_proxy.address());
+                           TestAddress(6).m_port, m_store_proxy.address()) +
+         ExtraSettings();
 }
 
 void PlatformFleet::StartEntry() {
@@ -73,7 +74,8 @@
       "platform-agent", name,
       AgentSettingsText(name, TestAddress(2 + index),
                         TestAddress(7 + index).m_port, RunnerAddress(index),
-                        m_store.address()),
+                        m_store.address()) +
+          ExtraSettings(),
       TestAddress(11 + index).m_port);
 }
 
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -23,8 +23,9 @@
 void RunFor(Milliseconds time);
 
 // Runs the main loop until `condition` returns true. Returns false if that
-// takes longer than ten seconds.
-bool RunUntil(const std::function<bool()>& condition);
+// takes longer than `limit`.
+bool RunUntil(const std::function<bool()>& condition,
+              Milliseconds limit = std::chrono::seconds(10));
 
 // The response to a request of a test, once it has arrived.
 struct PendingResponse {
@@ -49,6 +50,8 @@
   virtual Address RunnerAddress(size_t index) {
     return m_runners[index]->address();
   }
+  // Lines that are added to the settings of every process.
+  virtual std::string ExtraSettings() const { return ""; }
 
   // Start the process, or restart it if it is running.
   void StartEntry();
--- a/tests/standins/role_process.h
+++ b/tests/standins/role_process.h
@@ -38,6 +38,8 @@
   // Only while it waits for them.
   void DeliverSettings();
 
+  // 0 once it has exited.
+  pid_t pid() const { return m_pid; }
   // Does nothing once it has exited.
   void Signal(int signal) const;
   bool HasExited();
