Close evicted connections before further ones are accepted; document the limits

Cause: connections closed in favor of new ones were destroyed at idle priority, which new connections kept from running, so that 500 silent connections took 512 descriptors with limits.max_fds=400 (OverloadTest.SilentConnections).

Change: an idle connection is closed at once, others ahead of the next accept.

--- a/http/server.cc
+++ b/http/server.cc
@@ -104,7 +104,11 @@
   }
 
   void OnGone(ServerConnection& connection) {
-    ReapLater();
+    if (connection.is_aborted()) {
+      ReapSoon();
+    } else {
+      ReapLater();
+    }
     if (const auto request = connection.request()) {
       request->HandleDisconnect();
     }
@@ -117,6 +121,15 @@
     }
   }
 
+  // Ahead of new connections, which may be why others were closed.
+  void ReapSoon() {
+    if (m_reap_source != 0) {
+      g_source_remove(m_reap_source);
+    }
+    m_reap_source =
+        g_idle_add_full(G_PRIORITY_HIGH, &Impl::OnReap, this, nullptr);
+  }
+
   static gboolean OnReap(gpointer data) {
     auto* self = static_cast<Impl*>(data);
     self->m_reap_source = 0;
--- a/http/server_connection.cc
+++ b/http/server_connection.cc
@@ -101,13 +101,20 @@
 }
 
 void ServerConnection::Abort(ClientLimit limit) {
+  m_is_aborted = true;
+  if (!is_serving()) {
+    // Its descriptor is needed now.
+    MarkGone();
+    g_socket_close(m_socket, nullptr);
+    return;
+  }
   const std::shared_ptr<HttpRequest> request = m_request;
   if (request != nullptr && !request->is_received()) {
     request->Abandon();
   }
   const bool is_answering = request != nullptr && request->is_received();
   const bool uses_tls = G_IS_TLS_CONNECTION(m_stream);
-  if (is_serving() && !is_answering && !uses_tls) {
+  if (!is_answering && !uses_tls) {
     RefuseOnSocket(m_socket, RefusalFor(limit));
   } else {
     g_socket_shutdown(m_socket, TRUE, TRUE, nullptr);
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -84,6 +84,7 @@
   // Ends the connection because of a limit. Frees the body of a request that is
   // being received; the rest follows when libsoup has found it broken.
   void Abort(ClientLimit limit);
+  bool is_aborted() const { return m_is_aborted; }
 
  private:
   void OnReady(SocketEvents events);
@@ -106,6 +107,7 @@
   // Set while libsoup serves it.
   std::shared_ptr<void> m_server;
   bool m_is_gone = false;
+  bool m_is_aborted = false;
   MonoTime m_begun_at;
   Deadline m_deadline;
   std::shared_ptr<ClientAccount> m_account;
--- a/tests/platform/job_wire_test.cc
+++ b/tests/platform/job_wire_test.cc
@@ -130,5 +130,26 @@
   EXPECT_FALSE(DecodeConfig(R"({"version":1e300,"routes":[]})"));
 }
 
+// A body of 256 KiB holds 40,000 members, which take over 100 bytes each.
+TEST(JobWireTest, RejectsTooManyMembers) {
+  nlohmann::json json = nlohmann::json::parse(kJob);
+  for (int i = 0; i < 300; ++i) {
+    json["field" + std::to_string(i)] = 0;
+  }
+  ASSERT_FALSE(DecodeJob(json.dump()));
+  EXPECT_FALSE(DecodeJob(json.dump()).error().m_is_unsupported);
+}
+
+// Guards against a bound that a job of the largest number of tasks would meet.
+TEST(JobWireTest, AcceptsAsManyStepsAsTasks) {
+  nlohmann::json json = nlohmann::json::parse(kJob);
+  json["steps"] = nlohmann::json::array();
+  for (int i = 0; i < 4096; ++i) {
+    json["steps"].push_back(
+        {{"count", 1}, {"cpu", 1}, {"mem_mb", 1}, {"est_runtime_ms", 1}});
+  }
+  EXPECT_TRUE(DecodeJob(json.dump()));
+}
+
 }  // namespace
 }  // namespace comfreyshift::platform
--- a/tests/platform/runner_wire_test.cc
+++ b/tests/platform/runner_wire_test.cc
@@ -144,5 +144,17 @@
   EXPECT_FALSE(DecodeRunLists(R"({"clock_ms":1e300,"running":[],"ended":[]})"));
 }
 
+// A heartbeat of 1 MiB could hold 500,000 values.
+TEST(RunnerWireTest, RejectsHeartbeatsWithTooManyValues) {
+  std::string text = kHeartbeat;
+  std::string labels = "\"labels\":[";
+  for (int i = 0; i < 1100; ++i) {
+    labels += "\"x\",";
+  }
+  text.replace(text.find("\"labels\":["), 10, labels);
+  EXPECT_FALSE(DecodeHeartbeat("r1", text));
+  EXPECT_TRUE(DecodeHeartbeat("r1", kHeartbeat));
+}
+
 }  // namespace
 }  // namespace comfreyshift::platform
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -88,5 +88,25 @@
   }
 }
 
+// Guards against limits on clients that do not fit the machine.
+TEST(PlatformSettingsTest, ReadsTheLimitsOfTheMachine) {
+  const std::string text =
+      "node_name=a\nip=10.1.0.14\nport_range=7720,7735\n"
+      "platform.address=10.1.0.9:1\n";
+  EXPECT_EQ(ParseSettings(text).value().m_memory_mb, 120U);
+  EXPECT_EQ(ParseSettings(text).value().m_max_descriptors, 3075U);
+  const auto read =
+      ParseSettings(text + "limits.memory_mb=512\nlimits.max_fds=10250\n");
+  EXPECT_EQ(read.value().m_memory_mb, 512U);
+  EXPECT_EQ(read.value().m_max_descriptors, 10'250U);
+  for (const char* field : {"limits.memory_mb", "limits.max_fds"}) {
+    for (const char* wrong : {"0", "-1", "1000001", "x"}) {
+      const auto settings = ParseSettings(text + field + "=" + wrong + "\n");
+      ASSERT_FALSE(settings) << field << wrong;
+      EXPECT_NE(settings.error().find(field), std::string::npos);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace comfreyshift::platform
