--- a/http/refusal.cc
+++ b/http/refusal.cc
@@ -52,8 +52,9 @@
   if (refusal.m_status == kUnavailable) {
     answer += "Retry-After: 1\r\n";
   }
-  answer += "Connection: close\r\nContent-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" + body;
+  answer +=
+      "Connection: close\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
   g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
   g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
--- a/http/server.cc
+++ b/http/server.cc
@@ -38,11 +38,9 @@
         m_budget(m_options.m_budget != nullptr
                      ? m_options.m_budget
                      : std::make_shared<ClientBudget>()),
-        m_listener(
-            [this](GSocketConnection* connection, GIOStream* stream) {
-              Accept(connection, stream);
-            },
-            m_options.m_socket_buffer_bytes) {
+        m_listener([this](GSocketConnection* connection,
+                          GIOStream* stream) { Accept(connection, stream); },
+                   m_options.m_socket_buffer_bytes) {
     const Milliseconds interval = m_options.m_sweep_interval.count() > 0
                                       ? m_options.m_sweep_interval
                                       : m_options.m_idle_timeout / kIdleChecks;
--- a/http/server.h
+++ b/http/server.h
@@ -19,9 +19,9 @@
 
 // An HTTP/1.1 server with asynchronous handlers. It answers by itself: 404
 // `unknown_path`, 405 `wrong_method`, 401 `unauthorized`, 413 `body_too_large`
-// and, after Stop, 503 `stopping`. With a budget or more options it also answers
-// 408 `request_timeout`, 413 `body_pieces_too_small`, 431 `head_too_large` and
-// 503 `overloaded`; no handler is called then.
+// and, after Stop, 503 `stopping`. With a budget or more options it also
+// answers 408 `request_timeout`, 413 `body_pieces_too_small`, 431
+// `head_too_large` and 503 `overloaded`; no handler is called then.
 class HttpServer {
  public:
   // Larger bodies are answered with 413 and not kept. Connections that carry no
--- a/http/server_connection.cc
+++ b/http/server_connection.cc
@@ -28,9 +28,8 @@
   if (!G_IS_INET_SOCKET_ADDRESS(address)) {
     return "unknown";
   }
-  gchar* text =
-      g_inet_address_to_string(g_inet_socket_address_get_address(
-          G_INET_SOCKET_ADDRESS(address)));
+  gchar* text = g_inet_address_to_string(
+      g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(address)));
   std::string host(text);
   g_free(text);
   return host;
--- a/http/server_sweep.cc
+++ b/http/server_sweep.cc
@@ -33,13 +33,13 @@
                    MonoTime now) {
   const Phase phase = connection.phase();
   auto& deadline = connection.deadline();
-  const bool is_new = phase != deadline.m_phase ||
-                      connection.requests() != deadline.m_requests;
+  const bool is_new =
+      phase != deadline.m_phase || connection.requests() != deadline.m_requests;
   const size_t received =
       phase == Phase::kBody ? connection.request()->received_bytes() : 0;
   const bool has_progressed =
-      phase == Phase::kBody && received >= deadline.m_received_bytes +
-                                               options.m_min_body_progress;
+      phase == Phase::kBody &&
+      received >= deadline.m_received_bytes + options.m_min_body_progress;
   if (!is_new && !has_progressed) {
     return;
   }
--- a/link/admission.h
+++ b/link/admission.h
@@ -20,7 +20,8 @@
 // state that an entry sends with it, no starts.
 inline constexpr size_t kMaxFirstFrameBytes = size_t{256} << 10;
 // A connection that has said Hello may be closed in favor of others only while
-// it holds more than this. Frames of ordinary work are smaller, or pass at once.
+// it holds more than this. Frames of ordinary work are smaller, or pass at
+// once.
 inline constexpr size_t kMaxProtectedLinkBytes = size_t{64} << 10;
 
 // Bounds the connections that a LinkListener accepts.
@@ -36,8 +37,8 @@
   const std::shared_ptr<ClientBudget>& budget() const { return m_budget; }
   Milliseconds hello_timeout() const { return m_hello_timeout; }
 
-  // Takes in a connection without Hello. Closes the oldest one in its favor when
-  // there are too many.
+  // Takes in a connection without Hello. Closes the oldest one in its favor
+  // when there are too many.
   void AddPending(const std::shared_ptr<ClientAccount>& account,
                   CloseFunction close);
   // The connection has said Hello, or is closed.
--- a/link/session.cc
+++ b/link/session.cc
@@ -90,11 +90,11 @@
   return session;
 }
 
-std::shared_ptr<LinkSession> LinkSession::Accept(GSocketConnection* connection,
-                                                 MessageFunction on_message,
-                                                 CloseFunction on_close,
-                                                 std::shared_ptr<LinkAdmission>
-                                                     admission) {
+std::shared_ptr<LinkSession> LinkSession::Accept(
+    GSocketConnection* connection,
+    MessageFunction on_message,
+    CloseFunction on_close,
+    std::shared_ptr<LinkAdmission> admission) {
   std::shared_ptr<LinkSession> session(
       new LinkSession(std::move(on_message), std::move(on_close)));
   session->m_connection = G_SOCKET_CONNECTION(g_object_ref(connection));
--- a/link/session.h
+++ b/link/session.h
@@ -29,9 +29,9 @@
   static std::shared_ptr<LinkSession> Connect(const Address& address,
                                               MessageFunction on_message,
                                               CloseFunction on_close);
-  // Wraps an accepted connection. With an `admission` it is bounded: it must say
-  // Hello in time, and what it holds is charged. Returns a closed session if
-  // there is no room for it.
+  // Wraps an accepted connection. With an `admission` it is bounded: it must
+  // say Hello in time, and what it holds is charged. Returns a closed session
+  // if there is no room for it.
   static std::shared_ptr<LinkSession> Accept(
       GSocketConnection* connection,
       MessageFunction on_message,
--- a/net/net.h
+++ b/net/net.h
@@ -1,8 +1,8 @@
 #ifndef NET_NET_H_
 #define NET_NET_H_
 
-// Public header of the net library: sockets and deadlines on the GLib main loop,
-// and a budget for what clients hold.
+// Public header of the net library: sockets and deadlines on the GLib main
+// loop, and a budget for what clients hold.
 
 #include "net/client_budget.h"
 #include "net/loop_timer.h"
--- a/tests/http/server_limits_test.cc
+++ b/tests/http/server_limits_test.cc
@@ -55,8 +55,7 @@
       if (size > 0) {
         text.remove_prefix(static_cast<size_t>(size));
       } else {
-        is_broken = !g_error_matches(error, G_IO_ERROR,
-                                     G_IO_ERROR_WOULD_BLOCK);
+        is_broken = !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
         g_clear_error(&error);
       }
       return text.empty() || is_broken;
@@ -116,8 +115,9 @@
   }
 
   static std::string Head(const std::string& path, size_t length) {
-    return "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-           std::to_string(length) + "\r\n\r\n";
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(length) +
+           "\r\n\r\n";
   }
   static std::string ChunkedHead() {
     return "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
@@ -293,8 +293,8 @@
   many.Write("POST /echo HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n");
   EXPECT_TRUE(many.RunUntilText("HTTP/1.1 431"));
   Connection longer(m_address);
-  longer.Write("POST /echo HTTP/1.1\r\nHost: a\r\na: " + std::string(2000, 'x') +
-               "\r\n\r\n");
+  longer.Write("POST /echo HTTP/1.1\r\nHost: a\r\na: " +
+               std::string(2000, 'x') + "\r\n\r\n");
   EXPECT_TRUE(longer.RunUntilText("HTTP/1.1 431"));
   EXPECT_EQ(m_budget->count(ClientLimit::kHeadFields), 2U);
   EXPECT_TRUE(Serves());
--- a/tests/json/parse_test.cc
+++ b/tests/json/parse_test.cc
@@ -99,8 +99,8 @@
 // Text inside of strings has no shape.
 TEST(ParseJsonTest, CountsNoCommasInStrings) {
   const JsonLimits limits{.m_max_members = 1, .m_max_elements = 1};
-  EXPECT_TRUE(ParseJson(R"({"a,,,[[":"b,\",,{{"})", DuplicateKeys::kLastWins,
-                        limits));
+  EXPECT_TRUE(
+      ParseJson(R"({"a,,,[[":"b,\",,{{"})", DuplicateKeys::kLastWins, limits));
 }
 
 }  // namespace
