--- a/tests/executor/run_executor_test.cc
+++ b/tests/executor/run_executor_test.cc
@@ -1371,6 +1371,8 @@
   Connect();
   RegisterRunner();
   Start(0, 6000);
+  m_executor.OnStartRunResult(kRunnerIncarnation, Key(0), StartResult::kStarted,
+                              m_now);
   Start(1, 6000);
   ASSERT_EQ(m_starts.size(), 1U);
   m_executor.OnClosedZones({"zone"}, m_now);
