--- a/fleet/node_metrics.cc
+++ b/fleet/node_metrics.cc
@@ -30,6 +30,15 @@
   }
 }
 
+void NodeMetrics::CountRejection(int32_t priority,
+                                 std::string_view reason,
+                                 std::string_view cause) {
+  m_counters.Add("job_rejections_total{" +
+                 FormatLabel("priority", std::to_string(priority)) + "," +
+                 FormatLabel("reason", reason) + "," +
+                 FormatLabel("cause", cause) + "}");
+}
+
 void NodeMetrics::CountRun(RunOutcome outcome, Microseconds run_time) {
   m_counters.Add("runs_total{" + FormatLabel("outcome", ToString(outcome)) +
                  "}");
--- a/fleet/node_metrics.h
+++ b/fleet/node_metrics.h
@@ -24,6 +24,11 @@
                 std::string_view result,
                 Microseconds total_time,
                 Microseconds queue_time);
+  // Records that a job of a queue of this priority was rejected, and the reason
+  // and its cause, which are both part of the metric.
+  void CountRejection(int32_t priority,
+                      std::string_view reason,
+                      std::string_view cause);
   // Records that a run on this agent's runner ended.
   void CountRun(RunOutcome outcome, Microseconds run_time);
   // Records that a call to the platform's store ended.
--- a/scheduler/actions.cc
+++ b/scheduler/actions.cc
@@ -12,4 +12,18 @@
   return "";
 }
 
+std::string_view ToString(RejectionCause cause) {
+  switch (cause) {
+    case RejectionCause::kNone:
+      return "none";
+    case RejectionCause::kNoRunner:
+      return "no_runner";
+    case RejectionCause::kWorkAhead:
+      return "work_ahead";
+    case RejectionCause::kWaitedTooLong:
+      return "waited_too_long";
+  }
+  return "";
+}
+
 }  // namespace comfreyshift
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -40,8 +40,24 @@
   LinkMessage m_message;
 };
 
+// Why an entry rejects a job, in more detail than RejectionReason.
+enum class RejectionCause : uint8_t {
+  // The job was not rejected, or the process stops or stood still.
+  kNone,
+  // No agent accepts work of the job's service.
+  kNoRunner,
+  // The work that goes before the job takes too long.
+  kWorkAhead,
+  // The job has waited as long as it could.
+  kWaitedTooLong,
+};
+
+std::string_view ToString(RejectionCause cause);
+
 // State of the job and of the agents when the job ended, for the logs.
 struct JobDiagnostics {
+  int32_t m_priority = 0;
+  RejectionCause m_rejection_cause = RejectionCause::kNone;
   size_t m_tasks = 0;
   size_t m_done = 0;
   // Number of runs that agents were told to start.
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -149,6 +149,7 @@
 JobDiagnostics JobScheduler::GetDiagnostics(const Job& job,
                                             MonoTime now) const {
   JobDiagnostics trace = job.m_diagnostics;
+  trace.m_priority = job.m_queue.m_priority;
   trace.m_tasks = job.m_tasks.size();
   trace.m_done = job.m_done;
   trace.m_expected = job.m_expected;
@@ -401,7 +402,7 @@
   const double work = ExpectedWork(start.m_demand, job.m_expected);
   Backlog& backlog = m_backlogs[job.m_queue.m_service];
   backlog.m_admission.OnPlaced(work, now);
-  backlog.m_queue.OnPlaced(job.m_queue.m_priority, work);
+  backlog.m_order.OnPlaced(job.m_queue.m_priority, work);
   m_placements[task.m_run] = {*chosen, agent.m_incarnation, handle,
                               index,   agent.m_sequence,    start.m_demand};
   m_actions.push_back(SendToAgent{*chosen, std::move(start)});
@@ -435,7 +436,7 @@
   auto waiting = FindWaitingJobs();
   for (auto& [service, backlog] : m_backlogs) {
     std::vector<WaitingJob>& jobs = waiting[service];
-    backlog.m_queue.Sort(jobs, backlog.m_is_short);
+    backlog.m_order.Sort(jobs, backlog.m_is_short);
     PlaceWaitingTasks(service, jobs, now);
     RejectUnservableJobs(jobs, now);
   }
@@ -520,25 +521,30 @@
   return work;
 }
 
-bool JobScheduler::IsUnservable(const Job& job,
-                                double work_ahead,
-                                MonoTime now) const {
-  if (now >= job.m_latest_start_at) {
-    return true;
-  }
+RejectionCause JobScheduler::FindRejectionCause(const Job& job,
+                                                double work_ahead,
+                                                MonoTime now) const {
   const std::string& service = job.m_queue.m_service;
-  const bool is_starting_up =
-      now < m_created_at + kStartupTime && !m_agents.HasAcceptingAgent(service);
   const bool has_runner =
       std::ranges::any_of(m_agents.agents(), [&](const auto& item) {
         return m_agents.IsAccepting(item.second, service, now);
       });
   if (!has_runner) {
-    return !is_starting_up && now >= job.m_may_be_late_at;
+    const bool is_starting_up = now < m_created_at + kStartupTime &&
+                                !m_agents.HasAcceptingAgent(service);
+    const MonoTime wait_until =
+        is_starting_up ? job.m_latest_start_at : job.m_may_be_late_at;
+    return now >= wait_until ? RejectionCause::kNoRunner
+                             : RejectionCause::kNone;
+  }
+  if (now >= job.m_latest_start_at) {
+    return RejectionCause::kWaitedTooLong;
   }
   const auto wait =
       m_backlogs.at(service).m_admission.ExpectedWait(work_ahead, now);
-  return wait && now + *wait > job.m_latest_start_at;
+  return wait && now + *wait > job.m_latest_start_at
+             ? RejectionCause::kWorkAhead
+             : RejectionCause::kNone;
 }
 
 bool JobScheduler::PlaceLate(JobHandle handle, Job& job, MonoTime now) {
@@ -575,13 +581,17 @@
     const double work = WaitingWork(job);
     double& own = ahead_in_priority[waiting.m_priority];
     const double share =
-        m_backlogs[job.m_queue.m_service].m_queue.ShareOf(waiting.m_priority);
-    if (!job.has_started() &&
-        IsUnservable(job, std::min(ahead, own / share), now)) {
-      if (!PlaceLate(waiting.m_job, job, now)) {
-        RejectJob(waiting.m_job, now);
+        m_backlogs[job.m_queue.m_service].m_order.ShareOf(waiting.m_priority);
+    if (!job.has_started()) {
+      const RejectionCause cause =
+          FindRejectionCause(job, std::min(ahead, own / share), now);
+      if (cause != RejectionCause::kNone) {
+        if (!PlaceLate(waiting.m_job, job, now)) {
+          job.m_diagnostics.m_rejection_cause = cause;
+          RejectJob(waiting.m_job, now);
+        }
+        continue;
       }
-      continue;
     }
     ahead += work;
     own += work;
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -16,7 +16,7 @@
 #include "scheduler/agent_table.h"
 #include "scheduler/retry_advice.h"
 #include "scheduler/run_time_model.h"
-#include "scheduler/waiting_queue.h"
+#include "scheduler/waiting_job_order.h"
 
 namespace comfreyshift {
 
@@ -159,8 +159,11 @@
   // that nothing else needs. `jobs` are those of one service in the order in
   // which they are placed.
   void RejectUnservableJobs(const std::vector<WaitingJob>& jobs, MonoTime now);
-  // Whether the job cannot start in time, given the work that goes before it.
-  bool IsUnservable(const Job& job, double work_ahead, MonoTime now) const;
+  // Returns why a job cannot start in time, given the work that goes before it,
+  // or kNone.
+  RejectionCause FindRejectionCause(const Job& job,
+                                    double work_ahead,
+                                    MonoTime now) const;
   // Places all tasks of a job that has not started on runners where it misses
   // its objective and is still of use. Returns false and places none if these
   // do not have the capacity for all.
@@ -182,7 +185,7 @@
   // Jobs of one service that wait for capacity.
   struct Backlog {
     AdmissionPolicy m_admission;
-    WaitingQueue m_queue;
+    WaitingJobOrder m_order;
     // Whether tasks were left without capacity by the last pass.
     bool m_is_short = false;
   };
--- a/scheduler/waiting_queue.cc
+++ b/scheduler/waiting_job_order.cc
@@ -1,4 +1,4 @@
-#include "scheduler/waiting_queue.h"
+#include "scheduler/waiting_job_order.h"
 
 #include <algorithm>
 #include <cmath>
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-void WaitingQueue::Sort(std::vector<WaitingJob>& jobs, bool is_short) {
+void WaitingJobOrder::Sort(std::vector<WaitingJob>& jobs, bool is_short) {
   std::set<int32_t> waiting;
   for (const WaitingJob& job : jobs) {
     waiting.insert(job.m_priority);
@@ -49,14 +49,14 @@
   });
 }
 
-void WaitingQueue::OnPlaced(int32_t priority, double work) {
+void WaitingJobOrder::OnPlaced(int32_t priority, double work) {
   const auto found = m_served.find(priority);
   if (found != m_served.end()) {
     found->second += work / WeightOf(priority);
   }
 }
 
-double WaitingQueue::ShareOf(int32_t priority) const {
+double WaitingJobOrder::ShareOf(int32_t priority) const {
   double all = m_served.contains(priority) ? 0.0 : WeightOf(priority);
   for (const auto& item : m_served) {
     all += WeightOf(item.first);
--- a/scheduler/waiting_queue.h
+++ b/scheduler/waiting_job_order.h
@@ -1,5 +1,5 @@
-#ifndef SCHEDULER_WAITING_QUEUE_H_
-#define SCHEDULER_WAITING_QUEUE_H_
+#ifndef SCHEDULER_WAITING_JOB_ORDER_H_
+#define SCHEDULER_WAITING_JOB_ORDER_H_
 
 #include <cstdint>
 #include <map>
@@ -25,7 +25,7 @@
 // lower one, and the priority that is furthest behind its share goes first. A
 // priority that needs less than its share therefore never waits for lower ones,
 // and none is starved.
-class WaitingQueue {
+class WaitingJobOrder {
  public:
   // Puts the jobs into the order in which to place them. There is a shortage if
   // `is_short`; otherwise priorities do not matter. Call it for each pass, also
@@ -48,4 +48,4 @@
 
 }  // namespace comfreyshift
 
-#endif  // SCHEDULER_WAITING_QUEUE_H_
+#endif  // SCHEDULER_WAITING_JOB_ORDER_H_
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -63,6 +63,7 @@
     for (const SchedulerAction& action : m_scheduler.Tick(m_now)) {
       if (const auto* result = std::get_if<SendJobResult>(&action)) {
         m_results[result->m_job] = result->m_outcome;
+        m_diagnostics[result->m_job] = result->m_diagnostics;
         continue;
       }
       if (const auto* lost = std::get_if<RunLost>(&action)) {
@@ -122,6 +123,7 @@
   std::vector<RunLost> m_lost_runs;
   std::map<std::string, Microseconds> m_status_intervals;
   std::map<JobHandle, JobResult> m_results;
+  std::map<JobHandle, JobDiagnostics> m_diagnostics;
 };
 
 using JobSchedulerTest = Fixture;
@@ -217,6 +219,11 @@
   const JobHandle third = Submit(1);
   EXPECT_FALSE(HasResult<JobRejected>(second));
   EXPECT_TRUE(HasResult<JobRejected>(third));
+  EXPECT_EQ(ToString(m_diagnostics[third].m_rejection_cause), "work_ahead");
+  Advance(Milliseconds(100));
+  EXPECT_TRUE(HasResult<JobRejected>(second));
+  EXPECT_EQ(ToString(m_diagnostics[second].m_rejection_cause),
+            "waited_too_long");
 }
 
 // Guards against rejections while a slow runner is idle: clients still value a
@@ -294,6 +301,7 @@
   ASSERT_TRUE(HasResult<JobRejected>(job));
   EXPECT_EQ(std::get<JobRejected>(m_results[job]).m_reason,
             RejectionReason::kNoRunner);
+  EXPECT_EQ(ToString(m_diagnostics[job].m_rejection_cause), "no_runner");
 }
 
 // Guards against rejecting a job that has partly run: a rejection promises that
