--- a/tests/scheduler/waiting_job_order_test.cc
+++ b/tests/scheduler/waiting_job_order_test.cc
@@ -51,9 +51,9 @@
     order.OnPlaced(jobs[0].m_priority, 1.0);
     ++placed[jobs[0].m_priority];
   }
-  EXPECT_NEAR(placed[0], kPlacements * 16 / 21, 5);
-  EXPECT_NEAR(placed[1], kPlacements * 4 / 21, 5);
-  EXPECT_NEAR(placed[2], kPlacements * 1 / 21, 5);
+  EXPECT_NEAR(placed[0], kPlacements * 16.0 / 21.0, 5);
+  EXPECT_NEAR(placed[1], kPlacements * 4.0 / 21.0, 5);
+  EXPECT_NEAR(placed[2], kPlacements * 1.0 / 21.0, 5);
   EXPECT_NEAR(order.ShareOf(0), 16.0 / 21.0, 1e-9);
 }
 
