--- a/executor/poll_schedule.cc
+++ b/executor/poll_schedule.cc
@@ -13,10 +13,11 @@
 // A poll counts as lost if there is no response this long after its wait, or
 // later if the runner responds slowly to other requests.
 constexpr Milliseconds kPollGrace{40};
-// Wait of a poll after a recent loss of requests.
+// Wait of a poll after a recent loss of requests. A lost poll hides the ends of
+// runs until the next one.
 constexpr Milliseconds kPollWaitAfterLoss{10};
-// A poll without a response is overdue this long after its wait, and after a
-// recent loss.
+// A poll is overdue if it has no response this long after its wait; the second
+// delay is the one after a recent loss of requests.
 constexpr Milliseconds kOverdueDelay{15};
 constexpr Milliseconds kOverdueDelayAfterLoss{5};
 // Polls that may be under way at a time.
--- a/executor/request_latency.cc
+++ b/executor/request_latency.cc
@@ -11,7 +11,8 @@
 constexpr Milliseconds kMinRequestTimeout{50};
 constexpr Milliseconds kMaxRequestTimeout{400};
 constexpr int kLatencyFactor = 6;
-// Time until the first retry, at least, and when requests were lost recently.
+// Minimum time until the first retry, and the same after a recent loss of
+// requests.
 constexpr Milliseconds kMinRetryDelay{20};
 constexpr Milliseconds kMinRetryDelayAfterLoss{10};
 // The first retry follows after this many times the average latency at least.
--- a/executor/runner_health.cc
+++ b/executor/runner_health.cc
@@ -14,11 +14,12 @@
 constexpr Milliseconds kMaxPause{4000};
 // Weight of one run in the estimate. Run times of tasks vary by about half.
 constexpr double kSampleWeight = 0.05;
-// Largest factor by which a sample may differ from the estimate; more counts as
-// this much. A few runs take many times as long as expected on any runner, and
-// with their full length they would make it look slow, while a slow runner
-// delays every run.
+// Logarithm of the largest factor by which a sample may differ from the
+// estimate; more counts as this much. A few runs take many times as long as
+// expected on any runner, and with their full length they would make it look
+// slow, while a slow runner delays every run.
 const double kMaxLogDeviation = std::log(2.0);
+// Bounds of the estimate.
 constexpr double kMaxSlowness = 10.0;
 constexpr double kMinSlowness = 0.1;
 
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -59,7 +59,7 @@
   bool OnRunnerLeft(const std::string& runner_id);
   void Drain();
 
-  // Bounds the connections accepted from now on, charged to `budget`.
+  // Bounds the connections accepted from now on and charges them to `budget`.
   void SetClientBudget(std::shared_ptr<ClientBudget> budget) {
     m_link_admission = std::make_shared<LinkAdmission>(std::move(budget));
   }
--- a/fleet/node_metrics.h
+++ b/fleet/node_metrics.h
@@ -24,8 +24,8 @@
                 std::string_view result,
                 Microseconds total_time,
                 Microseconds queue_time);
-  // Records that a job of a queue of this priority was rejected, and the reason
-  // and its cause, which are both part of the metric.
+  // Records that a job was rejected. `priority` is that of its queue; `cause`
+  // is the RejectionCause behind `reason`.
   void CountRejection(int32_t priority,
                       std::string_view reason,
                       std::string_view cause);
--- a/http/refusal.cc
+++ b/http/refusal.cc
@@ -1,5 +1,7 @@
 #include "http/refusal.h"
 
+#include <string_view>
+
 namespace comfreyshift {
 
 namespace {
--- a/http/refusal.h
+++ b/http/refusal.h
@@ -4,7 +4,6 @@
 #include <gio/gio.h>
 
 #include <string>
-#include <string_view>
 
 #include "net/net.h"
 
--- a/http/route_table.h
+++ b/http/route_table.h
@@ -40,7 +40,6 @@
            Access access,
            HttpHandler handler);
   RouteMatch Find(std::string_view method, std::string_view path) const;
-  bool empty() const { return m_routes.empty(); }
 
  private:
   std::vector<Route> m_routes;
--- a/http/server.cc
+++ b/http/server.cc
@@ -119,7 +119,8 @@
     }
   }
 
-  // Ahead of new connections, which may be why others were closed.
+  // Runs before further connections are accepted, which may need the
+  // descriptors of the closed ones.
   void ReapSoon() {
     if (m_reap_source != 0) {
       g_source_remove(m_reap_source);
@@ -268,9 +269,9 @@
     if (account == nullptr) {
       return;
     }
-    const size_t before = request.m_received_bytes / kProgressBytes;
-    if (before != request.m_progress_steps) {
-      request.m_progress_steps = before;
+    const size_t steps = request.m_received_bytes / kProgressBytes;
+    if (steps != request.m_progress_steps) {
+      request.m_progress_steps = steps;
       account->SetProgress(BootClock::now());
     }
     account->Hold(request.m_head_bytes + request.m_body.capacity());
--- a/http/server_connection.cc
+++ b/http/server_connection.cc
@@ -17,8 +17,8 @@
 // through all of them.
 constexpr size_t kMaxStreamLayers = 64;
 
-// A connection without a request: its objects here and in GLib, and the
-// kernel's.
+// Charged for a connection without a request: its objects here, in GLib and in
+// the kernel.
 constexpr size_t kIdleConnectionBytes = size_t{6} * 1024;
 // What libsoup adds to serve a request, and its first read.
 constexpr size_t kServingBytes = size_t{10} * 1024;
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -25,7 +25,7 @@
   // `stream` carries the requests: `socket` itself, or TLS above it.
   // `on_request` is called when the first bytes of a request arrive,
   // `on_gone` once when the client has closed its side or the connection broke.
-  // It is charged to `budget`; see is_admitted.
+  // The connection is charged to `budget`; see is_admitted.
   ServerConnection(GSocketConnection* connection,
                    GIOStream* stream,
                    const std::shared_ptr<ClientBudget>& budget,
--- a/http/server_options.h
+++ b/http/server_options.h
@@ -46,11 +46,11 @@
   Milliseconds m_idle_timeout = kDefaultIdleTimeout;
   // From the first byte of a head to its end.
   Milliseconds m_head_timeout = kDefaultIdleTimeout;
-  // In which the next `m_min_body_progress` bytes of a body, or its rest, must
-  // arrive.
+  // Time within which the next `m_min_body_progress` bytes of a body, or its
+  // rest, must arrive.
   Milliseconds m_body_timeout = Milliseconds::max();
   size_t m_min_body_progress = 1;
-  // In which the client must take in an answer.
+  // Time within which the client must take in an answer.
   Milliseconds m_answer_timeout = Milliseconds::max();
   // How often deadlines are checked and the kernel is asked what it holds. At
   // zero, a third of the idle timeout.
--- a/json/parse.cc
+++ b/json/parse.cc
@@ -59,7 +59,7 @@
   size_t m_values = 0;
 };
 
-bool HasShape(std::string_view text, const JsonLimits& limits) {
+bool IsWithinLimits(std::string_view text, const JsonLimits& limits) {
   ShapeCheck check(limits);
   bool is_in_string = false;
   for (size_t i = 0; i < text.size(); ++i) {
@@ -107,7 +107,7 @@
 std::optional<Json> ParseJson(std::string_view text,
                               DuplicateKeys repeated_keys,
                               const JsonLimits& limits) {
-  if (!HasShape(text, limits)) {
+  if (!IsWithinLimits(text, limits)) {
     return std::nullopt;
   }
   Json json = repeated_keys == DuplicateKeys::kRejected
--- a/link/session.cc
+++ b/link/session.cc
@@ -18,7 +18,7 @@
 // would soon be disconnected for its silence anyway.
 constexpr size_t kMaxUnwrittenBytes = size_t{8} << 20;
 
-// An accepted connection without buffers.
+// Charged for an accepted connection in addition to its buffers.
 constexpr size_t kSessionBytes = size_t{8} << 10;
 
 // Buffers that large are freed when they are empty.
--- a/net/client_budget.cc
+++ b/net/client_budget.cc
@@ -25,7 +25,8 @@
 // too many, so that victims are not looked for with each new connection.
 constexpr size_t kConnectionBatchDivisor = 32;
 
-// While running requests hold more than the maximum.
+// Time between two searches for victims while running requests alone hold more
+// than the maximum.
 constexpr Milliseconds kSearchPause{20};
 
 }  // namespace
--- a/net/socket_queues.h
+++ b/net/socket_queues.h
@@ -10,8 +10,8 @@
 size_t ReceivedBytes(int socket);
 
 // Bytes received and not yet read, and bytes written and not yet acknowledged
-// by the peer. The kernel keeps them in memory that counts towards the
-// process's machine.
+// by the peer. The kernel's memory for them counts towards that of the
+// machine.
 size_t QueuedBytes(int socket);
 
 // Fixes the size of the kernel's buffers of a socket, or of those accepted from
--- a/tests/overload/overload_test.cc
+++ b/tests/overload/overload_test.cc
@@ -67,7 +67,7 @@
 constexpr size_t kAnyPiece = size_t{64} << 10;
 
 // Where a crowd connects and what it requests there.
-struct Door {
+struct Endpoint {
   const char* m_name;
   // Place in the range of test ports.
   size_t m_port_offset;
@@ -77,25 +77,26 @@
   const char* m_read;
 };
 
-constexpr Door kRoute{"Route", 0, "POST /p/00000000000000c0", "GET /p/"};
-constexpr Door kUnknownPath{"UnknownPath", 0, "POST /other/c0", "GET /other"};
-constexpr Door kReadiness{"Readiness", 1, "POST /api/readyz",
-                          "GET /api/readyz"};
-constexpr Door kControl{"Control", 2, "PUT /api/instances/c0",
-                        "DELETE /api/instances/c0"};
-constexpr Door kEntryMetrics{"EntryMetrics", 10, "POST /metrics",
-                             "GET /metrics"};
-constexpr Door kAgentMetrics{"AgentMetrics", 11, "POST /metrics",
-                             "GET /metrics"};
+constexpr Endpoint kRoute{"Route", 0, "POST /p/00000000000000c0", "GET /p/"};
+constexpr Endpoint kUnknownPath{"UnknownPath", 0, "POST /other/c0",
+                                "GET /other"};
+constexpr Endpoint kReadiness{"Readiness", 1, "POST /api/readyz",
+                              "GET /api/readyz"};
+constexpr Endpoint kControl{"Control", 2, "PUT /api/instances/c0",
+                            "DELETE /api/instances/c0"};
+constexpr Endpoint kEntryMetrics{"EntryMetrics", 10, "POST /metrics",
+                                 "GET /metrics"};
+constexpr Endpoint kAgentMetrics{"AgentMetrics", 11, "POST /metrics",
+                                 "GET /metrics"};
 // Speaks length-prefixed frames instead of HTTP.
-constexpr Door kLink{"Link", 7, "", ""};
+constexpr Endpoint kLink{"Link", 7, "", ""};
 
-std::ostream& operator<<(std::ostream& out, const Door& door) {
-  return out << door.m_name;
+std::ostream& operator<<(std::ostream& out, const Endpoint& endpoint) {
+  return out << endpoint.m_name;
 }
 
-std::string DoorName(const testing::TestParamInfo<Door>& door) {
-  return door.param.m_name;
+std::string EndpointName(const testing::TestParamInfo<Endpoint>& endpoint) {
+  return endpoint.param.m_name;
 }
 
 std::string Head(const char* request, const std::string& fields) {
@@ -103,13 +104,13 @@
          "\r\n";
 }
 
-std::string HeadWithLength(const Door& door, size_t body_bytes) {
-  return Head(door.m_write,
+std::string HeadWithLength(const Endpoint& endpoint, size_t body_bytes) {
+  return Head(endpoint.m_write,
               "Content-Length: " + std::to_string(body_bytes) + "\r\n");
 }
 
-std::string ChunkedHead(const Door& door) {
-  return Head(door.m_write, "Transfer-Encoding: chunked\r\n");
+std::string ChunkedHead(const Endpoint& endpoint) {
+  return Head(endpoint.m_write, "Transfer-Encoding: chunked\r\n");
 }
 
 // `count` chunks of `bytes` each, without the end of the body.
@@ -175,7 +176,7 @@
 }
 
 class OverloadTest : public PlatformFleet,
-                     public testing::WithParamInterface<Door> {
+                     public testing::WithParamInterface<Endpoint> {
  protected:
   std::string ExtraSettings() const override {
     return "limits.memory_mb=" + std::to_string(kMemoryMb) +
@@ -195,12 +196,13 @@
     }));
   }
 
-  // Exposes the processes to a crowd at the door, and checks what must hold.
-  void Expose(const Door& door, const CrowdPlan& plan) {
+  // Exposes the processes to a crowd at the endpoint, and checks what must
+  // hold.
+  void Expose(const Endpoint& endpoint, const CrowdPlan& plan) {
     const std::shared_ptr<PendingResponse> job = Submit(kJobRunTime);
     ASSERT_TRUE(RunUntil([&]() { return StartCount() > 0; }));
     {
-      const Crowd crowd(TestAddress(door.m_port_offset), plan);
+      const Crowd crowd(TestAddress(endpoint.m_port_offset), plan);
       ASSERT_TRUE(RunAndObserve([&]() { return crowd.HasSettled(); }));
       WaitUntilQuiet();
       EXPECT_TRUE(crowd.connected() > 0 || plan.m_clients == 0);
@@ -432,7 +434,7 @@
                       Milliseconds(100)});
 }
 
-INSTANTIATE_TEST_SUITE_P(Doors,
+INSTANTIATE_TEST_SUITE_P(Endpoints,
                          OverloadTest,
                          testing::Values(kRoute,
                                          kUnknownPath,
@@ -440,7 +442,7 @@
                                          kControl,
                                          kEntryMetrics,
                                          kAgentMetrics),
-                         &DoorName);
+                         &EndpointName);
 
 using OverloadLinkTest = OverloadTest;
 
