--- a/tests/platform/malformed_input_test.cc
+++ b/tests/platform/malformed_input_test.cc
@@ -214,9 +214,13 @@
   EXPECT_EQ(StartCount(), 20U);
   EXPECT_EQ(CountEvents(*m_agents[0], "heartbeat_rejected"), 2U);
   RunFor(Milliseconds(1000));  // Two heartbeats of the runner.
+  const size_t connections = CountEvents(*m_entry, "agent_connected");
   StartAgent(0);
-  ASSERT_TRUE(RunUntil(
-      [this]() { return CountEvents(*m_agents[0], "runner_accepting") > 0; }));
+  // The entry could place the whole job on the other agent before it connects.
+  ASSERT_TRUE(RunUntil([&]() {
+    return CountEvents(*m_agents[0], "runner_accepting") > 0 &&
+           CountEvents(*m_entry, "agent_connected") > connections;
+  }));
   const uint64_t earlier_starts = m_runners[0]->runner().starts();
   EXPECT_EQ(WaitForResponse(SubmitJob(20))->m_status, 200);
   EXPECT_GT(m_runners[0]->runner().starts(), earlier_starts);
