Agents read the closed zones themselves and log what starts rest on

Cause, as far as shown: an agent learned of a closing only from entries. Logs could not tell on which state a start was decided.

Each StartRun carries the revision and age of the entry's state; agents log runs_started with both sides' revisions and ages, and keep them as metrics.

--- a/executor/actions.h
+++ b/executor/actions.h
@@ -27,6 +27,9 @@
   MonoTime m_give_up_at;
   // Number of earlier requests for this run, which got no response.
   uint32_t m_retries = 0;
+  // The entry that placed the run, and what it knew then.
+  std::string m_entry;
+  OperatorKnowledge m_decided_on;
 };
 
 // Stops a run. Its result goes to OnStopRunResult.
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -591,10 +591,10 @@
   run.m_retry_at = now + m_request_latency.RetryDelay(
                              run.m_start_retries, m_request_loss.IsRecent(now));
   const RunnerTime lease_until = m_poll_schedule.GrantLease(now);
-  m_actions.push_back(
-      StartRequest{m_runner->m_process_incarnation, found->first,
-                   run.m_start.m_payload, m_token, lease_until,
-                   now + m_request_latency.Timeout(), run.m_start_retries});
+  m_actions.push_back(StartRequest{
+      m_runner->m_process_incarnation, found->first, run.m_start.m_payload,
+      m_token, lease_until, now + m_request_latency.Timeout(),
+      run.m_start_retries, run.m_entry.m_name, run.m_start.m_decided_on});
 }
 
 void RunExecutor::SendStops(MonoTime now) {
--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -15,6 +15,9 @@
 // (kEntryHeartbeatTimeout), whether or not its connection is open.
 constexpr Milliseconds kIdleCheckInterval{100};
 constexpr Milliseconds kMaxTickInterval{1000};
+// Entries that read the same change of the store tell this agent of it within
+// this time. Only to the others a message is sent.
+constexpr Milliseconds kOwnReadAnnouncementDelay{100};
 
 }  // namespace
 
@@ -25,6 +28,7 @@
     : m_executor(std::move(self), token),
       m_runner_api(std::move(runner_api)),
       m_metrics(metrics),
+      m_start_log(metrics),
       m_ticker([this](MonoTime now) { return Tick(now); }) {
   WatchConnections();
 }
@@ -69,10 +73,12 @@
   for (const ExecutorAction& action : m_executor.Tick(now)) {
     Perform(action);
   }
-  SendOperatorState();
+  SendOperatorState(now);
   LinkSession::FlushAll();
   LogAcceptingChange(now);
-  return std::min(m_executor.NextDeadline(now), now + kMaxTickInterval);
+  m_start_log.FlushIfDue(now);
+  return std::min({m_executor.NextDeadline(now), m_operator_state_due_at,
+                   now + kMaxTickInterval});
 }
 
 void AgentNode::LogAcceptingChange(MonoTime now) {
@@ -99,6 +105,7 @@
   m_metrics.Set("runner_free_cpu_millis",
                 static_cast<double>(m_executor.FreeCapacity().m_cpu_millis));
   m_metrics.Set("entries_connected", static_cast<double>(m_sessions.size()));
+  m_metrics.SetOperatorKnowledge(KnowledgeAt(BootClock::now()));
 }
 
 void AgentNode::RecordReport(const ProcessId& entry,
@@ -160,7 +167,7 @@
   }
   known = session;
   m_operator_state_peers[hello.m_entry] = OperatorStatePeer(hello.m_version);
-  m_is_operator_state_due = true;
+  m_operator_state_due_at = MonoTime();
   LogEvent(LogLevel::kInfo, "fleet", "entry_connected",
            {{"entry", hello.m_entry.m_name},
             {"incarnation", hello.m_entry.m_incarnation}});
@@ -182,7 +189,7 @@
   }
   const MonoTime now = BootClock::now();
   if (const auto* start = std::get_if<StartRun>(&message)) {
-    m_executor.OnStartRun(*entry, *start, now);
+    OnStartRun(*entry, *start, now);
   } else if (const auto* stop = std::get_if<StopRun>(&message)) {
     m_executor.OnStopRun(*entry, *stop, now);
   } else if (const auto* heartbeat = std::get_if<EntryHeartbeat>(&message)) {
@@ -218,26 +225,55 @@
       });
 }
 
+void AgentNode::OnStartRun(const ProcessId& entry,
+                           const StartRun& start,
+                           MonoTime now) {
+  const auto& runner = m_executor.runner();
+  if (runner && operator_state().m_closed_zones.contains(runner->m_zone)) {
+    m_metrics.Count("starts_refused_in_closed_zone_total");
+  }
+  m_executor.OnStartRun(entry, start, now);
+}
+
+void AgentNode::SetOperatorState(const OperatorState& state) {
+  const bool has_changed =
+      state.m_closed_zones != operator_state().m_closed_zones;
+  if (!m_operator_state.Replace(state) || !has_changed) {
+    return;
+  }
+  const MonoTime now = BootClock::now();
+  m_operator_state_due_at =
+      std::min(m_operator_state_due_at, now + kOwnReadAnnouncementDelay);
+  m_executor.OnClosedZones(state.m_closed_zones, now);
+  LogEvent(LogLevel::kInfo, "fleet", "operator_state_read",
+           {{"revision", state.m_revision},
+            {"closed_zones", JoinZones(state.m_closed_zones)}});
+  m_ticker.Wake();
+}
+
 void AgentNode::OnOperatorState(const ProcessId& entry,
                                 const OperatorState& state) {
   m_operator_state_peers[entry].OnReceived(state.m_revision);
-  if (state.m_revision <= m_operator_state.m_revision) {
-    m_is_operator_state_due |= state.m_revision < m_operator_state.m_revision;
+  if (state.m_revision <= operator_state().m_revision) {
+    if (state.m_revision < operator_state().m_revision) {
+      m_operator_state_due_at = MonoTime();
+    }
     return;
   }
-  m_operator_state = state;
-  m_is_operator_state_due = true;
+  m_operator_state.Replace(state);
+  m_operator_state_due_at = MonoTime();
   m_executor.OnClosedZones(state.m_closed_zones, BootClock::now());
   LogOperatorStateReceived("entry", entry.m_name, state);
 }
 
-void AgentNode::SendOperatorState() {
-  if (!std::exchange(m_is_operator_state_due, false)) {
+void AgentNode::SendOperatorState(MonoTime now) {
+  if (now < m_operator_state_due_at) {
     return;
   }
+  m_operator_state_due_at = MonoTime::max();
   for (auto& [entry, peer] : m_operator_state_peers) {
-    if (peer.TakeDue(m_operator_state.m_revision)) {
-      m_sessions.at(entry)->Send(m_operator_state);
+    if (peer.TakeDue(operator_state().m_revision)) {
+      m_sessions.at(entry)->Send(operator_state());
     }
   }
 }
@@ -293,6 +329,8 @@
   if (request.m_retries > 0) {
     m_metrics.Count("start_retries_total");
   }
+  const MonoTime now = BootClock::now();
+  m_start_log.Add(request, m_executor.runner()->m_zone, KnowledgeAt(now), now);
   m_runner_api.m_start(request, [this, alive = m_is_alive,
                                  incarnation = request.m_process_incarnation,
                                  run = request.m_run](StartResult result) {
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -10,8 +10,10 @@
 
 #include "core/core.h"
 #include "executor/executor.h"
+#include "fleet/known_operator_state.h"
 #include "fleet/node_metrics.h"
 #include "fleet/operator_state_peer.h"
+#include "fleet/start_log.h"
 #include "fleet/store_relay.h"
 #include "fleet/ticker.h"
 #include "link/link.h"
@@ -73,9 +75,18 @@
   // they are answered as failed.
   void SetStoreRead(StoreReadFunction read) { m_store_read = std::move(read); }
 
-  // The newest operator state that an entry has sent; of revision 0 before the
-  // first.
-  const OperatorState& operator_state() const { return m_operator_state; }
+  // Sets the operator's state as read from the store. Has no effect if an entry
+  // has sent newer state.
+  void SetOperatorState(const OperatorState& state);
+  // The store has answered a read of the closed zones.
+  void ConfirmOperatorState(MonoTime now) { m_operator_state.Confirm(now); }
+  // The newest operator state that is known; of revision 0 before the first.
+  const OperatorState& operator_state() const {
+    return m_operator_state.state();
+  }
+  OperatorKnowledge KnowledgeAt(MonoTime now) const {
+    return m_operator_state.At(now);
+  }
   bool has_runs() const { return m_executor.has_runs(); }
   // Updates the metrics of the runner and the connections.
   void UpdateMetrics();
@@ -90,8 +101,9 @@
   void OnHello(const SessionPointer& session, const Hello& hello);
   void OnRelayRead(const SessionPointer& session, const RelayRead& read);
   void OnOperatorState(const ProcessId& entry, const OperatorState& state);
+  void OnStartRun(const ProcessId& entry, const StartRun& start, MonoTime now);
   // Sends the operator's state to the entries that have an older one.
-  void SendOperatorState();
+  void SendOperatorState(MonoTime now);
   void OnClosed(const SessionPointer& session);
   // Returns the entry at the other end of `session`, or null if its Hello has
   // not arrived.
@@ -123,11 +135,13 @@
   bool m_was_accepting = false;
   // Connections whose Hello has arrived.
   std::map<ProcessId, SessionPointer> m_sessions;
-  OperatorState m_operator_state;
+  KnownOperatorState m_operator_state;
   // Entries of m_sessions.
   std::map<ProcessId, OperatorStatePeer> m_operator_state_peers;
-  // Whether an entry may have older state than this process.
-  bool m_is_operator_state_due = false;
+  // When entries that may have older state than this process are sent its own;
+  // MonoTime::max() if there are none.
+  MonoTime m_operator_state_due_at = MonoTime::max();
+  StartLog m_start_log;
   // Set to false by the destructor, so that callbacks invoked later do nothing.
   std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
   Ticker m_ticker;
--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -64,13 +64,13 @@
 }
 
 void EntryNode::SetOperatorState(const OperatorState& state) {
-  if (state.m_revision >= m_operator_state.m_revision) {
-    ApplyOperatorState(state);
-  }
+  ApplyOperatorState(state);
 }
 
 void EntryNode::ApplyOperatorState(const OperatorState& state) {
-  m_operator_state = state;
+  if (!m_operator_state.Replace(state)) {
+    return;
+  }
   m_is_operator_state_due = true;
   m_scheduler.OnClosedZones(state.m_closed_zones);
   m_ticker.Wake();
@@ -248,7 +248,7 @@
   if (const auto found = m_peers.find(name); found != m_peers.end()) {
     found->second.m_operator_state.OnReceived(state.m_revision);
   }
-  if (state.m_revision <= m_operator_state.m_revision) {
+  if (state.m_revision <= operator_state().m_revision) {
     return;
   }
   LogOperatorStateReceived("agent", name, state);
@@ -263,8 +263,8 @@
     return;
   }
   for (auto& [name, peer] : m_peers) {
-    if (peer.m_operator_state.TakeDue(m_operator_state.m_revision)) {
-      peer.m_session->Send(m_operator_state);
+    if (peer.m_operator_state.TakeDue(operator_state().m_revision)) {
+      peer.m_session->Send(operator_state());
     }
   }
 }
@@ -309,7 +309,11 @@
   if (const auto* send = std::get_if<SendToAgent>(&action)) {
     const auto found = m_peers.find(send->m_agent);
     if (found != m_peers.end() && found->second.m_session) {
-      found->second.m_session->Send(send->m_message);
+      LinkMessage message = send->m_message;
+      if (auto* start = std::get_if<StartRun>(&message)) {
+        start->m_decided_on = KnowledgeAt(BootClock::now());
+      }
+      found->second.m_session->Send(std::move(message));
     }
     return;
   }
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "core/core.h"
+#include "fleet/known_operator_state.h"
 #include "fleet/operator_state_peer.h"
 #include "fleet/store_relay.h"
 #include "fleet/ticker.h"
@@ -40,7 +41,14 @@
   void SetNewerStateFunction(std::function<void(uint64_t revision)> function) {
     m_on_newer_state = std::move(function);
   }
-  const OperatorState& operator_state() const { return m_operator_state; }
+  // The store has answered a read of the operator's items.
+  void ConfirmOperatorState(MonoTime now) { m_operator_state.Confirm(now); }
+  const OperatorState& operator_state() const {
+    return m_operator_state.state();
+  }
+  OperatorKnowledge KnowledgeAt(MonoTime now) const {
+    return m_operator_state.At(now);
+  }
   // Sets the ratio of a task's run time away from its data to that near it.
   void SetRemoteFactor(double factor) { m_scheduler.SetRemoteFactor(factor); }
 
@@ -106,7 +114,7 @@
   MonoTime m_next_check_at;
   std::map<JobHandle, ResultFunction> m_result_callbacks;
   StoreRelay m_relay;
-  OperatorState m_operator_state;
+  KnownOperatorState m_operator_state;
   std::function<void(uint64_t revision)> m_on_newer_state;
   // Whether an agent may have older state than this process.
   bool m_is_operator_state_due = false;
--- a/fleet/node_metrics.cc
+++ b/fleet/node_metrics.cc
@@ -48,6 +48,25 @@
   }
 }
 
+void NodeMetrics::SetOperatorKnowledge(const OperatorKnowledge& knowledge) {
+  m_counters.Set("operator_revision",
+                 static_cast<double>(knowledge.m_revision));
+  if (knowledge.m_age) {
+    m_counters.Set("operator_state_age_seconds", Seconds(*knowledge.m_age));
+  }
+}
+
+void NodeMetrics::RecordStateAge(std::string_view at,
+                                 std::optional<Microseconds> age) {
+  if (age) {
+    m_histograms["start_state_age_seconds{" + FormatLabel("at", at)].Record(
+        *age);
+  } else {
+    m_counters.Add("starts_on_unconfirmed_state_total{" +
+                   FormatLabel("at", at) + "}");
+  }
+}
+
 void NodeMetrics::CountStoreCall(std::string_view kind,
                                  std::string_view result) {
   m_counters.Add("store_calls_total{" + FormatLabel("kind", kind) + "," +
--- a/fleet/node_metrics.h
+++ b/fleet/node_metrics.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "core/core.h"
 #include "jobs/jobs.h"
+#include "link/link.h"
 
 namespace comfreyshift {
 
@@ -31,6 +33,11 @@
                       std::string_view cause);
   // Records that a run on this agent's runner ended.
   void CountRun(RunOutcome outcome, Microseconds run_time);
+  // Sets the revision and the age of the operator's state at this process.
+  void SetOperatorKnowledge(const OperatorKnowledge& knowledge);
+  // Records how old the operator's state was at the process `at` when a run was
+  // started. An empty `age` means that the store has never confirmed it.
+  void RecordStateAge(std::string_view at, std::optional<Microseconds> age);
   // Records that a call to the platform's store ended.
   void CountStoreCall(std::string_view kind, std::string_view result);
 
--- a/link/codec.cc
+++ b/link/codec.cc
@@ -32,6 +32,8 @@
 constexpr int64_t kMaxResource = 1'000'000'000'000'000;
 constexpr double kMaxSlowness = 1e6;
 constexpr Microseconds kMaxRunTime{1'000'000'000'000'000'000};
+// Stands for the age of a state that the store has never confirmed.
+constexpr Microseconds kNeverConfirmed{-1};
 // Agents' clocks count from the start of their machine.
 constexpr MonoTime kMaxAgentClock{std::chrono::hours(1'000'000)};
 
@@ -139,6 +141,9 @@
     wire.setAbandonInUs((start.m_abandon_at - m_now).count());
     wire.setQueueForUs((start.m_queue_until - m_now).count());
     wire.setAgentClockUs(ToWire(start.m_agent_clock));
+    wire.setOperatorRevision(start.m_decided_on.m_revision);
+    wire.setOperatorStateAgeUs(
+        start.m_decided_on.m_age.value_or(kNeverConfirmed).count());
   }
 
   void operator()(const StopRun& stop) {
@@ -215,6 +220,11 @@
   start.m_abandon_at = ReadDeadline(wire.getAbandonInUs(), now);
   start.m_queue_until = ReadDeadline(wire.getQueueForUs(), now);
   start.m_agent_clock = ReadAgentClock(wire.getAgentClockUs());
+  start.m_decided_on.m_revision = wire.getOperatorRevision();
+  const Microseconds age(wire.getOperatorStateAgeUs());
+  if (age >= Microseconds(0)) {
+    start.m_decided_on.m_age = std::min(age, kMaxRunTime);
+  }
   return start;
 }
 
--- a/link/link.capnp
+++ b/link/link.capnp
@@ -69,6 +69,10 @@
   abandonInUs @7 :Int64;
   queueForUs @8 :Int64;
   agentClockUs @9 :Int64;
+  # What the entry knew of the operator's state when it placed the run. The age
+  # is the time since its last response from the store; -1: it has had none.
+  operatorRevision @10 :UInt64;
+  operatorStateAgeUs @11 :Int64;
 }
 
 struct StopRun {
--- a/link/link.capnp.h
+++ b/link/link.capnp.h
@@ -162,7 +162,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cc68dc7b67616281, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cc68dc7b67616281, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1021,6 +1021,10 @@
 
   inline  ::int64_t getAgentClockUs() const;
 
+  inline  ::uint64_t getOperatorRevision() const;
+
+  inline  ::int64_t getOperatorStateAgeUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1095,6 +1099,12 @@
   inline  ::int64_t getAgentClockUs();
   inline void setAgentClockUs( ::int64_t value);
 
+  inline  ::uint64_t getOperatorRevision();
+  inline void setOperatorRevision( ::uint64_t value);
+
+  inline  ::int64_t getOperatorStateAgeUs();
+  inline void setOperatorStateAgeUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2810,6 +2820,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StartRun::Reader::getOperatorRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StartRun::Builder::getOperatorRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void StartRun::Builder::setOperatorRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StartRun::Reader::getOperatorStateAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StartRun::Builder::getOperatorStateAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void StartRun::Builder::setOperatorStateAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StopRun::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/link/messages.h
+++ b/link/messages.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,6 +43,17 @@
   Microseconds m_status_interval{0};
 };
 
+// What a process knows of the operator's state when it makes a decision.
+struct OperatorKnowledge {
+  // The revision of the newest state that it has; 0: none.
+  uint64_t m_revision = 0;
+  // Time since the store has last confirmed the copy of this process, directly
+  // or through another process; empty before the first time.
+  std::optional<Microseconds> m_age;
+
+  bool operator==(const OperatorKnowledge&) const = default;
+};
+
 // Entry to agent: start a run. Idempotent for the same run. It also acts as a
 // heartbeat of the entry, like EntryHeartbeat. The agent rejects it if that
 // heartbeat has already timed out: a message delayed by the network or by a
@@ -64,6 +76,8 @@
   // become deadlines on the receiver's clock.
   MonoTime m_abandon_at;
   MonoTime m_queue_until;
+  // What the entry knew when it sent this message. For logs and metrics only.
+  OperatorKnowledge m_decided_on;
 };
 
 // Entry to agent: cancel a run. The agent sends a RunReport once the run has
--- a/tests/fleet/operator_state_test.cc
+++ b/tests/fleet/operator_state_test.cc
@@ -135,5 +135,32 @@
   EXPECT_FALSE(older.TakeDue(7));
 }
 
+// Guards against an entry that is cut off from the store and learns of a
+// closing late although one of its agents has read it.
+TEST_F(OperatorStateTest, AgentPassesOnWhatItHasRead) {
+  StartAgent();
+  const auto cut_off = StartEntry("cut-off");
+  ASSERT_TRUE(RunUntil([&]() { return cut_off->connected_agents() == 1; }));
+  m_agent->SetOperatorState({10, {kZone}});
+  EXPECT_TRUE(RunUntil([&]() {
+    return cut_off->operator_state() == OperatorState{10, {kZone}};
+  }));
+}
+
+// Guards against a zone that an agent opens on the word of an entry that has
+// missed its second closing, and on an older read of its own.
+TEST_F(OperatorStateTest, OlderStateOpensNoZoneThatTheAgentHasReadAsClosed) {
+  StartAgent();
+  m_agent->SetOperatorState({10, {kZone}});
+  m_agent->SetOperatorState({20, {kZone}});
+  const auto outdated = StartEntry("outdated");
+  outdated->SetOperatorState({15, {}});
+  EXPECT_TRUE(RunUntil([&]() {
+    return outdated->operator_state() == OperatorState{20, {kZone}};
+  }));
+  m_agent->SetOperatorState({15, {}});
+  EXPECT_EQ(m_agent->operator_state(), (OperatorState{20, {kZone}}));
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/link/codec_test.cc
+++ b/tests/link/codec_test.cc
@@ -23,6 +23,7 @@
   start.m_abandon_at = kNow + Milliseconds(1500);
   start.m_queue_until = kNow + Milliseconds(60);
   start.m_agent_clock = kNow - Milliseconds(30);
+  start.m_decided_on = {17, Milliseconds(250)};
   return start;
 }
 
@@ -50,6 +51,7 @@
   EXPECT_EQ(start.m_queue_until, received_at + Milliseconds(60));
   // The agent's own clock value is returned to it unchanged.
   EXPECT_EQ(start.m_agent_clock, kNow - Milliseconds(30));
+  EXPECT_EQ(start.m_decided_on, MakeStartRun().m_decided_on);
 }
 
 // Guards against a shifted clock value in a heartbeat: the agent compares it
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -162,6 +163,50 @@
   }));
 }
 
+// Guards against agents that start tasks in a closed zone because no entry has
+// told them of the closing (review/6).
+TEST_F(PlatformProcessesTest, AgentsReadClosedZonesWithoutAnyEntry) {
+  ConfigureAndWaitUntilReady();
+  m_entry.reset();
+  const auto all_have_logged = [this](const char* event, size_t count) {
+    return RunUntil([&]() {
+      return CountEvents(*m_agents[0], event) == count &&
+             CountEvents(*m_agents[1], event) == count;
+    });
+  };
+  m_store.Put("op/evacuate/zone", "{}");
+  EXPECT_TRUE(all_have_logged("runner_not_accepting", 1));
+  m_store.Remove("op/evacuate/zone");
+  EXPECT_TRUE(all_have_logged("runner_accepting", 2));
+}
+
+// Guards against logs that do not tell on which operator state a run was
+// started, at the entry and at the agent.
+TEST_F(PlatformProcessesTest, EveryStartIsLoggedWithTheStatesItWasDecidedOn) {
+  ConfigureAndWaitUntilReady();
+  const auto job = SubmitJob(4);
+  ASSERT_TRUE(RunUntil([&]() { return job->m_has_arrived; }));
+  uint64_t logged = 0;
+  EXPECT_TRUE(RunUntil([&]() {
+    logged = 0;
+    for (const auto& agent : m_agents) {
+      std::istringstream lines(agent->Log());
+      for (std::string line; std::getline(lines, line);) {
+        const Json event = Json::parse(line, nullptr, false);
+        if (event.is_object() && event["event"] == "runs_started") {
+          logged += event["starts"].get<uint64_t>();
+          EXPECT_GT(event["entry_revision"], 0U);
+          EXPECT_GE(event["entry_age_us"], 0);
+          EXPECT_GT(event["agent_revision"], 0U);
+          EXPECT_GE(event["agent_age_us"], 0);
+        }
+      }
+    }
+    return logged >= StartCount();
+  }));
+  EXPECT_EQ(logged, StartCount());
+}
+
 // SIGHUP asks for a reload of the settings file. Guards against its default
 // action, which ends the process and with it every job in progress.
 TEST_F(PlatformProcessesTest, ReloadInterruptsNoJobs) {
