Acknowledge a runner's heartbeat only if its state is taken over

Cause: only the fields that decisions read were checked; sequence numbers were compared across writers of one service; every heartbeat was answered 200.

Change: all fields of the protocol are checked.

--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -70,6 +70,14 @@
   return is_newest;
 }
 
+bool RunExecutor::HasTakenOver(const RunnerHeartbeat& heartbeat) const {
+  const bool is_known_incarnation =
+      m_runner &&
+      m_runner->m_process_incarnation == heartbeat.m_process_incarnation;
+  return is_known_incarnation ? m_description.Includes(heartbeat)
+                              : m_unverified_heartbeats.Includes(heartbeat);
+}
+
 void RunExecutor::ApplyDescription() {
   if (!m_description.is_empty()) {
     m_runner = m_description.Current();
@@ -524,7 +532,8 @@
 }
 
 bool RunExecutor::is_accepting(MonoTime now) const {
-  return m_runner && !m_description.is_empty() && !m_has_runner_left &&
+  return m_runner && !m_description.is_empty() &&
+         !m_description.is_disputed() && !m_has_runner_left &&
          !m_runner->m_is_draining && !m_is_draining && m_is_reconciled &&
          !m_closed_zones.contains(m_runner->m_zone) && m_health.IsUsable(now) &&
          m_poll_schedule.IsReachable(now) && !IsStopOverdue(now);
--- a/executor/run_executor.h
+++ b/executor/run_executor.h
@@ -44,6 +44,9 @@
   // incarnation. One of another incarnation takes effect only after the runner
   // itself has answered a poll as that incarnation.
   bool OnHeartbeat(const RunnerHeartbeat& runner_heartbeat, MonoTime now);
+  // Whether what is known, or held until it is verified, says what `heartbeat`
+  // says. Only then may the heartbeat be acknowledged.
+  bool HasTakenOver(const RunnerHeartbeat& heartbeat) const;
   // The runner says that it leaves for good. Its runs are stopped; they are
   // reported once its answers or its leases show that they have ended. Returns
   // whether no runner remains for new runs.
--- a/executor/unverified_heartbeats.cc
+++ b/executor/unverified_heartbeats.cc
@@ -26,6 +26,12 @@
   held->second.m_description.Add(heartbeat, now);
 }
 
+bool UnverifiedHeartbeats::Includes(const RunnerHeartbeat& heartbeat) const {
+  const auto held = m_entries.find(heartbeat.m_process_incarnation);
+  return held != m_entries.end() &&
+         held->second.m_description.Includes(heartbeat);
+}
+
 std::optional<RunnerDescription> UnverifiedHeartbeats::Take(
     const RunnerIncarnation& incarnation) {
   auto taken = m_entries.extract(incarnation);
--- a/executor/unverified_heartbeats.h
+++ b/executor/unverified_heartbeats.h
@@ -23,6 +23,8 @@
   bool Contains(const RunnerIncarnation& incarnation) const {
     return m_entries.contains(incarnation);
   }
+  // Whether what is held says what `heartbeat` says.
+  bool Includes(const RunnerHeartbeat& heartbeat) const;
   // Removes and returns what the heartbeats of an incarnation say, if any are
   // held.
   std::optional<RunnerDescription> Take(const RunnerIncarnation& incarnation);
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -57,6 +57,10 @@
   // Handles a heartbeat. Returns false if it is out of date, or not verified
   // yet to be the runner's.
   bool OnHeartbeat(const RunnerHeartbeat& report);
+  // Whether the state that `heartbeat` reports has been taken over.
+  bool HasTakenOver(const RunnerHeartbeat& heartbeat) const {
+    return m_executor.HasTakenOver(heartbeat);
+  }
   // Returns whether no runner remains.
   bool OnRunnerLeft(const std::string& runner_id);
   void Drain();
--- a/tests/executor/runner_description_test.cc
+++ b/tests/executor/runner_description_test.cc
@@ -89,5 +89,43 @@
   EXPECT_EQ(description.Current().m_service, "own");
 }
 
+// Guards against a high sequence number of another writer that makes the
+// runner's own draining look old (review/15).
+TEST(RunnerDescriptionTest, HighForeignSequenceNumberHidesNoDraining) {
+  RunnerDescription description;
+  description.Add(Heartbeat("own", 1), kStart);
+  description.Add(Heartbeat("own", UINT64_MAX), kStart);
+  EXPECT_TRUE(description.Add(Heartbeat("own", 2, /*is_draining=*/true),
+                              kStart + kInterval));
+  EXPECT_TRUE(description.Current().m_is_draining);
+  EXPECT_TRUE(description.Includes(Heartbeat("own", 2, /*is_draining=*/true)));
+  EXPECT_FALSE(description.Includes(Heartbeat("own", 3)));
+}
+
+// Guards against another writer's zone, capacity or labels in the place of the
+// runner's, and against a start on either while it is not known whose are.
+TEST(RunnerDescriptionTest, ForeignPlacementReplacesNothing) {
+  RunnerHeartbeat larger = Heartbeat("own", 1000);
+  larger.m_capacity = {99'000, 99'000, 0};
+  RunnerHeartbeat elsewhere = Heartbeat("own", 1000);
+  elsewhere.m_zone = "elsewhere";
+  RunnerHeartbeat relabelled = Heartbeat("own", 1000);
+  relabelled.m_labels = {"b"};
+  for (const RunnerHeartbeat& foreign : {larger, elsewhere, relabelled}) {
+    RunnerDescription description;
+    description.Add(foreign, kStart);
+    EXPECT_FALSE(description.is_disputed());
+    EXPECT_FALSE(description.Add(Heartbeat("own", 1), kStart));
+    EXPECT_TRUE(description.is_disputed());
+    EXPECT_FALSE(description.Includes(Heartbeat("own", 1)));
+    description.Add(Heartbeat("own", 2), kStart + kInterval);
+    description.Add(Heartbeat("own", 3), kStart + 2 * kInterval);
+    EXPECT_FALSE(description.is_disputed());
+    EXPECT_FALSE(description.Add(foreign, kStart + 2 * kInterval));
+    EXPECT_FALSE(description.is_disputed());
+    EXPECT_TRUE(description.Includes(Heartbeat("own", 3)));
+  }
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/platform/malformed_input_test.cc
+++ b/tests/platform/malformed_input_test.cc
@@ -45,6 +45,9 @@
   return Json{{"service", "service"},
               {"address", TestAddress(15).ToString()},
               {"zone", "zone"},
+              {"version", "v1"},
+              {"slots", 8},
+              {"cold_left_ms", 0},
               {"state", state},
               {"capacity", {{"cpu", 10'000}, {"mem_mb", 4096}, {"gpu", 0}}},
               {"labels", {"a", "r1"}},
@@ -63,6 +66,8 @@
           ReplaceFirst(valid, ":" + port, ":77200"),
           ReplaceFirst(valid, "\"ready\"", "\"\xff\xfe\""),
           ReplaceFirst(valid, "\"zone\":", "\"zone_name\":"),
+          ReplaceFirst(valid, "\"slots\":8", "\"slots\":\"eight\""),
+          ReplaceFirst(valid, "\"version\":", "\"build\":"),
           ReplaceFirst(valid, "\"labels\":[\"a\",\"r1\"]", "\"labels\":\"a\"")};
 }
 
--- a/tests/platform/runner_wire_test.cc
+++ b/tests/platform/runner_wire_test.cc
@@ -47,6 +47,28 @@
   EXPECT_FALSE(DecodeHeartbeat("i-1", "[]"));
 }
 
+// Guards against taking a heartbeat of another writer for the runner's because
+// only fields that no decision reads are wrong (review/15).
+TEST(RunnerWireTest, RejectsHeartbeatsWithWrongFieldsThatNoDecisionReads) {
+  for (const char* field : {"version", "slots", "cold_left_ms", "clock_ms"}) {
+    Json json = Json::parse(kHeartbeat);
+    json.erase(field);
+    EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field;
+    for (const Json& value :
+         {Json::array({8}), Json::object(), Json(nullptr), Json(true)}) {
+      json[field] = value;
+      EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field << value;
+    }
+  }
+  for (const char* field : {"slots", "cold_left_ms", "clock_ms"}) {
+    for (const Json& value : {Json("eight"), Json(-1)}) {
+      Json json = Json::parse(kHeartbeat);
+      json[field] = value;
+      EXPECT_FALSE(DecodeHeartbeat("i-1", json.dump())) << field << value;
+    }
+  }
+}
+
 // Guards against a heartbeat of another writer that leaves out a part of a
 // field: the runner would count as one without memory or without a label.
 TEST(RunnerWireTest, RejectsHeartbeatsWithIncompleteCapacityOrLabels) {
