Take only what a stopping entry can answer before its end

Cause: requests were taken for a fixed span of 4 s and broken off 0.4 s before the kill, whatever their deadline, estimate and bounds.grace_s.

Change: a pure function decides from deadline, estimate and the time of the end; others get 503 at once, also those that wait. At the end all jobs are answered, 504 if they may have run.

--- a/fleet/entry_node.cc
+++ b/fleet/entry_node.cc
@@ -92,8 +92,14 @@
   m_ticker.Wake();
 }
 
-void EntryNode::Drain() {
-  m_scheduler.Drain();
+void EntryNode::Drain(MonoTime ends_at) {
+  m_scheduler.Drain(ends_at);
+  m_ticker.Wake();
+}
+
+void EntryNode::EndAllJobs() {
+  m_scheduler.EndAllJobs(BootClock::now());
+  m_ticker.Wake();
 }
 
 size_t EntryNode::ReadThroughAgents(const std::string& request,
--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -58,7 +58,10 @@
                    const QueueConfig& queue,
                    ResultFunction on_result);
   void Cancel(JobHandle job);
-  void Drain();
+  // Rejects, from now on, the jobs that cannot be answered by `ends_at`.
+  void Drain(MonoTime ends_at);
+  // Answers all jobs at once, because the process ends.
+  void EndAllJobs();
 
   // Reads from the store through up to two randomly chosen agents, for an entry
   // whose requests the store rejects or does not answer. See
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -83,6 +83,10 @@
       std::min(static_cast<double>(time.count()) * factor, kMaxScaledUs)));
 }
 
+JobRejected RejectionByStop(MonoTime now) {
+  return {RejectionReason::kStopping, now + kRetryElsewhereAfter};
+}
+
 }  // namespace
 
 JobScheduler::JobScheduler(uint64_t first_run_number,
@@ -120,10 +124,8 @@
       job.m_may_be_late_at, job.m_due_at - Scale(job.m_expected, job.m_margin));
   job.m_useful_until = std::min(now + Scale(objective, kUsefulObjectives),
                                 job.m_request.m_give_up_at);
-  if (m_is_draining) {
-    EndJob(handle,
-           JobRejected{RejectionReason::kStopping, now + kRetryElsewhereAfter},
-           now);
+  if (!CanBeAnsweredHere(job, now)) {
+    EndJob(handle, RejectionByStop(now), now);
   }
   return handle;
 }
@@ -135,8 +137,46 @@
   }
 }
 
-void JobScheduler::Drain() {
-  m_is_draining = true;
+void JobScheduler::Drain(MonoTime ends_at) {
+  m_ends_at = ends_at;
+}
+
+void JobScheduler::EndAllJobs(MonoTime now) {
+  while (!m_jobs.empty()) {
+    AbandonJob(m_jobs.begin()->first, RejectionByStop(now), now);
+  }
+}
+
+bool JobScheduler::CanBeAnsweredHere(const Job& job, MonoTime now) const {
+  return m_ends_at == MonoTime::max() ||
+         CanBeAnswered(
+             {job.m_request.m_give_up_at, job.m_expected, job.m_margin},
+             m_ends_at, now);
+}
+
+void JobScheduler::RejectJobsThatOutliveThisProcess(MonoTime now) {
+  if (m_ends_at == MonoTime::max()) {
+    return;
+  }
+  std::vector<JobHandle> rejected;
+  for (const auto& [handle, job] : m_jobs) {
+    if (!job.has_started() && !CanBeAnsweredHere(job, now)) {
+      rejected.push_back(handle);
+    }
+  }
+  for (const JobHandle handle : rejected) {
+    EndJob(handle, RejectionByStop(now), now);
+  }
+}
+
+void JobScheduler::AbandonJob(JobHandle handle,
+                              const JobRejected& rejection,
+                              MonoTime now) {
+  if (m_jobs.at(handle).has_started()) {
+    EndJob(handle, JobLost{}, now);
+  } else {
+    EndJob(handle, rejection, now);
+  }
 }
 
 void JobScheduler::EndJob(JobHandle handle, JobResult outcome, MonoTime now) {
@@ -659,15 +699,11 @@
     }
   }
   for (const JobHandle handle : ended) {
-    const Job& job = m_jobs.at(handle);
-    if (job.has_started()) {
-      EndJob(handle, JobLost{}, now);
-      continue;
-    }
-    EndJob(handle,
-           JobRejected{RejectionReason::kOverloaded,
-                       m_retry_advice[job.m_queue.m_service].OnRejection(now)},
-           now);
+    const std::string& service = m_jobs.at(handle).m_queue.m_service;
+    AbandonJob(handle,
+               JobRejected{RejectionReason::kOverloaded,
+                           m_retry_advice[service].OnRejection(now)},
+               now);
   }
 }
 
@@ -731,6 +767,7 @@
   EndJobsAfterFreeze(now);
   m_last_tick = now;
   EndExpiredJobs(now);
+  RejectJobsThatOutliveThisProcess(now);
   EndRunsOfLostAgents(now);
   PlaceWaitingTasks(now);
   SendEntryHeartbeats(now);
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -16,6 +16,7 @@
 #include "scheduler/agent_table.h"
 #include "scheduler/retry_advice.h"
 #include "scheduler/run_time_model.h"
+#include "scheduler/stop_policy.h"
 #include "scheduler/waiting_job_order.h"
 
 namespace comfreyshift {
@@ -34,8 +35,11 @@
   JobHandle Submit(JobRequest request, const QueueConfig& queue, MonoTime now);
   // Stops all runs of a job whose client has disconnected.
   void Cancel(JobHandle job, MonoTime now);
-  // Rejects new jobs from now on, because the process is stopping.
-  void Drain();
+  // Rejects, from now on, the jobs that cannot be answered before the process
+  // ends at `ends_at`, also those that wait and have not started.
+  void Drain(MonoTime ends_at);
+  // Ends all jobs: those that have not started are rejected, the others lost.
+  void EndAllJobs(MonoTime now);
 
   void OnAgentConnected(const std::string& name,
                         const ProcessId& agent,
@@ -177,6 +181,12 @@
   void RejectJob(JobHandle handle, MonoTime now);
   static double WaitingWork(const Job& job);
   void EndExpiredJobs(MonoTime now);
+  // Whether the job is answered before this process ends.
+  bool CanBeAnsweredHere(const Job& job, MonoTime now) const;
+  // While stopping: rejects the jobs whose time to start has passed.
+  void RejectJobsThatOutliveThisProcess(MonoTime now);
+  // Ends a job without its result.
+  void AbandonJob(JobHandle handle, const JobRejected& rejection, MonoTime now);
   void EndJobsAfterFreeze(MonoTime now);
   void SendEntryHeartbeats(MonoTime now);
   // Returns how often the agent is to send its status.
@@ -206,7 +216,8 @@
   uint64_t m_first_run_number;
   MonoTime m_created_at;
   uint64_t m_last_run_number = 0;
-  bool m_is_draining = false;
+  // When this process ends; MonoTime::max() while it is not stopping.
+  MonoTime m_ends_at = MonoTime::max();
   std::optional<MonoTime> m_last_tick;
   MonoTime m_next_heartbeats_at;
   // When runs of lost agents are checked for next; at once after a change of an
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -255,6 +255,47 @@
   EXPECT_EQ(m_entry->exit_status(), 0);
 }
 
+// An entry that is killed one second after SIGTERM, with runners that take far
+// longer than clients say.
+class ShortStopTest : public PlatformFleet {
+ protected:
+  ShortStopTest() : PlatformFleet(Milliseconds(2500)) {}
+  std::string ExtraSettings() const override { return "bounds.grace_s=1\n"; }
+
+  std::shared_ptr<PendingResponse> SubmitWithEstimate(const std::string& id,
+                                                      Milliseconds estimate) {
+    return Send("POST", "/p/" + id, JobText(1, estimate),
+                {{"Deadline-Remaining", "6000"}});
+  }
+};
+
+// Guards against requests whose connection ends without an answer because the
+// entry takes what it cannot end before it is killed (review/14).
+TEST_F(ShortStopTest, EveryRequestIsAnsweredBeforeTheEnd) {
+  ConfigureAndWaitUntilReady();
+  const auto earlier =
+      SubmitWithEstimate("00000000000000aa", Milliseconds(2500));
+  RunFor(Milliseconds(100));
+  m_entry->Signal(SIGTERM);
+  RunFor(Milliseconds(50));
+  const auto too_long =
+      SubmitWithEstimate("00000000000000ab", Milliseconds(2500));
+  const auto underestimated =
+      SubmitWithEstimate("00000000000000ac", Milliseconds(50));
+  ASSERT_TRUE(
+      RunUntil([&]() { return too_long->m_has_arrived; }, Milliseconds(300)));
+  EXPECT_EQ(too_long->m_status, 503);
+  EXPECT_TRUE(too_long->m_headers.contains("retry-after"));
+  ASSERT_TRUE(
+      RunUntil([this]() { return m_entry->HasExited(); }, Milliseconds(1000)));
+  EXPECT_EQ(m_entry->exit_status(), 0);
+  ASSERT_TRUE(RunUntil([&]() {
+    return earlier->m_has_arrived && underestimated->m_has_arrived;
+  }));
+  EXPECT_EQ(earlier->m_status, 504);
+  EXPECT_EQ(underestimated->m_status, 504);
+}
+
 // Guards against a stopping agent that ends before its runs: their tasks would
 // run a second time.
 TEST_F(PlatformProcessesTest, StoppingAgentFinishesItsRuns) {
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -566,12 +566,50 @@
 // could take their jobs.
 TEST_F(JobSchedulerTest, DrainingEntryRejectsJobsAtOnce) {
   AddAgent("a", 1.0);
-  m_scheduler.Drain();
+  m_scheduler.Drain(m_now);
   const JobHandle job = Submit(1);
   ASSERT_TRUE(HasResult<JobRejected>(job));
   EXPECT_EQ(std::get<JobRejected>(m_results[job]).m_reason,
             RejectionReason::kStopping);
 }
 
+// Guards against a stopping entry that takes a job and exits before it can
+// answer it (review/14). Submit's jobs have clients that wait for 3 s.
+TEST_F(JobSchedulerTest, DrainingEntryTakesOnlyJobsThatItCanAnswer) {
+  AddAgent("a", 1.0, 100'000);
+  m_scheduler.Drain(m_now + Milliseconds(2000));
+  EXPECT_TRUE(HasResult<JobRejected>(Submit(1, Milliseconds(1500))));
+  EXPECT_FALSE(m_results.contains(Submit(1, Milliseconds(100))));
+  m_scheduler.Drain(m_now + Milliseconds(3000));
+  EXPECT_FALSE(m_results.contains(Submit(1, Milliseconds(2900))));
+}
+
+// Guards against a job that waits at a stopping entry until it is too late to
+// run it there or elsewhere.
+TEST_F(JobSchedulerTest, DrainingEntryRejectsAWaitingJobInTime) {
+  AddAgent("a", 1.0, 1000);
+  Submit(1, Milliseconds(900));
+  m_scheduler.Drain(m_now + Milliseconds(1600));
+  const JobHandle waiting = Submit(1, Milliseconds(1000));
+  EXPECT_FALSE(m_results.contains(waiting));
+  Advance(Milliseconds(150));
+  ASSERT_TRUE(HasResult<JobRejected>(waiting));
+  EXPECT_EQ(std::get<JobRejected>(m_results[waiting]).m_reason,
+            RejectionReason::kStopping);
+}
+
+// Guards against connections that break without an answer when the process
+// ends, and against "not run" for a job that may have run.
+TEST_F(JobSchedulerTest, JobsInProgressAreAnsweredWhenTheProcessEnds) {
+  AddAgent("a", 1.0, 1000);
+  const JobHandle started = Submit(1);
+  const JobHandle waiting = Submit(1);
+  m_scheduler.EndAllJobs(m_now);
+  Tick();
+  EXPECT_TRUE(HasResult<JobLost>(started));
+  EXPECT_TRUE(HasResult<JobRejected>(waiting));
+  EXPECT_EQ(m_scheduler.job_count(), 0U);
+}
+
 }  // namespace
 }  // namespace comfreyshift
