Tell entries of an agent's own reads only when zones changed

Cause: an agent's listing at its start has a higher revision than the entries' listings, so that it sent them its state on connect; each then read the store once more. ClosedZonesOfAPeerAreInForceEverywhere counts such messages and failed once in three runs of platform_tests.

Change: a read that shows the same zones raises the revision of the agent's state, not the one that is shared; an entry with other zones and an older revision still gets it.

--- a/fleet/agent_node.cc
+++ b/fleet/agent_node.cc
@@ -241,6 +241,7 @@
   if (!m_operator_state.Replace(state) || !has_changed) {
     return;
   }
+  m_shared_revision = state.m_revision;
   const MonoTime now = BootClock::now();
   m_operator_state_due_at =
       std::min(m_operator_state_due_at, now + kOwnReadAnnouncementDelay);
@@ -255,12 +256,14 @@
                                 const OperatorState& state) {
   m_operator_state_peers[entry].OnReceived(state.m_revision);
   if (state.m_revision <= operator_state().m_revision) {
-    if (state.m_revision < operator_state().m_revision) {
-      m_operator_state_due_at = MonoTime();
+    if (state.m_closed_zones != operator_state().m_closed_zones) {
+      m_shared_revision = operator_state().m_revision;
     }
+    m_operator_state_due_at = MonoTime();
     return;
   }
   m_operator_state.Replace(state);
+  m_shared_revision = state.m_revision;
   m_operator_state_due_at = MonoTime();
   m_executor.OnClosedZones(state.m_closed_zones, BootClock::now());
   LogOperatorStateReceived("entry", entry.m_name, state);
@@ -272,7 +275,7 @@
   }
   m_operator_state_due_at = MonoTime::max();
   for (auto& [entry, peer] : m_operator_state_peers) {
-    if (peer.TakeDue(operator_state().m_revision)) {
+    if (peer.TakeDue(m_shared_revision)) {
       m_sessions.at(entry)->Send(operator_state());
     }
   }
--- a/fleet/agent_node.h
+++ b/fleet/agent_node.h
@@ -140,6 +140,9 @@
   // Connections whose Hello has arrived.
   std::map<ProcessId, SessionPointer> m_sessions;
   KnownOperatorState m_operator_state;
+  // Revision of the newest state that entries may not have. Reads that show no
+  // change do not raise it.
+  uint64_t m_shared_revision = 0;
   // Entries of m_sessions.
   std::map<ProcessId, OperatorStatePeer> m_operator_state_peers;
   // When entries that may have older state than this process are sent its own;
