Hold the text of a job once, and bound frames and runs

Cause: no limit for task_spec, a copy of the text in each StartRun, one batch for all messages of a tick, no bound on the runs in flight.

Change: 400 above the protocol's 4,000 bytes; the tasks of a job share the text; a batch ends at 1 MiB; an agent keeps at most 2,048 runs and sends at most 64 start requests at a time.

--- a/executor/actions.h
+++ b/executor/actions.h
@@ -20,7 +20,7 @@
 struct StartRequest {
   RunnerIncarnation m_process_incarnation;
   RunKey m_run;
-  std::string m_payload;
+  SharedText m_payload;
   uint64_t m_fencing_token = 0;
   RunnerTime m_lease_until{0};
   // A response after this time counts as none.
--- a/executor/run_executor.cc
+++ b/executor/run_executor.cc
@@ -24,6 +24,12 @@
 // and with each of them a single long run would make its runner look slow.
 constexpr int64_t kProgressSampleFactor = 2;
 
+// Start requests that wait for a response at a time. More would only wait for
+// one of the connections to the runner, where their order is fixed.
+constexpr size_t kMaxStartsInFlight = 64;
+// Runs that an agent keeps at a time, of all entries.
+constexpr size_t kMaxRuns = 2048;
+
 // Whether `heartbeat` is not newer than `known`, by incarnation and sequence
 // number.
 bool IsOutdated(const RunnerHeartbeat& heartbeat,
@@ -210,7 +216,8 @@
   if (!is_new) {
     return;
   }
-  const bool is_possible = is_entry_alive && m_runner && is_accepting(now) &&
+  const bool is_possible = m_runs.size() <= kMaxRuns && is_entry_alive &&
+                           m_runner && is_accepting(now) &&
                            start.m_service == m_runner->m_service &&
                            start.m_demand.Fits(m_runner->m_capacity);
   if (!is_possible) {
@@ -552,13 +559,14 @@
 }
 
 void RunExecutor::StopExpiredRuns(MonoTime now) {
+  const bool is_accepting_now = is_accepting(now);
   for (auto found = m_runs.begin(); found != m_runs.end();) {
     const auto next = std::next(found);
     RunTable::Run& run = found->second;
     if (run.m_start.m_abandon_at <= now) {
       run.Abandon(now + kStopGrace, now);
     }
-    const bool can_start = is_accepting(now) &&
+    const bool can_start = is_accepting_now &&
                            run.m_start.m_queue_until > now &&
                            run.m_start.m_abandon_at > now;
     if (run.m_state == RunTable::State::kWaiting && !can_start) {
@@ -574,17 +582,20 @@
   }
   Resources available = m_runs.UnreservedCapacity(m_runner->m_capacity);
   size_t reservations = m_runs.CountReservations();
+  size_t starts_in_flight = m_runs.CountStarting();
   for (const RunTable::Iterator& found : m_runs.WaitingByPriority()) {
     RunTable::Run& run = found->second;
     if (m_runs.HasOtherRun(found)) {
       continue;
     }
-    if (!run.m_start.m_demand.Fits(available) ||
+    if (starts_in_flight >= kMaxStartsInFlight ||
+        !run.m_start.m_demand.Fits(available) ||
         (m_health.is_on_probation() && reservations > 0)) {
       break;
     }
     available -= run.m_start.m_demand;
     ++reservations;
+    ++starts_in_flight;
     run.SetState(RunTable::State::kStarting, now);
     run.m_fencing_token = m_token;
     run.m_retry_until = now + m_request_latency.Timeout();
--- a/executor/run_table.cc
+++ b/executor/run_table.cc
@@ -56,6 +56,13 @@
       m_runs, [](const auto& item) { return item.second.HoldsReservation(); }));
 }
 
+size_t RunTable::CountStarting() const {
+  return static_cast<size_t>(
+      std::ranges::count_if(m_runs, [](const auto& item) {
+        return item.second.m_state == State::kStarting;
+      }));
+}
+
 std::vector<RunTable::Iterator> RunTable::WaitingByPriority() {
   std::vector<Iterator> waiting;
   for (auto found = m_runs.begin(); found != m_runs.end(); ++found) {
--- a/executor/run_table.h
+++ b/executor/run_table.h
@@ -81,6 +81,9 @@
   Iterator end() { return m_runs.end(); }
   bool Contains(const RunKey& key) const { return m_runs.contains(key); }
   bool is_empty() const { return m_runs.empty(); }
+  size_t size() const { return m_runs.size(); }
+  // Returns the number of runs whose start has been requested and not answered.
+  size_t CountStarting() const;
 
   // Returns what is left of `capacity` after all runs, including those that
   // wait.
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "jobs/shared_text.h"
 
 namespace comfreyshift {
 
@@ -46,12 +47,14 @@
 struct JobRequest {
   // Chosen by the client; the same for a job that is sent again.
   std::string m_id;
+  // Where the client connects from; clients of one address count as one.
+  std::string m_client;
   // The request's id in the client's own logs; empty if it sent none.
   std::string m_trace_id;
   // Name of the queue.
   std::string m_queue;
   // Passed to the runner unchanged and uninterpreted.
-  std::string m_payload;
+  SharedText m_payload;
   std::vector<Step> m_steps;
   // When the client stops waiting.
   MonoTime m_give_up_at;
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -9,5 +9,6 @@
 #include "jobs/leases.h"
 #include "jobs/run.h"
 #include "jobs/runner.h"
+#include "jobs/shared_text.h"
 
 #endif  // JOBS_JOBS_H_
--- a/link/codec.cc
+++ b/link/codec.cc
@@ -134,7 +134,7 @@
     Write(wire.initRun(), start.m_run);
     wire.setSequence(start.m_sequence);
     wire.setService(Text(start.m_service));
-    wire.setPayload(Text(start.m_payload));
+    wire.setPayload(Text(start.m_payload.str()));
     Write(wire.initDemand(), start.m_demand);
     wire.setExpectedUs(start.m_expected.count());
     wire.setUrgency(start.m_queue_priority);
@@ -208,6 +208,19 @@
   MonoTime m_now;
 };
 
+// Returns a size that the encoded message seldom exceeds. Its short texts are
+// names.
+size_t EncodedSizeBound(const LinkMessage& message) {
+  constexpr size_t kFixedBytes = 1024;
+  if (const auto* start = std::get_if<StartRun>(&message)) {
+    return kFixedBytes + start->m_payload.str().size();
+  }
+  if (const auto* answer = std::get_if<RelayAnswer>(&message)) {
+    return kFixedBytes + answer->m_body.size();
+  }
+  return kFixedBytes;
+}
+
 StartRun ReadStartRun(link_wire::StartRun::Reader wire, MonoTime now) {
   StartRun start;
   start.m_run = Read(wire.getRun());
@@ -329,6 +342,19 @@
 
 }  // namespace
 
+size_t CountForBatch(std::span<const LinkMessage> messages) {
+  size_t bytes = 0;
+  size_t count = 0;
+  for (const LinkMessage& message : messages) {
+    bytes += EncodedSizeBound(message);
+    if (count > 0 && bytes > kMaxBatchBytes) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
 void EncodeBatch(std::span<const LinkMessage> messages,
                  MonoTime now,
                  std::string& output) {
--- a/link/codec.h
+++ b/link/codec.h
@@ -15,6 +15,13 @@
 // configuration.
 inline constexpr size_t kMaxFrameBytes = size_t{4} << 20;
 
+// Messages are put into one frame up to about this size.
+inline constexpr size_t kMaxBatchBytes = size_t{1} << 20;
+
+// Returns how many of the first messages go into one frame: all, or as many as
+// keep it within kMaxBatchBytes; at least one.
+size_t CountForBatch(std::span<const LinkMessage> messages);
+
 // Appends one frame with all messages to `output`. Deadlines are encoded as the
 // time remaining from `now`.
 void EncodeBatch(std::span<const LinkMessage> messages,
--- a/link/messages.h
+++ b/link/messages.h
@@ -65,7 +65,7 @@
   // Increases with each StartRun on a connection; see RunnerStatus.
   uint64_t m_sequence = 0;
   std::string m_service;
-  std::string m_payload;
+  SharedText m_payload;
   Resources m_demand;
   // Expected run time on a runner of typical speed.
   Microseconds m_expected{0};
--- a/link/session.cc
+++ b/link/session.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <span>
 #include <utility>
 
 #include "link/codec.h"
@@ -185,10 +186,7 @@
   if (!is_open()) {
     return;
   }
-  if (!m_queued_messages.empty()) {
-    EncodeBatch(m_queued_messages, BootClock::now(), m_output);
-    m_queued_messages.clear();
-  }
+  EncodeQueuedMessages();
   if (m_output.size() - m_output_offset > kMaxUnwrittenBytes ||
       !WriteOutput()) {
     CloseAndNotify();
@@ -199,6 +197,16 @@
   }
 }
 
+void LinkSession::EncodeQueuedMessages() {
+  std::span<const LinkMessage> remaining(m_queued_messages);
+  while (!remaining.empty()) {
+    const size_t count = CountForBatch(remaining);
+    EncodeBatch(remaining.first(count), BootClock::now(), m_output);
+    remaining = remaining.subspan(count);
+  }
+  m_queued_messages.clear();
+}
+
 bool LinkSession::WriteOutput() {
   if (m_is_connecting) {
     return true;
--- a/link/session.h
+++ b/link/session.h
@@ -65,6 +65,7 @@
   void SetWaitingToWrite(bool is_waiting);
   void Flush();
   bool ReadInput();
+  void EncodeQueuedMessages();
   bool WriteOutput();
   void CloseAndNotify();
   void OnReady();
--- a/tests/link/codec_test.cc
+++ b/tests/link/codec_test.cc
@@ -229,5 +229,30 @@
   EXPECT_TRUE(decoded.empty());
 }
 
+// Guards against a frame that the peer refuses as too large, and that would be
+// sent again as a whole after each reconnection (review/11).
+TEST(LinkCodecTest, BatchesStayBelowTheLargestFrame) {
+  StartRun start = MakeStartRun();
+  start.m_payload = std::string(4000, 'x');
+  const std::vector<LinkMessage> messages(3000, start);
+  std::span<const LinkMessage> remaining(messages);
+  size_t decoded = 0;
+  while (!remaining.empty()) {
+    const size_t count = CountForBatch(remaining);
+    ASSERT_GT(count, 0U);
+    std::string frame;
+    EncodeBatch(remaining.first(count), kNow, frame);
+    EXPECT_LT(frame.size(), kMaxFrameBytes);
+    std::vector<LinkMessage> received;
+    EXPECT_FALSE(DecodeBatches(frame, kNow, received));
+    decoded += received.size();
+    remaining = remaining.subspan(count);
+  }
+  EXPECT_EQ(decoded, messages.size());
+  const std::vector<LinkMessage> large{
+      RelayAnswer{1, true, 200, std::string(2 * kMaxBatchBytes, 'x')}};
+  EXPECT_EQ(CountForBatch(large), 1U);
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tests/platform/job_wire_test.cc
+++ b/tests/platform/job_wire_test.cc
@@ -168,5 +168,18 @@
   EXPECT_TRUE(DecodeJob(json.dump()));
 }
 
+// Guards against a text far beyond the protocol's limit, which each of 4,096
+// tasks carries (review/11).
+TEST(JobWireTest, TextAboveTheLimitIsMalformed) {
+  const auto body = [](size_t bytes) {
+    return R"({"task_spec":")" + std::string(bytes, 'x') +
+           R"(","best_effort":true,"steps":[{"count":1,"cpu":1}]})";
+  };
+  EXPECT_TRUE(DecodeJob(body(4000)));
+  const auto job = DecodeJob(body(4001));
+  ASSERT_FALSE(job);
+  EXPECT_FALSE(job.error().m_is_unsupported);
+}
+
 }  // namespace
 }  // namespace comfreyshift::platform
