Refuse jobs that never fit, and bound a scheduler's tick

Cause: CouldEverRun was asked only for the reason of a later refusal; each waiting task was an object of 100 bytes; the free capacity of an agent was summed up over its pending starts for each placement; a tick placed without bound; wide jobs took all that agents accept.

Change: jobs are compared with the known runners by capacity, label and number of tasks, and refused at once. JobTasks holds only started tasks. Waiting jobs are bounded, in all and for one client. Pending demand is kept as a sum, a tick is bounded, jobs take turns, wide ones come last and use a part of each agent.

--- a/fleet/entry_node.h
+++ b/fleet/entry_node.h
@@ -52,6 +52,9 @@
   // Sets the ratio of a task's run time away from its data to that near it.
   void SetRemoteFactor(double factor) { m_scheduler.SetRemoteFactor(factor); }
 
+  // Sets the bounds of what jobs hold. There are none before.
+  void SetJobLimits(const JobLimits& limits) { m_scheduler.SetLimits(limits); }
+
   // Submits a job. `on_result` is called once, from the main loop, unless the
   // job is cancelled.
   JobHandle Submit(JobRequest request,
--- a/http/request.cc
+++ b/http/request.cc
@@ -27,6 +27,10 @@
   Close();
 }
 
+std::string HttpRequest::remote_host() const {
+  return m_account == nullptr ? "" : m_account->address();
+}
+
 std::optional<std::string> HttpRequest::Header(const std::string& name) const {
   if (m_message == nullptr) {
     return std::nullopt;
--- a/http/request.h
+++ b/http/request.h
@@ -45,6 +45,9 @@
   // Frees the body; the request is not handed to a handler.
   void Abandon();
 
+  // The IP number that the request came from; empty if it is not known.
+  std::string remote_host() const;
+
   // The client whose token was used; empty for other kinds of access.
   const std::string& client() const { return m_client; }
 
--- a/scheduler/actions.cc
+++ b/scheduler/actions.cc
@@ -22,6 +22,12 @@
       return "work_ahead";
     case RejectionCause::kWaitedTooLong:
       return "waited_too_long";
+    case RejectionCause::kFitsNoRunner:
+      return "fits_no_runner";
+    case RejectionCause::kTooManyTasks:
+      return "too_many_tasks";
+    case RejectionCause::kTooManyJobs:
+      return "too_many_jobs";
   }
   return "";
 }
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -50,6 +50,12 @@
   kWorkAhead,
   // The job has waited as long as it could.
   kWaitedTooLong,
+  // No known runner is large enough for a task, or has its label.
+  kFitsNoRunner,
+  // All known runners together cannot run its tasks before its client gives up.
+  kTooManyTasks,
+  // Too many jobs wait, of all clients or of this one.
+  kTooManyJobs,
 };
 
 std::string_view ToString(RejectionCause cause);
--- a/scheduler/agent_table.cc
+++ b/scheduler/agent_table.cc
@@ -24,6 +24,17 @@
 // longer receive heartbeats, and would then stop what it is told to start.
 constexpr Milliseconds kMaxAgentSilence{350};
 
+// Runs that one entry may have at an agent at a time; far more than the tasks
+// that any runner works on. It bounds the messages and texts that wait for an
+// agent.
+constexpr size_t kMaxRunsPerAgent = 256;
+// The same for the runs of wide jobs. A runner starts a bounded number of tasks
+// a second, however small they are, and other jobs need it too.
+constexpr size_t kMaxWideRunsPerAgent = 16;
+
+// A demand of nothing fits without end.
+constexpr size_t kMaxPlacesPerRunner = 1'000'000;
+
 // Number of runners compared for a task. More candidates give better choices,
 // but entries choose the same runner more often.
 constexpr size_t kCandidates = 3;
@@ -34,6 +45,21 @@
 constexpr Milliseconds kRackWatchTime{1000};
 constexpr size_t kMaxWatchedRacks = 4;
 
+// Returns how often `demand` fits into `capacity`.
+size_t CountFitting(const Resources& demand, const Resources& capacity) {
+  if (!demand.Fits(capacity)) {
+    return 0;
+  }
+  const auto times = [](int64_t needed, int64_t available) {
+    return needed <= 0 ? INT64_MAX : available / needed;
+  };
+  return static_cast<size_t>(
+      std::min({times(demand.m_cpu_millis, capacity.m_cpu_millis),
+                times(demand.m_memory_mb, capacity.m_memory_mb),
+                times(demand.m_gpus, capacity.m_gpus),
+                static_cast<int64_t>(kMaxPlacesPerRunner)}));
+}
+
 }  // namespace
 
 double AgentTable::LocalityFactor(
@@ -80,12 +106,38 @@
   agent.m_status = status;
   agent.m_released_demand = {};
   agent.m_agent_clock = std::max(agent.m_agent_clock, status.m_agent_clock);
-  agent.m_pending_demand.erase(
-      agent.m_pending_demand.begin(),
-      agent.m_pending_demand.upper_bound(status.m_sequence));
+  while (!agent.m_pending_demand.empty() &&
+         agent.m_pending_demand.begin()->first <= status.m_sequence) {
+    RemovePending(agent, agent.m_pending_demand.begin()->first);
+  }
+  if (!status.m_service.empty()) {
+    agent.m_last_runner = status;
+  }
   m_is_median_outdated = true;
 }
 
+void AgentTable::AddPending(AgentView& agent,
+                            uint64_t sequence,
+                            const Resources& demand) {
+  agent.m_pending_demand[sequence] = demand;
+  agent.m_total_pending_demand += demand;
+}
+
+bool AgentTable::RemovePending(AgentView& agent, uint64_t sequence) {
+  const auto found = agent.m_pending_demand.find(sequence);
+  if (found == agent.m_pending_demand.end()) {
+    return false;
+  }
+  agent.m_total_pending_demand -= found->second;
+  agent.m_pending_demand.erase(found);
+  return true;
+}
+
+void AgentTable::ClearPending(AgentView& agent) {
+  agent.m_pending_demand.clear();
+  agent.m_total_pending_demand = {};
+}
+
 void AgentTable::ClearOrphans(MonoTime heard_before) {
   for (auto& [name, agent] : m_agents) {
     if (agent.m_status && agent.m_status->m_is_accepting &&
@@ -120,9 +172,7 @@
 Resources AgentTable::FreeCapacity(const AgentView& agent) {
   Resources available = agent.m_status ? agent.m_status->m_free : Resources{};
   available += agent.m_released_demand;
-  for (const auto& [sequence, demand] : agent.m_pending_demand) {
-    available -= demand;
-  }
+  available -= agent.m_total_pending_demand;
   return available;
 }
 
@@ -139,7 +189,10 @@
 bool AgentTable::IsUsable(const AgentView& agent,
                           const PlacementRequirements& requirements,
                           MonoTime now) const {
-  return IsAccepting(agent, requirements.m_service, now) &&
+  return agent.m_unreported_runs < kMaxRunsPerAgent &&
+         (!requirements.m_is_wide ||
+          agent.m_wide_runs < kMaxWideRunsPerAgent) &&
+         IsAccepting(agent, requirements.m_service, now) &&
          HasLabel(*agent.m_status, requirements.m_required_label);
 }
 
@@ -199,6 +252,7 @@
   size_t candidates = 0;
   const size_t first = m_random() % m_order.size();
   for (size_t i = 0; i < m_order.size(); ++i) {
+    ++m_visits;
     const auto& agent = *m_order[(first + i) % m_order.size()];
     if (!IsUsable(agent.second, requirements, now) ||
         (only_local &&
@@ -276,6 +330,7 @@
     if (places >= limit) {
       break;
     }
+    ++m_visits;
     if (!IsUsable(agent->second, requirements, now) ||
         now + SafeRunTime(agent->second, requirements) >
             requirements.m_useful_until) {
@@ -298,13 +353,34 @@
   });
 }
 
-bool AgentTable::CouldEverRun(const PlacementRequirements& requirements) const {
-  return std::ranges::any_of(m_agents, [&](const auto& item) {
-    const auto& status = item.second.m_status;
-    return status && status->m_service == requirements.m_service &&
-           requirements.m_demand.Fits(status->m_capacity) &&
-           HasLabel(*status, requirements.m_required_label);
-  });
+size_t AgentTable::CountPossiblePlaces(
+    const PlacementRequirements& requirements,
+    size_t limit) const {
+  size_t places = 0;
+  for (const auto& [name, agent] : m_agents) {
+    if (places >= limit) {
+      break;
+    }
+    ++m_visits;
+    const auto& runner = agent.m_last_runner;
+    if (runner && runner->m_service == requirements.m_service &&
+        HasLabel(*runner, requirements.m_required_label)) {
+      places += CountFitting(requirements.m_demand, runner->m_capacity);
+    }
+  }
+  return std::min(places, limit);
+}
+
+bool AgentTable::KnowsRunners(const std::string& service) const {
+  bool has_service = false;
+  for (const auto& [name, agent] : m_agents) {
+    if (agent.m_is_connected && !agent.m_last_runner) {
+      return false;
+    }
+    has_service |=
+        agent.m_last_runner && agent.m_last_runner->m_service == service;
+  }
+  return has_service;
 }
 
 }  // namespace comfreyshift
--- a/scheduler/agent_table.h
+++ b/scheduler/agent_table.h
@@ -25,11 +25,15 @@
   MonoTime m_agent_clock;
   // The newest status received on the current connection.
   std::optional<RunnerStatus> m_status;
+  // The newest status of a runner, also of an earlier connection or runner.
+  std::optional<RunnerStatus> m_last_runner;
   // Sequence number of the last StartRun sent on this connection.
   uint64_t m_sequence = 0;
   // Demand of the StartRun messages that no status accounts for yet, by their
   // sequence number.
   std::map<uint64_t, Resources> m_pending_demand;
+  // Their sum.
+  Resources m_total_pending_demand;
   // Runs of an earlier incarnation may still have an unknown outcome.
   bool m_has_orphans = false;
   // When the last message of an earlier incarnation arrived.
@@ -42,8 +46,10 @@
   MonoTime m_heartbeat_sent_at;
   // Status interval that the last heartbeat asked for; 0 before the first.
   Microseconds m_requested_interval{0};
-  // Number of runs it was told to start and has not reported as ended.
+  // Number of runs it was told to start and has not reported as ended, and how
+  // many of them are of wide jobs.
   size_t m_unreported_runs = 0;
+  size_t m_wide_runs = 0;
 
   // Whether the agent has to keep this entry informed, so that its silence
   // shows a lost connection early.
@@ -67,6 +73,9 @@
   // Runners on which the task would miss the objective may be chosen if it ends
   // by this time; MonoTime() if none may.
   MonoTime m_useful_until;
+  // Whether the task is of a job with very many tasks, which may use only a
+  // part of what an agent takes at a time.
+  bool m_is_wide = false;
   // Agent of the task's last run that was not done; chosen only if no other
   // agent can take the task. Empty for none.
   std::string m_avoided_agent;
@@ -110,6 +119,14 @@
     agent.m_released_demand += demand;
   }
 
+  // Changes the demand of the StartRun messages that no status accounts for.
+  static void AddPending(AgentView& agent,
+                         uint64_t sequence,
+                         const Resources& demand);
+  // Returns false if the newest status accounts for it already.
+  static bool RemovePending(AgentView& agent, uint64_t sequence);
+  static void ClearPending(AgentView& agent);
+
   // Returns the free capacity of the newest status, corrected by the runs sent
   // and ended since.
   static Resources FreeCapacity(const AgentView& agent);
@@ -150,8 +167,17 @@
   // Whether any agent has said that it accepts work, whatever its zone.
   bool HasAcceptingAgent(const std::string& service) const;
 
-  // Whether any known runner could run such a task if it had no other work.
-  bool CouldEverRun(const PlacementRequirements& requirements) const;
+  // Returns how many such tasks the known runners could run at a time if they
+  // had no other work, at most `limit`.
+  size_t CountPossiblePlaces(const PlacementRequirements& requirements,
+                             size_t limit) const;
+  // Whether every connected agent has described its runner, and any has for
+  // `service`.
+  bool KnowsRunners(const std::string& service) const;
+
+  // Number of agents that were looked at for placements so far; what a pass
+  // costs.
+  uint64_t visits() const { return m_visits; }
 
   std::map<std::string, AgentView>& agents() { return m_agents; }
   const std::map<std::string, AgentView>& agents() const { return m_agents; }
@@ -201,6 +227,7 @@
                    MonoTime now) const;
 
   AgentMap m_agents;
+  mutable uint64_t m_visits = 0;
   // All agents in random order; the watch set is taken from the front.
   std::vector<AgentMap::value_type*> m_order;
   WatchSetSize m_watch_set_size;
--- a/scheduler/job_scheduler.cc
+++ b/scheduler/job_scheduler.cc
@@ -1,6 +1,7 @@
 #include "scheduler/job_scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace comfreyshift {
@@ -54,6 +55,18 @@
 // How long a run may wait for capacity at an agent that another entry has
 // filled meanwhile.
 constexpr Milliseconds kAgentQueueTime{30};
+// What one tick may do at most, so that the process hands back the processor:
+// tasks placed, and agents looked at.
+constexpr uint64_t kMaxPlacementsPerTick = 256;
+constexpr uint64_t kMaxVisitsPerTick = 40'000;
+// The tasks of wide jobs start after others that are due so much later.
+constexpr Microseconds kWideJobHandicap = std::chrono::hours(1);
+// Jobs take turns of so many tasks.
+constexpr size_t kTasksPerTurn = 32;
+// Steps of a job that are compared with the known runners when it arrives.
+constexpr size_t kMaxCheckedSteps = 64;
+// Estimates are rough: a task may take as little as this share of its own.
+constexpr double kMinRunTimeFactor = 0.5;
 // Retry delay of a job that is rejected because this entry stops. Other entries
 // take new jobs meanwhile.
 constexpr Milliseconds kRetryElsewhereAfter{1000};
@@ -83,6 +96,10 @@
       std::min(static_cast<double>(time.count()) * factor, kMaxScaledUs)));
 }
 
+TaskKey KeyOf(const JobRequest& request, const JobTasks::Position& task) {
+  return {request.m_id, task.m_step, task.m_index};
+}
+
 JobRejected RejectionByStop(MonoTime now) {
   return {RejectionReason::kStopping, now + kRetryElsewhereAfter};
 }
@@ -103,17 +120,15 @@
   job.m_queue = queue;
   job.m_received_at = now;
   m_backlogs.try_emplace(queue.m_service);
-  for (size_t step = 0; step < job.m_request.m_steps.size(); ++step) {
-    const Step& spec = job.m_request.m_steps[step];
+  for (const Step& step : job.m_request.m_steps) {
     job.m_expected =
         std::max(job.m_expected,
-                 m_run_times.Expect(queue.m_name, spec.m_estimated_run_time));
-    for (uint32_t index = 0; index < spec.m_count; ++index) {
-      Task task;
-      task.m_step = static_cast<uint32_t>(step);
-      task.m_index = index;
-      job.m_tasks.push_back(std::move(task));
-    }
+                 m_run_times.Expect(queue.m_name, step.m_estimated_run_time));
+  }
+  job.m_tasks = JobTasks(job.m_request.m_steps);
+  for (const Step& step : job.m_request.m_steps) {
+    job.m_waiting_work +=
+        step.m_count * ExpectedWork(step.m_demand, job.m_expected);
   }
   job.m_margin = m_run_times.Margin(queue.m_name);
   const Microseconds objective =
@@ -126,7 +141,14 @@
                                 job.m_request.m_give_up_at);
   if (!CanBeAnsweredHere(job, now)) {
     EndJob(handle, RejectionByStop(now), now);
+    return handle;
+  }
+  const RejectionCause cause = FindImpossibility(job, now);
+  if (cause != RejectionCause::kNone) {
+    RejectJob(handle, cause, now);
+    return handle;
   }
+  RejectExcessJob(now);
   return handle;
 }
 
@@ -191,7 +213,7 @@
   JobDiagnostics trace = job.m_diagnostics;
   trace.m_priority = job.m_queue.m_priority;
   trace.m_tasks = job.m_tasks.size();
-  trace.m_done = job.m_done;
+  trace.m_done = job.m_tasks.done();
   trace.m_expected = job.m_expected;
   trace.m_jobs = m_jobs.size();
   for (const auto& [name, agent] : m_agents.agents()) {
@@ -220,13 +242,13 @@
 }
 
 void JobScheduler::StopRuns(JobHandle handle) {
-  for (const Task& task : m_jobs[handle].m_tasks) {
-    if (task.m_state != TaskState::kPlaced) {
-      continue;
-    }
-    Placement& placement = m_placements[task.m_run];
+  const Job& job = m_jobs.at(handle);
+  for (const auto& [task, attempts] : job.m_tasks.placed()) {
+    const RunKey run{KeyOf(job.m_request, job.m_tasks.Locate(task)),
+                     attempts.m_run_number};
+    Placement& placement = m_placements.at(run);
     placement.m_job = 0;
-    m_actions.push_back(SendToAgent{placement.m_agent, StopRun{task.m_run}});
+    m_actions.push_back(SendToAgent{placement.m_agent, StopRun{run}});
   }
 }
 
@@ -248,7 +270,7 @@
   view.m_requested_interval = Microseconds(0);
   view.m_status.reset();
   view.m_sequence = 0;
-  view.m_pending_demand.clear();
+  AgentTable::ClearPending(view);
   for (auto& [run, placement] : m_placements) {
     if (placement.m_agent != name ||
         placement.m_incarnation != view.m_incarnation) {
@@ -259,12 +281,11 @@
       continue;
     }
     const Job& job = m_jobs.at(placement.m_job);
-    const Task& task = job.m_tasks[placement.m_task];
-    StartRun start = MakeStartRun(job, task, now);
+    StartRun start = MakeStartRun(job, placement.m_task, run, now);
     placement.m_sequence = ++view.m_sequence;
     start.m_sequence = view.m_sequence;
     start.m_agent_clock = view.m_agent_clock;
-    view.m_pending_demand[view.m_sequence] = start.m_demand;
+    AgentTable::AddPending(view, view.m_sequence, start.m_demand);
     m_actions.push_back(SendToAgent{name, std::move(start)});
   }
 }
@@ -308,16 +329,15 @@
   }
   const Placement placement = found->second;
   AgentView& agent = m_agents[name];
-  --agent.m_unreported_runs;
+  ReleaseRun(agent, placement);
   // The newest status already includes the run's demand if the StartRun is no
   // longer pending.
-  if (agent.m_pending_demand.erase(placement.m_sequence) == 0) {
+  if (!AgentTable::RemovePending(agent, placement.m_sequence)) {
     AgentTable::Release(agent, placement.m_demand);
   }
   if (report.m_outcome == RunOutcome::kDone && placement.m_job != 0) {
     const Job& job = m_jobs.at(placement.m_job);
-    const Step& step =
-        job.m_request.m_steps[job.m_tasks[placement.m_task].m_step];
+    const Step& step = StepOf(job, placement.m_task);
     const double slowness = m_agents.RelativeSlowness(agent);
     m_run_times.Learn(job.m_queue.m_name, step.m_estimated_run_time,
                       Scale(report.m_run_time, 1.0 / slowness));
@@ -326,6 +346,11 @@
   RecordRunOutcome(report.m_run, placement, report.m_outcome, now);
 }
 
+void JobScheduler::ReleaseRun(AgentView& agent, const Placement& placement) {
+  --agent.m_unreported_runs;
+  agent.m_wide_runs -= placement.m_is_wide ? 1 : 0;
+}
+
 void JobScheduler::RecordRunOutcome(const RunKey&,
                                     const Placement& placement,
                                     RunOutcome outcome,
@@ -335,8 +360,6 @@
     return;
   }
   Job& job = found->second;
-  Task& task = job.m_tasks[placement.m_task];
-  task.m_state = TaskState::kWaiting;
   --job.m_runs_in_flight;
   job.m_has_run |= outcome != RunOutcome::kNotStarted;
   if (outcome == RunOutcome::kNotStarted) {
@@ -344,16 +367,17 @@
         ExpectedWork(placement.m_demand, job.m_expected), now);
   }
   if (outcome == RunOutcome::kDone) {
-    task.m_state = TaskState::kDone;
-    ++job.m_done;
-    if (job.m_done == job.m_tasks.size()) {
+    job.m_tasks.OnDone(placement.m_task);
+    if (job.m_tasks.done() == job.m_tasks.size()) {
       EndJob(found->first, JobTasksDone{}, now);
     }
     return;
   }
-  task.m_last_failed_agent = placement.m_agent;
-  if (outcome == RunOutcome::kFailed &&
-      ++task.m_failures >= job.m_queue.m_max_attempts) {
+  const bool has_failed = outcome == RunOutcome::kFailed;
+  const uint32_t failures =
+      job.m_tasks.OnReturned(placement.m_task, placement.m_agent, has_failed);
+  job.m_waiting_work += ExpectedWork(placement.m_demand, job.m_expected);
+  if (has_failed && failures >= job.m_queue.m_max_attempts) {
     EndJob(found->first, JobTasksFailed{}, now);
   }
 }
@@ -371,10 +395,13 @@
   return found != m_placements.end() && found->first.m_task == task;
 }
 
+const Step& JobScheduler::StepOf(const Job& job, size_t task) {
+  return job.m_request.m_steps[job.m_tasks.Locate(task).m_step];
+}
+
 PlacementRequirements JobScheduler::GetRequirements(const Job& job,
-                                                    const Task& task,
+                                                    const Step& step,
                                                     MonoTime now) const {
-  const Step& step = job.m_request.m_steps[task.m_step];
   PlacementRequirements requirements;
   requirements.m_service = job.m_queue.m_service;
   requirements.m_demand = step.m_demand;
@@ -382,8 +409,8 @@
   requirements.m_data_rack = step.m_data_rack;
   requirements.m_expected = job.m_expected;
   requirements.m_margin = job.m_margin;
+  requirements.m_is_wide = job.is_wide();
   requirements.m_due_at = job.m_due_at;
-  requirements.m_avoided_agent = task.m_last_failed_agent;
   // A task of a started job is late on any runner by now. It takes a slower one
   // once it has waited for a faster one as long as the slower one takes longer.
   if (job.has_started() && now > job.m_latest_start_at) {
@@ -394,16 +421,19 @@
 }
 
 StartRun JobScheduler::MakeStartRun(const Job& job,
-                                    const Task& task,
+                                    size_t task,
+                                    const RunKey& run,
                                     MonoTime now) const {
   StartRun start;
-  start.m_run = task.m_run;
+  start.m_run = run;
   start.m_service = job.m_queue.m_service;
   start.m_payload = job.m_request.m_payload;
-  start.m_demand = job.m_request.m_steps[task.m_step].m_demand;
+  start.m_demand = StepOf(job, task).m_demand;
   start.m_expected = job.m_expected;
   start.m_queue_priority =
-      StartOrder(job.m_queue.m_priority, job.m_due_at - now);
+      StartOrder(job.m_queue.m_priority,
+                 job.m_due_at - now +
+                     (job.is_wide() ? kWideJobHandicap : Microseconds(0)));
   start.m_abandon_at = job.m_request.m_give_up_at;
   start.m_queue_until = now + kAgentQueueTime;
   return start;
@@ -411,18 +441,18 @@
 
 bool JobScheduler::PlaceTask(JobHandle handle,
                              Job& job,
-                             size_t index,
                              const CapacitySummary& summary,
                              MonoTime useful_until,
                              MonoTime now) {
-  Task& task = job.m_tasks[index];
-  const TaskKey key{job.m_request.m_id, task.m_step, task.m_index};
-  const Step& step = job.m_request.m_steps[task.m_step];
+  const size_t task = *job.m_tasks.FirstWaiting();
+  const Step& step = StepOf(job, task);
+  const TaskKey key = KeyOf(job.m_request, job.m_tasks.Locate(task));
   if (step.m_demand.m_cpu_millis > summary.m_largest_free_cpu_millis ||
-      HasRunInFlight(key)) {
+      m_placements.size() >= m_limits.m_max_runs || HasRunInFlight(key)) {
     return false;
   }
-  PlacementRequirements requirements = GetRequirements(job, task, now);
+  PlacementRequirements requirements = GetRequirements(job, step, now);
+  requirements.m_avoided_agent = job.m_tasks.LastFailedAgent(task);
   requirements.m_useful_until =
       std::max(requirements.m_useful_until, useful_until);
   const auto chosen = m_agents.Choose(requirements, summary.m_is_busy, now);
@@ -430,39 +460,50 @@
     return false;
   }
   AgentView& agent = m_agents[*chosen];
-  task.m_run = {key, NextRunNumber(now)};
-  task.m_state = TaskState::kPlaced;
+  const RunKey run{key, NextRunNumber(now)};
+  ++m_placements_made;
   ++job.m_runs_in_flight;
   RecordPlacement(job, *chosen, now);
-  StartRun start = MakeStartRun(job, task, now);
+  StartRun start = MakeStartRun(job, task, run, now);
+  job.m_tasks.OnPlaced(task, run.m_number);
   start.m_sequence = ++agent.m_sequence;
   start.m_agent_clock = agent.m_agent_clock;
-  agent.m_pending_demand[agent.m_sequence] = start.m_demand;
+  AgentTable::AddPending(agent, agent.m_sequence, start.m_demand);
   ++agent.m_unreported_runs;
+  agent.m_wide_runs += job.is_wide() ? 1 : 0;
   agent.m_heartbeat_sent_at = now;
   const double work = ExpectedWork(start.m_demand, job.m_expected);
+  job.m_waiting_work = std::max(0.0, job.m_waiting_work - work);
   Backlog& backlog = m_backlogs[job.m_queue.m_service];
   backlog.m_admission.OnPlaced(work, now);
   backlog.m_order.OnPlaced(job.m_queue.m_priority, work);
-  m_placements[task.m_run] = {*chosen,
-                              agent.m_incarnation,
-                              handle,
-                              index,
-                              agent.m_sequence,
-                              start.m_demand,
-                              agent.m_status->m_runner_start_time_ms};
+  m_placements[run] = {
+      *chosen,          agent.m_incarnation,
+      handle,           task,
+      agent.m_sequence, start.m_demand,
+      job.is_wide(),    agent.m_status->m_runner_start_time_ms};
   m_actions.push_back(SendToAgent{*chosen, std::move(start)});
   return true;
 }
 
+void JobScheduler::BeginPass() {
+  m_is_pass_cut = false;
+  m_last_placement = m_placements_made + kMaxPlacementsPerTick;
+  m_last_visit = m_agents.visits() + kMaxVisitsPerTick;
+}
+
+bool JobScheduler::IsPassOver() {
+  const bool is_over = m_placements_made >= m_last_placement ||
+                       m_agents.visits() >= m_last_visit;
+  m_is_pass_cut |= is_over;
+  return is_over;
+}
+
 std::map<std::string, std::vector<WaitingJob>> JobScheduler::FindWaitingJobs()
     const {
   std::map<std::string, std::vector<WaitingJob>> waiting;
   for (const auto& [handle, job] : m_jobs) {
-    const bool is_waiting = std::ranges::any_of(
-        job.m_tasks,
-        [](const Task& task) { return task.m_state == TaskState::kWaiting; });
-    if (is_waiting) {
+    if (job.m_tasks.has_waiting()) {
       waiting[job.m_queue.m_service].push_back(
           {handle, job.m_queue.m_priority, job.has_started(), job.m_due_at});
     }
@@ -483,6 +524,9 @@
   for (auto& [service, backlog] : m_backlogs) {
     std::vector<WaitingJob>& jobs = waiting[service];
     backlog.m_order.Sort(jobs, backlog.m_is_short);
+    std::ranges::stable_partition(jobs, [this](const WaitingJob& job) {
+      return !m_jobs.at(job.m_job).is_wide();
+    });
     PlaceWaitingTasks(service, jobs, now);
     RejectUnservableJobs(jobs, now);
   }
@@ -499,19 +543,35 @@
   // Placements only reduce the free capacity, so a summary stays an upper bound
   // for the whole pass.
   const CapacitySummary summary = m_agents.SummarizeCapacity(service, now);
+  std::vector<JobHandle> placeable;
   for (const WaitingJob& waiting : jobs) {
-    Job& job = m_jobs.at(waiting.m_job);
-    // With capacity to spare, a late result is better than a rejection.
-    const bool may_be_late = !summary.m_is_busy && now >= job.m_may_be_late_at;
-    const MonoTime useful_until = may_be_late ? MonoTime::max() : MonoTime();
-    for (size_t index = 0; index < job.m_tasks.size(); ++index) {
-      if (job.m_tasks[index].m_state == TaskState::kWaiting &&
-          !PlaceTask(waiting.m_job, job, index, summary, useful_until, now)) {
-        is_short = true;
-        break;
-      }
+    placeable.push_back(waiting.m_job);
+  }
+  while (!placeable.empty() && !IsPassOver()) {
+    std::erase_if(placeable, [&](JobHandle handle) {
+      Job& job = m_jobs.at(handle);
+      return !PlaceTurn(handle, job, summary, now);
+    });
+  }
+}
+
+bool JobScheduler::PlaceTurn(JobHandle handle,
+                             Job& job,
+                             const CapacitySummary& summary,
+                             MonoTime now) {
+  // With capacity to spare, a late result is better than a rejection.
+  const bool may_be_late = !summary.m_is_busy && now >= job.m_may_be_late_at;
+  const MonoTime useful_until = may_be_late ? MonoTime::max() : MonoTime();
+  for (size_t i = 0; i < kTasksPerTurn && !IsPassOver(); ++i) {
+    if (!job.m_tasks.has_waiting()) {
+      return false;
+    }
+    if (!PlaceTask(handle, job, summary, useful_until, now)) {
+      m_backlogs[job.m_queue.m_service].m_is_short |= !job.is_wide();
+      return false;
     }
   }
+  return true;
 }
 
 void JobScheduler::EndRunsOfLostAgents(MonoTime now) {
@@ -546,7 +606,7 @@
     const Placement placement = found->second;
     m_placements.erase(found);
     if (AgentView* agent = m_agents.Find(placement.m_agent)) {
-      --agent->m_unreported_runs;
+      ReleaseRun(*agent, placement);
     }
     RecordRunOutcome(lost.m_run, placement, RunOutcome::kStopped, now);
     m_actions.push_back(std::move(lost));
@@ -571,15 +631,47 @@
          now >= agent.m_predecessor_heard_at + kLostAgentTimeout;
 }
 
-double JobScheduler::WaitingWork(const Job& job) {
-  double work = 0.0;
-  for (const Task& task : job.m_tasks) {
-    if (task.m_state == TaskState::kWaiting) {
-      work += ExpectedWork(job.m_request.m_steps[task.m_step].m_demand,
-                           job.m_expected);
+RejectionCause JobScheduler::FindImpossibility(Job& job, MonoTime now) const {
+  if (job.m_is_checked || now < m_created_at + kStartupTime ||
+      !m_agents.KnowsRunners(job.m_queue.m_service)) {
+    return RejectionCause::kNone;
+  }
+  job.m_is_checked = true;
+  // How many times the tasks fill all runners.
+  double rounds = 0.0;
+  const std::vector<Step>& steps = job.m_request.m_steps;
+  for (size_t i = 0; i < std::min(steps.size(), kMaxCheckedSteps); ++i) {
+    const size_t places = m_agents.CountPossiblePlaces(
+        GetRequirements(job, steps[i], now), steps[i].m_count);
+    if (places == 0) {
+      return RejectionCause::kFitsNoRunner;
     }
+    rounds +=
+        static_cast<double>(steps[i].m_count) / static_cast<double>(places);
+  }
+  const Microseconds shortest =
+      Scale(job.m_expected, std::floor(rounds) * kMinRunTimeFactor);
+  return rounds >= 2.0 && shortest > job.m_request.m_give_up_at - now
+             ? RejectionCause::kTooManyTasks
+             : RejectionCause::kNone;
+}
+
+void JobScheduler::RejectExcessJob(MonoTime now) {
+  const size_t least = std::min(m_limits.m_max_waiting_jobs,
+                                m_limits.m_max_waiting_jobs_per_client);
+  if (m_jobs.size() <= least) {
+    return;
+  }
+  std::vector<UnstartedJob> jobs;
+  for (const auto& [handle, job] : m_jobs) {
+    if (!job.has_started()) {
+      jobs.push_back(
+          {handle, job.m_request.m_client, job.m_request.m_give_up_at});
+    }
+  }
+  if (const auto excess = ChooseExcessJob(jobs, m_limits)) {
+    RejectJob(*excess, RejectionCause::kTooManyJobs, now);
   }
-  return work;
 }
 
 RejectionCause JobScheduler::FindRejectionCause(const Job& job,
@@ -609,25 +701,22 @@
 }
 
 bool JobScheduler::PlaceLate(JobHandle handle, Job& job, MonoTime now) {
-  std::map<uint32_t, size_t> tasks_of_step;
-  for (const Task& task : job.m_tasks) {
-    ++tasks_of_step[task.m_step];
-  }
-  for (const Task& task : job.m_tasks) {
-    size_t& tasks = tasks_of_step[task.m_step];
-    PlacementRequirements requirements = GetRequirements(job, task, now);
+  const std::vector<Step>& steps = job.m_request.m_steps;
+  for (size_t i = 0; i < steps.size(); ++i) {
+    const size_t tasks = job.m_tasks.CountWaiting(i);
+    PlacementRequirements requirements = GetRequirements(job, steps[i], now);
     requirements.m_useful_until = job.m_useful_until;
-    if (m_agents.CountUsefulPlaces(requirements, tasks, now) < tasks) {
+    if (tasks > 0 &&
+        m_agents.CountUsefulPlaces(requirements, tasks, now) < tasks) {
       return false;
     }
-    tasks = 0;
   }
   const CapacitySummary summary =
       m_agents.SummarizeCapacity(job.m_queue.m_service, now);
   bool is_placed = false;
-  for (size_t index = 0; index < job.m_tasks.size(); ++index) {
-    is_placed |=
-        PlaceTask(handle, job, index, summary, job.m_useful_until, now);
+  while (job.m_tasks.has_waiting() && !IsPassOver() &&
+         PlaceTask(handle, job, summary, job.m_useful_until, now)) {
+    is_placed = true;
   }
   return is_placed;
 }
@@ -639,17 +728,22 @@
   std::map<int32_t, double> ahead_in_priority;
   for (const WaitingJob& waiting : jobs) {
     Job& job = m_jobs.at(waiting.m_job);
-    const double work = WaitingWork(job);
+    const double work = job.m_waiting_work;
     double& own = ahead_in_priority[waiting.m_priority];
     const double share =
         m_backlogs[job.m_queue.m_service].m_order.ShareOf(waiting.m_priority);
     if (!job.has_started()) {
+      const RejectionCause impossible = FindImpossibility(job, now);
+      if (impossible != RejectionCause::kNone) {
+        RejectJob(waiting.m_job, impossible, now);
+        continue;
+      }
       const RejectionCause cause =
           FindRejectionCause(job, std::min(ahead, own / share), now);
       if (cause != RejectionCause::kNone) {
-        if (!PlaceLate(waiting.m_job, job, now)) {
-          job.m_diagnostics.m_rejection_cause = cause;
-          RejectJob(waiting.m_job, now);
+        // A job that may still be placed late is looked at again.
+        if (!PlaceLate(waiting.m_job, job, now) && !IsPassOver()) {
+          RejectJob(waiting.m_job, cause, now);
         }
         continue;
       }
@@ -659,11 +753,16 @@
   }
 }
 
-void JobScheduler::RejectJob(JobHandle handle, MonoTime now) {
-  const Job& job = m_jobs.at(handle);
+void JobScheduler::RejectJob(JobHandle handle,
+                             RejectionCause cause,
+                             MonoTime now) {
+  Job& job = m_jobs.at(handle);
+  job.m_diagnostics.m_rejection_cause = cause;
   const bool has_runner =
-      std::ranges::any_of(job.m_tasks, [&](const Task& task) {
-        return m_agents.CouldEverRun(GetRequirements(job, task, now));
+      cause != RejectionCause::kFitsNoRunner &&
+      std::ranges::any_of(job.m_request.m_steps, [&](const Step& step) {
+        return m_agents.CountPossiblePlaces(GetRequirements(job, step, now),
+                                            1) > 0;
       });
   EndJob(handle,
          JobRejected{has_runner ? RejectionReason::kOverloaded
@@ -769,12 +868,16 @@
   EndExpiredJobs(now);
   RejectJobsThatOutliveThisProcess(now);
   EndRunsOfLostAgents(now);
+  BeginPass();
   PlaceWaitingTasks(now);
   SendEntryHeartbeats(now);
   return std::exchange(m_actions, {});
 }
 
 MonoTime JobScheduler::NextDeadline(MonoTime now) const {
+  if (m_is_pass_cut) {
+    return now;
+  }
   MonoTime next = std::min(m_next_heartbeats_at, m_next_loss_check_at);
   for (const auto& [handle, job] : m_jobs) {
     next = std::min(next, job.m_request.m_give_up_at);
--- a/scheduler/job_scheduler.h
+++ b/scheduler/job_scheduler.h
@@ -14,6 +14,8 @@
 #include "scheduler/actions.h"
 #include "scheduler/admission_policy.h"
 #include "scheduler/agent_table.h"
+#include "scheduler/job_limits.h"
+#include "scheduler/job_tasks.h"
 #include "scheduler/retry_advice.h"
 #include "scheduler/run_time_model.h"
 #include "scheduler/stop_policy.h"
@@ -23,6 +25,10 @@
 
 // Decides what one entry does with its clients' jobs: which of them wait, which
 // are rejected, and on which agent each task runs.
+// Jobs of more tasks are wide: they come after the others and use only a part
+// of what agents take at a time.
+inline constexpr size_t kMaxOrdinaryTasks = 512;
+
 class JobScheduler {
  public:
   // Run numbers begin at `first_run_number`, the Unix time in milliseconds at
@@ -33,6 +39,8 @@
 
   // Takes a job from a client. Its result is returned by a later Tick.
   JobHandle Submit(JobRequest request, const QueueConfig& queue, MonoTime now);
+  // Sets the bounds of what jobs hold. There are none before.
+  void SetLimits(const JobLimits& limits) { m_limits = limits; }
   // Stops all runs of a job whose client has disconnected.
   void Cancel(JobHandle job, MonoTime now);
   // Rejects, from now on, the jobs that cannot be answered before the process
@@ -77,18 +85,6 @@
   }
 
  private:
-  enum class TaskState : uint8_t { kWaiting, kPlaced, kDone };
-
-  struct Task {
-    uint32_t m_step = 0;
-    uint32_t m_index = 0;
-    TaskState m_state = TaskState::kWaiting;
-    uint32_t m_failures = 0;
-    RunKey m_run;
-    // Agent of the last run that was not done; empty for none.
-    std::string m_last_failed_agent;
-  };
-
   struct Job {
     JobRequest m_request;
     QueueConfig m_queue;
@@ -107,14 +103,18 @@
     Microseconds m_expected{0};
     // Factor by which the run time may well be longer than expected.
     double m_margin = 1.0;
-    std::vector<Task> m_tasks;
-    size_t m_done = 0;
+    JobTasks m_tasks;
+    // Expected work of the tasks that wait.
+    double m_waiting_work = 0.0;
     // Runs that agents were told to start and have not reported as ended.
     size_t m_runs_in_flight = 0;
+    // Whether it was compared with the known runners.
+    bool m_is_checked = false;
     // Whether any run that did start has ended.
     bool m_has_run = false;
     JobDiagnostics m_diagnostics;
 
+    bool is_wide() const { return m_tasks.size() > kMaxOrdinaryTasks; }
     // Whether any task has run or may still run.
     bool has_started() const { return m_runs_in_flight > 0 || m_has_run; }
   };
@@ -129,22 +129,39 @@
     size_t m_task = 0;
     uint64_t m_sequence = 0;
     Resources m_demand;
+    bool m_is_wide = false;
     // Start time of the agent's runner when the agent was told.
     int64_t m_runner_start_time_ms = 0;
   };
 
   using JobTable = std::map<JobHandle, Job>;
 
+  // What the tasks of a step require; see m_avoided_agent for a single task.
   PlacementRequirements GetRequirements(const Job& job,
-                                        const Task& task,
+                                        const Step& step,
                                         MonoTime now) const;
-  StartRun MakeStartRun(const Job& job, const Task& task, MonoTime now) const;
+  static const Step& StepOf(const Job& job, size_t task);
+  // Starts a task that waits, with the run number of `run`.
+  StartRun MakeStartRun(const Job& job,
+                        size_t task,
+                        const RunKey& run,
+                        MonoTime now) const;
+  // Places the waiting task of the lowest number.
   bool PlaceTask(JobHandle handle,
                  Job& job,
-                 size_t index,
                  const CapacitySummary& summary,
                  MonoTime useful_until,
                  MonoTime now);
+  // Places up to kTasksPerTurn tasks of a job. Returns whether it may place
+  // more after the turns of the others.
+  bool PlaceTurn(JobHandle handle,
+                 Job& job,
+                 const CapacitySummary& summary,
+                 MonoTime now);
+  // Begins a tick's pass over the waiting jobs.
+  void BeginPass();
+  // Whether this tick has done as much as it may; the rest is left to the next.
+  bool IsPassOver();
   void PlaceWaitingTasks(MonoTime now);
   // Places waiting tasks of one service, in the order of the jobs.
   void PlaceWaitingTasks(const std::string& service,
@@ -160,6 +177,8 @@
                         const Placement& placement,
                         RunOutcome outcome,
                         MonoTime now);
+  // The run of a placement is no longer the agent's.
+  static void ReleaseRun(AgentView& agent, const Placement& placement);
   void EndRunsOfLostAgents(MonoTime now);
   // Whether a run of an earlier incarnation of its agent has ended.
   static bool HasEndedWithPredecessor(const Placement& placement,
@@ -178,8 +197,12 @@
   // its objective and is still of use. Returns false and places none if these
   // do not have the capacity for all.
   bool PlaceLate(JobHandle handle, Job& job, MonoTime now);
-  void RejectJob(JobHandle handle, MonoTime now);
-  static double WaitingWork(const Job& job);
+  void RejectJob(JobHandle handle, RejectionCause cause, MonoTime now);
+  // Returns why the known runners can never serve a job that has not started,
+  // or kNone.
+  RejectionCause FindImpossibility(Job& job, MonoTime now) const;
+  // Rejects a job if there are more waiting ones than the limits allow.
+  void RejectExcessJob(MonoTime now);
   void EndExpiredJobs(MonoTime now);
   // Whether the job is answered before this process ends.
   bool CanBeAnsweredHere(const Job& job, MonoTime now) const;
@@ -196,6 +219,7 @@
   uint64_t NextRunNumber(MonoTime now);
   bool HasRunInFlight(const TaskKey& task) const;
 
+  JobLimits m_limits;
   AgentTable m_agents;
   RunTimeModel m_run_times;
   // Jobs of one service that wait for capacity.
@@ -212,6 +236,12 @@
   std::map<std::string, RetryAdvice> m_retry_advice;
   JobTable m_jobs;
   std::map<RunKey, Placement> m_placements;
+  // Placements and visits of agents at which this tick's pass ends.
+  uint64_t m_last_placement = 0;
+  uint64_t m_last_visit = 0;
+  uint64_t m_placements_made = 0;
+  // Whether the last pass was ended early.
+  bool m_is_pass_cut = false;
   JobHandle m_next_job = 1;
   uint64_t m_first_run_number;
   MonoTime m_created_at;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -5,6 +5,7 @@
 // clients' jobs. It does no I/O.
 
 #include "scheduler/actions.h"
+#include "scheduler/job_limits.h"
 #include "scheduler/job_scheduler.h"
 
 #endif  // SCHEDULER_SCHEDULER_H_
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -37,15 +37,18 @@
     return status;
   }
 
-  JobHandle Submit(uint32_t tasks, Milliseconds estimate = Milliseconds(100)) {
+  JobHandle Submit(uint32_t tasks,
+                   Milliseconds estimate = Milliseconds(100),
+                   const Resources& demand = {1000, 1, 0}) {
     JobRequest request;
     request.m_id = "job" + std::to_string(++m_jobs);
     Step step;
     step.m_count = tasks;
-    step.m_demand = {1000, 1, 0};
+    step.m_demand = demand;
     step.m_estimated_run_time = estimate;
     step.m_data_rack = m_data_rack;
     request.m_steps = {step};
+    request.m_payload = m_payload;
     request.m_give_up_at = m_now + Milliseconds(3000);
     QueueConfig queue;
     queue.m_name = "queue";
@@ -115,6 +118,7 @@
   int32_t m_priority = 0;
   // Data rack of the jobs submitted from now on.
   std::string m_data_rack;
+  std::string m_payload;
   std::vector<SentStart> m_starts;
   std::vector<RunKey> m_stops;
   // Heartbeats sent, and the status interval that the newest one to each agent
@@ -611,5 +615,84 @@
   EXPECT_EQ(m_scheduler.job_count(), 0U);
 }
 
+// Guards against jobs that no runner can ever run and that wait for as long as
+// their clients say, and fill the memory (review/12).
+TEST_F(JobSchedulerTest, JobThatFitsNoKnownRunnerIsRejectedAtOnce) {
+  const JobHandle early = Submit(1, std::chrono::hours(1), {9000, 1, 0});
+  AddAgent("a", 1.0, 8000);
+  EXPECT_FALSE(m_results.contains(early));
+  Advance(Milliseconds(3100));
+  const Resources demands[] = {{9000, 1, 0}, {1, 1 << 30, 0}, {1, 1, 1}};
+  for (const Resources& demand : demands) {
+    const JobHandle job = Submit(1, std::chrono::hours(1), demand);
+    ASSERT_TRUE(HasResult<JobRejected>(job));
+    EXPECT_EQ(std::get<JobRejected>(m_results[job]).m_reason,
+              RejectionReason::kNoRunner);
+    EXPECT_EQ(m_diagnostics[job].m_rejection_cause,
+              RejectionCause::kFitsNoRunner);
+  }
+  EXPECT_EQ(m_scheduler.job_count(), 0U);
+}
+
+// Guards against a job that is taken though all runners together cannot do it
+// while its client waits, for 3 s.
+TEST_F(JobSchedulerTest, JobWithMoreTasksThanTimeAllowsIsRejectedAtOnce) {
+  Advance(Milliseconds(3100));
+  AddAgent("a", 1.0, 1000);
+  const JobHandle job = Submit(100, Milliseconds(100));
+  ASSERT_TRUE(HasResult<JobRejected>(job));
+  EXPECT_EQ(m_diagnostics[job].m_rejection_cause,
+            RejectionCause::kTooManyTasks);
+  EXPECT_FALSE(m_results.contains(Submit(20, Milliseconds(100))));
+}
+
+// Guards against jobs that wait without bound while no runner is known.
+TEST_F(JobSchedulerTest, WaitingJobsAreBounded) {
+  m_scheduler.SetLimits({.m_max_waiting_jobs = 2});
+  const JobHandle first = Submit(1, std::chrono::hours(1));
+  Submit(1, std::chrono::hours(1));
+  const JobHandle third = Submit(1, std::chrono::hours(1));
+  EXPECT_FALSE(m_results.contains(first));
+  ASSERT_TRUE(HasResult<JobRejected>(third));
+  EXPECT_EQ(m_diagnostics[third].m_rejection_cause,
+            RejectionCause::kTooManyJobs);
+}
+
+// Guards against a tick that places without end and keeps the process from its
+// other work (review/13).
+TEST_F(JobSchedulerTest, TickPlacesABoundedNumberOfTasks) {
+  for (int i = 0; i < 20; ++i) {
+    AddAgent("a" + std::to_string(i), 1.0, 100'000'000);
+  }
+  Submit(500);
+  EXPECT_EQ(m_starts.size(), 256U);
+  EXPECT_LE(m_scheduler.NextDeadline(m_now), m_now);
+  Tick();
+  EXPECT_EQ(m_starts.size(), 500U);
+}
+
+// Guards against jobs with very many tasks that take all that agents accept, so
+// that others get no task started (review/13).
+TEST_F(JobSchedulerTest, WideJobLeavesRoomForOthers) {
+  AddAgent("a", 1.0, 100'000'000);
+  Submit(4096);
+  const size_t wide_starts = m_starts.size();
+  EXPECT_EQ(wide_starts, 16U);
+  Submit(200);
+  EXPECT_EQ(m_starts.size(), wide_starts + 200);
+}
+
+// Guards against texts of one job that are held once for each of its tasks
+// (review/11).
+TEST_F(JobSchedulerTest, TasksShareTheTextOfTheirJob) {
+  AddAgent("a", 1.0, 100'000'000);
+  m_payload = "text";
+  Submit(2);
+  ASSERT_EQ(m_starts.size(), 2U);
+  EXPECT_EQ(m_starts[0].m_start.m_payload.str(), "text");
+  EXPECT_EQ(&m_starts[0].m_start.m_payload.str(),
+            &m_starts[1].m_start.m_payload.str());
+}
+
 }  // namespace
 }  // namespace comfreyshift
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 build=${1:-build}
-benches=(placement_bench membership_bench dispatch_bench store_bench)
+benches=(placement_bench membership_bench dispatch_bench store_bench scheduler_bench)
 
 # Runs of one bench, one set of arguments a line; each run stays below 2 minutes.
 runs_of() {
