Log which read brought a configuration, and what it decided

Change: operator_items_applied has the version, the age and the path of the answered request, the agent and the longest pause of the main loop; read_impeded lists what a failed or unrelayed read met; main_loop_paused; request_refused, waiting_jobs_counted and the lines of jobs have the version that decided them (that of the submission, not of the end). The mirror leaves kv_client for files of its own.

--- a/fleet/store_relay.cc
+++ b/fleet/store_relay.cc
@@ -20,15 +20,16 @@
   if (pending_read.empty()) {
     return;
   }
+  const std::string& agent = pending_read.mapped().m_agent;
   if (response.m_is_answered) {
-    m_failed_agents.erase(pending_read.mapped().m_agent);
+    m_failed_agents.erase(agent);
   } else {
-    m_failed_agents.insert(pending_read.mapped().m_agent);
+    m_failed_agents.insert(agent);
   }
   pending_read.mapped().m_on_response(
       response.m_is_answered
-          ? std::optional(
-                StoreResponse{response.m_status, std::move(response.m_body)})
+          ? std::optional(StoreResponse{response.m_status,
+                                        std::move(response.m_body), agent})
           : std::nullopt);
 }
 
--- a/fleet/store_relay.h
+++ b/fleet/store_relay.h
@@ -17,6 +17,8 @@
 struct StoreResponse {
   int m_status = 0;
   std::string m_body;
+  // The agent that passed it on, empty if the store itself has responded.
+  std::string m_agent;
 };
 
 // Called exactly once, with nullopt if the store did not respond.
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -53,6 +53,8 @@
   std::string m_trace_id;
   // Name of the queue.
   std::string m_queue;
+  // Version of the configuration that the job was accepted under.
+  uint64_t m_config_version = 0;
   // Passed to the runner unchanged and uninterpreted.
   SharedText m_payload;
   std::vector<Step> m_steps;
--- a/net/net.h
+++ b/net/net.h
@@ -5,6 +5,7 @@
 // loop, and a budget for what clients hold.
 
 #include "net/client_budget.h"
+#include "net/loop_pauses.h"
 #include "net/loop_timer.h"
 #include "net/socket_poller.h"
 #include "net/socket_queues.h"
--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -13,6 +13,7 @@
 
 #include "fleet/fleet.h"
 #include "platform/kv_client.h"
+#include "platform/kv_mirror.h"
 #include "tests/platform/platform_fleet.h"
 #include "tests/standins/fault_proxy.h"
 #include "tests/standins/platform_store_standin.h"
@@ -30,7 +31,8 @@
 struct MirroredStore {
   MirroredStore() {
     m_mirror = std::make_shared<KvMirror>(
-        m_client, kPrefix, [this](const KvMirror::Items& items, uint64_t) {
+        m_client, kPrefix,
+        [this](const KvMirror::Items& items, uint64_t, const ReadOrigin&) {
           m_keys.clear();
           for (const auto& [key, item] : items) {
             m_keys.insert(key);
