Failing tests: nothing at a lower priority runs while input keeps coming

A read of the configuration that went silent is not hedged and its deadline is not looked at, and a tick that asked for another one is not repeated, for as long as the main loop always finds a socket ready.

--- a/tests/fleet/ticker_test.cc
+++ b/tests/fleet/ticker_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "tests/standins/busy_loop.h"
+
 namespace comfreyshift {
 namespace {
 
@@ -51,6 +53,25 @@
   EXPECT_EQ(ticks, 3);
 }
 
+// Guards against a scheduler that stands still for as long as input keeps
+// coming, because its last tick asked for another one.
+TEST(TickerTest, TicksAgainWhileTheLoopIsBusy) {
+  int ticks = 0;
+  Ticker* self = nullptr;
+  Ticker ticker([&](MonoTime now) {
+    if (++ticks == 2) {
+      self->Wake();
+    }
+    return now + kFarAway;
+  });
+  self = &ticker;
+  RunMainLoop(5);
+  const BusyLoop busy_loop;
+  ticker.Wake();
+  RunMainLoop(10);
+  EXPECT_EQ(ticks, 3);
+}
+
 // Guards against deadlines that are missed without a wake.
 TEST(TickerTest, TicksWhenADeadlineIsDue) {
   int ticks = 0;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "tests/http/raw_server.h"
+#include "tests/standins/busy_loop.h"
 
 namespace comfreyshift {
 namespace {
@@ -169,6 +170,21 @@
   EXPECT_EQ(server.requests(), 1);
 }
 
+// Guards against calls that last for as long as other input keeps coming.
+TEST_P(HttpClientTest, EndsACallAtItsDeadlineWhileTheLoopIsBusy) {
+  RawServer server;
+  server.m_actions = {RawAction::kNeverReply};
+  const auto client = MakeClient(server.url(), 1);
+  HttpCall call = Post();
+  call.m_deadline = BootClock::now() + 50ms;
+  std::optional<HttpCallResult> ended;
+  client->Send(call, [&](const HttpCallResult& result) { ended = result; });
+  const BusyLoop busy_loop;
+  RunLoop(200ms);
+  ASSERT_TRUE(ended && !*ended);
+  EXPECT_EQ(ended->error().m_failure, HttpCallFailure::kDeadline);
+}
+
 TEST_P(HttpClientTest, KeepsTheConnectionLimit) {
   RawServer server;
   const auto client = MakeClient(server.url(), 2);
--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -15,6 +15,7 @@
 #include "platform/kv_client.h"
 #include "platform/kv_mirror.h"
 #include "tests/platform/platform_fleet.h"
+#include "tests/standins/busy_loop.h"
 #include "tests/standins/fault_proxy.h"
 #include "tests/standins/platform_store_standin.h"
 
@@ -237,6 +238,15 @@
   m_mirrored.m_proxy.SetFault(LinkFault::kNone);
 }
 
+// Guards against a configuration that stays old for as long as requests keep
+// coming, because the read of it went silent and nothing looks at its deadline.
+TEST_F(RelayedMirrorTest, SilentReadIsHedgedWhileTheLoopIsBusy) {
+  m_agent_fault = AgentFault::kAllAreCutOff;
+  const BusyLoop busy_loop;
+  m_mirrored.m_proxy.SilenceOpenConnections();
+  EXPECT_TRUE(IsFreshInTime("p/first"));
+}
+
 // Guards against relayed reads that an agent makes on a connection that went
 // silent while it was idle.
 TEST_F(RelayedMirrorTest, AgentReadsOnANewConnection) {
