Act on deadlines while input keeps coming

Cause: deadlines of calls, hedges of reads and a repeated tick ran on timers below the priority of sockets, so that input that has arrived comes first. GLib dispatches only the highest ready priority: while each turn of a saturated main loop finds a ready socket, none of them runs. A read that went silent then stays in progress, and the configuration stays old, until the load ends.

Change: LoopTimer has an order instead of a priority. After input: below sockets as before, and at their priority 100 ms after the deadline was noticed, so that a process that could not run still reads what it was sent first. A tick that is asked for during a tick comes after the input of the next turn.

--- a/fleet/ticker.cc
+++ b/fleet/ticker.cc
@@ -15,7 +15,7 @@
 
 Ticker::Ticker(std::function<MonoTime(MonoTime)> tick)
     : m_tick(std::move(tick)),
-      m_timer([this]() { Run(); }, G_PRIORITY_DEFAULT + 10) {
+      m_timer([this]() { Run(); }, LoopTimer::Order::kAfterInput) {
   Wake();
 }
 
@@ -39,10 +39,10 @@
   m_is_ticking = true;
   const MonoTime next = m_tick(BootClock::now());
   m_is_ticking = false;
-  // Wake was called during the tick. Tick again through the timer, so that
-  // other sources of the main loop are dispatched first.
-  if (m_is_tick_pending) {
-    m_timer.Set(MonoTime());
+  // Wake was called during the tick. The next one comes after the input of the
+  // next turn.
+  if (std::exchange(m_is_tick_pending, false)) {
+    Wake();
     return;
   }
   const MonoTime now = BootClock::now();
--- a/http/plain_client.cc
+++ b/http/plain_client.cc
@@ -65,7 +65,7 @@
       m_watch(std::move(watch)),
       // An answer that has arrived while the process could not run is read
       // before the deadline is looked at.
-      m_timer([this]() { ExpireCalls(); }, G_PRIORITY_DEFAULT + 20) {}
+      m_timer([this]() { ExpireCalls(); }, LoopTimer::Order::kAfterInput) {}
 
 PlainClient::~PlainClient() {
   while (!m_connections.empty()) {
--- a/http/soup_client.cc
+++ b/http/soup_client.cc
@@ -4,9 +4,12 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <utility>
 #include <vector>
 
+#include "net/net.h"
+
 namespace comfreyshift {
 
 namespace {
@@ -67,7 +70,6 @@
         m_cancellable(g_cancellable_new()) {}
 
   ~SoupCall() {
-    StopTimer();
     g_signal_handlers_disconnect_by_data(m_message, this);
     g_object_unref(m_message);
     g_object_unref(m_cancellable);
@@ -135,29 +137,18 @@
   }
 
   void StartTimer() {
-    const auto remaining =
-        std::chrono::ceil<Milliseconds>(m_call.m_deadline - BootClock::now());
-    const auto delay = std::clamp<int64_t>(remaining.count(), 0, G_MAXINT);
-    m_timer = g_timeout_source_new(static_cast<guint>(delay));
-    // Below the priority of sockets: an answer that has arrived while the
-    // process could not run is read before the deadline is looked at.
-    g_source_set_priority(m_timer, G_PRIORITY_DEFAULT + 20);
-    g_source_set_callback(m_timer, &SoupCall::OnDeadline, this, nullptr);
-    g_source_attach(m_timer, g_main_context_get_thread_default());
+    // An answer that has arrived while the process could not run is read before
+    // the deadline is looked at.
+    m_timer = std::make_unique<LoopTimer>([this]() { OnDeadline(); },
+                                          LoopTimer::Order::kAfterInput,
+                                          g_main_context_get_thread_default());
+    m_timer->Set(m_call.m_deadline);
   }
 
-  void StopTimer() {
-    if (m_timer != nullptr) {
-      g_source_destroy(m_timer);
-      g_source_unref(std::exchange(m_timer, nullptr));
-    }
-  }
-
-  static gboolean OnDeadline(gpointer data) {
+  void OnDeadline() {
     // Cancelling may end the call.
-    const auto self = static_cast<SoupCall*>(data)->shared_from_this();
-    self->Cancel(HttpCallFailure::kDeadline, "the deadline has passed");
-    return G_SOURCE_REMOVE;
+    const auto self = shared_from_this();
+    Cancel(HttpCallFailure::kDeadline, "the deadline has passed");
   }
 
   static void OnStarting(SoupMessage*, SoupCall* self) {
@@ -239,7 +230,7 @@
   }
 
   void End(HttpCallResult result) {
-    StopTimer();
+    m_timer.reset();
     if (m_stream != nullptr) {
       g_object_unref(std::exchange(m_stream, nullptr));
     }
@@ -258,7 +249,7 @@
   HttpCallback m_callback;
   std::function<void(uint64_t)> m_on_end;
   GCancellable* m_cancellable;
-  GSource* m_timer = nullptr;
+  std::unique_ptr<LoopTimer> m_timer;
   GInputStream* m_stream = nullptr;
   HttpResponse m_response;
   std::optional<HttpCallFailure> m_reason;
--- a/net/loop_timer.cc
+++ b/net/loop_timer.cc
@@ -18,39 +18,87 @@
 
 constexpr gint64 kNever = -1;
 
+// Below that of sockets, which have the default priority.
+constexpr gint kAfterInputPriority = G_PRIORITY_DEFAULT + 20;
+// For how long input may hold back a call that comes after it.
+constexpr std::chrono::microseconds kMaxInputTime{100'000};
+
+// Returns the time on GLib's clock; 0 is always ready.
+gint64 ReadyTimeOf(MonoTime deadline) {
+  if (deadline == MonoTime::max()) {
+    return kNever;
+  }
+  const auto left = deadline - BootClock::now();
+  return left.count() <= 0 ? 0 : g_get_monotonic_time() + left.count();
+}
+
 }  // namespace
 
-LoopTimer::LoopTimer(std::function<void()> callback, gint priority)
-    : m_callback(std::move(callback)),
-      m_source(g_source_new(&g_timer_functions, sizeof(GSource))) {
-  g_source_set_priority(m_source, priority);
-  g_source_set_callback(m_source, &LoopTimer::OnReady, this, nullptr);
-  g_source_attach(m_source, nullptr);
+LoopTimer::LoopTimer(std::function<void()> callback,
+                     Order order,
+                     GMainContext* context)
+    : m_callback(std::move(callback)) {
+  if (order == Order::kWithInput) {
+    m_source = AddSource(G_PRIORITY_DEFAULT, &LoopTimer::OnReady, context);
+    return;
+  }
+  m_source = AddSource(kAfterInputPriority, &LoopTimer::OnReady, context);
+  m_limit_source =
+      AddSource(G_PRIORITY_DEFAULT, &LoopTimer::OnDeadline, context);
 }
 
 LoopTimer::~LoopTimer() {
-  g_source_destroy(m_source);
-  g_source_unref(m_source);
+  for (GSource* source : {m_source, m_limit_source}) {
+    if (source != nullptr) {
+      g_source_destroy(source);
+      g_source_unref(source);
+    }
+  }
+}
+
+GSource* LoopTimer::AddSource(gint priority,
+                              GSourceFunc on_ready,
+                              GMainContext* context) {
+  GSource* source = g_source_new(&g_timer_functions, sizeof(GSource));
+  g_source_set_priority(source, priority);
+  g_source_set_callback(source, on_ready, this, nullptr);
+  g_source_attach(source, context);
+  return source;
 }
 
 void LoopTimer::Set(MonoTime deadline) {
-  if (deadline == MonoTime::max()) {
-    g_source_set_ready_time(m_source, kNever);
-    return;
+  m_is_deadline_noticed = false;
+  SetReadyTimes(ReadyTimeOf(deadline));
+}
+
+void LoopTimer::SetReadyTimes(gint64 time) {
+  g_source_set_ready_time(m_source, time);
+  if (m_limit_source != nullptr) {
+    g_source_set_ready_time(m_limit_source, time);
   }
-  const auto left =
-      std::max(MonoTime::duration(0), deadline - BootClock::now());
-  g_source_set_ready_time(
-      m_source, left.count() == 0 ? 0 : g_get_monotonic_time() + left.count());
 }
 
 gboolean LoopTimer::OnReady(gpointer self) {
+  static_cast<LoopTimer*>(self)->Call();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean LoopTimer::OnDeadline(gpointer self) {
   auto* timer = static_cast<LoopTimer*>(self);
-  g_source_set_ready_time(timer->m_source, kNever);
+  if (std::exchange(timer->m_is_deadline_noticed, true)) {
+    timer->Call();
+  } else {
+    g_source_set_ready_time(timer->m_limit_source,
+                            g_get_monotonic_time() + kMaxInputTime.count());
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+void LoopTimer::Call() {
+  SetReadyTimes(kNever);
   // The callback may destroy the timer, and with it the function itself.
-  const auto callback = timer->m_callback;
+  const auto callback = m_callback;
   callback();
-  return G_SOURCE_CONTINUE;
 }
 
 }  // namespace comfreyshift
--- a/net/loop_timer.h
+++ b/net/loop_timer.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include <cstdint>
 #include <functional>
 
 #include "core/core.h"
@@ -15,9 +16,19 @@
 // but the function always sees the true time.
 class LoopTimer {
  public:
-  // With a priority below that of sockets, input that has arrived comes first.
+  enum class Order : uint8_t {
+    // In the same turn as input that has arrived.
+    kWithInput,
+    // After all input that has arrived, so that a process that could not run
+    // reads what it was sent before it acts on a deadline. While input keeps
+    // coming the call is made 100 ms after the deadline was noticed.
+    kAfterInput,
+  };
+
+  // `context` is the main loop's, null for the default one.
   explicit LoopTimer(std::function<void()> callback,
-                     gint priority = G_PRIORITY_DEFAULT);
+                     Order order = Order::kWithInput,
+                     GMainContext* context = nullptr);
   ~LoopTimer();
   LoopTimer(const LoopTimer&) = delete;
   LoopTimer& operator=(const LoopTimer&) = delete;
@@ -28,9 +39,20 @@
 
  private:
   static gboolean OnReady(gpointer self);
+  static gboolean OnDeadline(gpointer self);
+
+  GSource* AddSource(gint priority,
+                     GSourceFunc on_ready,
+                     GMainContext* context);
+  void SetReadyTimes(gint64 time);
+  void Call();
 
   std::function<void()> m_callback;
   GSource* m_source;
+  // Of the priority of sockets; null with kWithInput. Ready at the deadline,
+  // and again when the call can wait no longer.
+  GSource* m_limit_source = nullptr;
+  bool m_is_deadline_noticed = false;
 };
 
 }  // namespace comfreyshift
