--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -247,6 +247,28 @@
   EXPECT_TRUE(IsFreshInTime("p/first"));
 }
 
+// Guards against a configuration that is late because reads of other items,
+// which change all the time, use up the reads through agents.
+TEST_F(RelayedMirrorTest, ReadsOfOtherItemsTakeNoRelayFromThisOne) {
+  constexpr int kOtherReads = 4;
+  m_mirrored.m_proxy.SetFault(LinkFault::kReset);
+  int ended_reads = 0;
+  for (int i = 0; i < kOtherReads; ++i) {
+    m_mirrored.m_client->Get(
+        "other/item",
+        [&ended_reads](const Result<StoreItem, KvError>&) { ++ended_reads; });
+  }
+  ASSERT_TRUE(RunUntil([&]() { return ended_reads == kOtherReads; }));
+  std::optional<bool> is_answered;
+  m_mirrored.m_client->Range(
+      "quiet/", "", [&is_answered](const Result<StoreItems, KvError>& items) {
+        is_answered = items.has_value();
+      });
+  ASSERT_TRUE(RunUntil([&]() { return is_answered.has_value(); }));
+  EXPECT_TRUE(*is_answered);
+  m_mirrored.m_proxy.SetFault(LinkFault::kNone);
+}
+
 // Guards against relayed reads that an agent makes on a connection that went
 // silent while it was idle.
 TEST_F(RelayedMirrorTest, AgentReadsOnANewConnection) {
