--- a/tests/platform/kv_mirror_test.cc
+++ b/tests/platform/kv_mirror_test.cc
@@ -309,6 +309,28 @@
   EXPECT_TRUE(m_keys.contains("p/second"));
 }
 
+// Guards against a configuration that stays old while changes follow one
+// another faster than a slow process reads: each announcement ended the read of
+// the one before.
+TEST_F(RelayedMirrorTest, AnnouncementsDoNotEndTheReadInProgress) {
+  constexpr Milliseconds kChangeInterval{40};
+  // A read over a delayed connection takes half a second.
+  constexpr Milliseconds kReadWithin{1500};
+  m_agent_fault = AgentFault::kAllAreCutOff;
+  m_mirrored.m_proxy.SetFault(LinkFault::kDelay);
+  RunFor(Milliseconds(300));
+  m_mirrored.m_proxy.SilenceOpenConnections();
+  const MonoTime end = BootClock::now() + kReadWithin;
+  int changes = 0;
+  while (!m_keys.contains("p/0") && BootClock::now() < end) {
+    m_store.Put("p/" + std::to_string(changes++), "");
+    m_mirrored.m_mirror->OnNewerRevision(m_store.revision());
+    RunFor(kChangeInterval);
+  }
+  EXPECT_TRUE(m_keys.contains("p/0")) << changes;
+  m_mirrored.m_proxy.SetFault(LinkFault::kNone);
+}
+
 // Guards against further calls to the store for each change that is announced
 // while the mirror sees it itself.
 TEST_F(RelayedMirrorTest, AnnouncedChangeThatIsSeenCausesNoRead) {
