Let an idle loop take no turn of its own for a timer's limit

Cause: the limit of a timer after input was ready at the deadline itself, so that each deadline cost a turn of the loop.

Change: the limit is first looked at 20 ms after the deadline, and calls 100 ms later.

--- a/net/loop_timer.cc
+++ b/net/loop_timer.cc
@@ -22,6 +22,9 @@
 constexpr gint kAfterInputPriority = G_PRIORITY_DEFAULT + 20;
 // For how long input may hold back a call that comes after it.
 constexpr std::chrono::microseconds kMaxInputTime{100'000};
+// How long after the deadline that time begins. An idle loop makes the call
+// before.
+constexpr std::chrono::microseconds kLimitDelay{20'000};
 
 // Returns the time on GLib's clock; 0 is always ready.
 gint64 ReadyTimeOf(MonoTime deadline) {
@@ -74,7 +77,8 @@
 void LoopTimer::SetReadyTimes(gint64 time) {
   g_source_set_ready_time(m_source, time);
   if (m_limit_source != nullptr) {
-    g_source_set_ready_time(m_limit_source, time);
+    g_source_set_ready_time(m_limit_source,
+                            time > 0 ? time + kLimitDelay.count() : time);
   }
 }
 
