--- a/tests/fleet/process_signals_test.cc
+++ b/tests/fleet/process_signals_test.cc
@@ -9,6 +9,8 @@
 #include <csignal>
 #include <cstdio>
 
+#include "tests/standins/busy_loop.h"
+
 namespace comfreyshift {
 namespace {
 
@@ -52,23 +54,17 @@
   SetReloadHandler(nullptr);
 }
 
-gboolean StayBusy(gpointer) {
-  return G_SOURCE_CONTINUE;
-}
-
 // Guards against a stop request that is delayed until an overloaded process is
 // idle; the process would be killed with SIGKILL first.
 TEST(ProcessSignalsTest, DeliversAnEarlierSignalWhileTheMainLoopIsBusy) {
   InstallSignalHandlers();
   RaiseAndDispatch(SIGTERM);
-  const guint busy =
-      g_idle_add_full(G_PRIORITY_DEFAULT, &StayBusy, nullptr, nullptr);
+  const BusyLoop busy_loop;
   int calls = 0;
   SetStopHandler([&calls]() { ++calls; });
   RunReadyEvents();
   EXPECT_EQ(calls, 1);
   SetStopHandler(nullptr);
-  g_source_remove(busy);
 }
 
 // Guards against calling a removed handler, and against the default action of
