--- a/net/loop_timer.cc
+++ b/net/loop_timer.cc
@@ -1,6 +1,5 @@
 #include "net/loop_timer.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace comfreyshift {
